Build: Add the build, the checks, the protocols and the interfaces

Cause: every later part needs a build whose verdict is the same on each machine, and interfaces that let the parts be written side by side.

--- /dev/null
+++ b/libraries/process/health/instancehealth.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include "process/fleet/instancedirectory.h"
+#include "process/hooks.h"
+
+#include <cstdint>
+#include <optional>
+#include <set>
+#include <string>
+
+namespace Hyssophall {
+
+/// How one try of a request on an instance ended.
+enum class TryOutcome {
+    Answered,
+    /// A 5xx answer of the instance.
+    ServerError,
+    /// Shed with the proof that nothing ran.
+    Shed,
+    ConnectFailed,
+    TimedOut,
+    /// The connection was lost after sending and before an answer.
+    ConnectionLost,
+    AnswerIncomplete,
+    /// Ended by the caller or by a silent connection; says nothing about the instance.
+    Neutral,
+};
+
+/// Interface to the choice of instances and their judgement by outcomes. Thread-safe, non-blocking.
+class InstanceHealth
+{
+public:
+    virtual ~InstanceHealth() = default;
+
+    /// Chooses an instance for a try, avoiding those in @p tried; nothing when none is left. Counts it as in flight.
+    virtual std::optional<hyssophall::fleet::v1::Instance> choose(const std::string &service, bool idempotent, const std::set<std::string> &tried) = 0;
+
+    /// Ends the try that choose() began. @p fingerprint is the request's.
+    virtual void finish(const hyssophall::fleet::v1::Instance &instance, TryOutcome outcome, std::chrono::microseconds latency, std::uint64_t fingerprint) = 0;
+
+    /// True for a request that has felled instances; it must not be sent.
+    virtual bool isPoison(std::uint64_t fingerprint) const = 0;
+};
+
+} // namespace Hyssophall
--- /dev/null
+++ b/libraries/process/hooks.h
@@ -0,0 +1,18 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+
+namespace Hyssophall {
+
+/// A point on the monotonic clock of this VM. Wall clocks are never compared between VMs.
+using SteadyTime = std::chrono::steady_clock::time_point;
+
+/// Source of the present time; tests inject their own.
+using SteadyClock = std::function<SteadyTime()>;
+
+/// Source of uniformly distributed 64-bit numbers; tests inject a seeded one.
+using RandomSource = std::function<std::uint64_t()>;
+
+} // namespace Hyssophall
--- /dev/null
+++ b/libraries/process/settings/settings.h
@@ -0,0 +1,109 @@
+#pragma once
+
+#include <boost/leaf/result.hpp>
+
+#include <chrono>
+#include <cstddef>
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace Hyssophall {
+
+enum class Role {
+    /// Serves callers.
+    Entry,
+    /// Serves callers and holds a replica of the control log; needs a data folder.
+    Control,
+};
+
+/// A setting that can't be used. Source: Settings::create() and Settings::createFromFile().
+struct InvalidSetting {
+    std::string file;
+    /// Zero when the fault is that a setting is missing.
+    int line = 0;
+    /// "section.name".
+    std::string setting;
+    std::string expected;
+};
+
+/// A network endpoint from the settings; the host is an IP number.
+struct Endpoint {
+    std::string host;
+    unsigned short port = 0;
+
+    /// "host:port".
+    std::string address() const;
+};
+
+/// All settings of a daemon. docs/operations.md lists them with their defaults.
+struct Settings {
+    struct Vm {
+        std::string id;
+        std::string failureDomain;
+        Role role = Role::Entry;
+        /// Empty: nothing is kept on disk. Required for Role::Control.
+        std::string dataFolder;
+    };
+    struct Listen {
+        Endpoint caller;
+        Endpoint administration;
+        Endpoint fleet;
+        std::size_t maximumConnections = 1000;
+    };
+    struct Fleet {
+        /// Shared by all VMs of the fleet; at least 16 characters.
+        std::string secret;
+        /// Fleet addresses of some VMs to join through.
+        std::vector<std::string> peers;
+        std::chrono::milliseconds gossipInterval{250};
+        std::chrono::milliseconds shardLease{2000};
+        std::chrono::milliseconds servingLease{3000};
+    };
+    struct Control {
+        /// Fleet addresses of the control VMs.
+        std::vector<std::string> replicas;
+        std::chrono::milliseconds heartbeatInterval{100};
+        std::chrono::milliseconds electionTimeout{600};
+    };
+    struct Limits {
+        std::size_t maximumRequestBytes = 1024 * 1024;
+        std::size_t maximumAnswerBytes = 8 * 1024 * 1024;
+        std::chrono::milliseconds rateWait{250};
+        std::chrono::milliseconds defaultTimeout{10000};
+    };
+    struct Claims {
+        std::chrono::seconds retention{600};
+        std::size_t maximumBodyBytes = 16 * 1024;
+    };
+    struct Shutdown {
+        std::chrono::milliseconds drainNotice{3000};
+        std::chrono::milliseconds drainLimit{30000};
+    };
+    struct Telemetry {
+        /// Spans are appended as JSON lines; empty: no spans.
+        std::string traceFile;
+        /// Empty: standard error.
+        std::string logFile;
+    };
+
+    Vm vm;
+    Listen listen;
+    Fleet fleet;
+    Control control;
+    Limits limits;
+    Claims claims;
+    Shutdown shutdown;
+    Telemetry telemetry;
+    /// Operator name to the SHA-256 of the operator's key in lower-case hexadecimal digits.
+    std::map<std::string, std::string> operators;
+
+    /// Reads settings from INI text. @p file names the text in errors. Unknown and repeated settings are refused. Errors: InvalidSetting.
+    static boost::leaf::result<Settings> create(std::string_view text, const std::string &file);
+
+    /// Reads settings from a file. Errors: InvalidSetting, with line 0 when the file can't be read.
+    static boost::leaf::result<Settings> createFromFile(const std::string &file);
+};
+
+} // namespace Hyssophall
--- /dev/null
+++ b/tests/unit/version/committeetest.cpp
@@ -0,0 +1,84 @@
+#include "version/committee.h"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <map>
+#include <set>
+#include <string>
+
+using namespace Hyssophall;
+
+namespace {
+
+Roster createRoster(std::size_t count, std::size_t domains)
+{
+    std::vector<CatalogueMessages::Member> members(count);
+    for (std::size_t index = 0; index < count; ++index) {
+        members[index].set_id("vm-" + std::to_string(index));
+        members[index].set_failure_domain("domain-" + std::to_string(index % domains));
+    }
+    return Roster(1, members);
+}
+
+std::size_t countCommon(const Committee &left, const Committee &right)
+{
+    return static_cast<std::size_t>(
+        std::count_if(left.members().begin(), left.members().end(), [&right](const CatalogueMessages::Member &member) { return right.contains(member.id()); }));
+}
+
+} // namespace
+
+CATCH_TEST_CASE("A committee survives the loss of one failure domain out of three", "[committee][at-most-once]")
+{
+    const Roster roster = createRoster(44, 3);
+    for (int number = 0; number < 500; ++number) {
+        const Committee committee = Committee::of(roster, "shard:" + std::to_string(number));
+        std::map<std::string, std::size_t> counts;
+        for (const CatalogueMessages::Member &member : committee.members()) {
+            ++counts[member.failure_domain()];
+        }
+        for (const std::pair<const std::string, std::size_t> &count : counts) {
+            CATCH_REQUIRE(committee.members().size() - count.second >= committee.quorum());
+        }
+    }
+}
+
+CATCH_TEST_CASE("Quorums of rosters that differ in two members always meet", "[committee][at-most-once]")
+{
+    const std::size_t sizes[] = {5, 9, 12, 44};
+    for (const std::size_t size : sizes) {
+        const Roster before = createRoster(size, 3);
+        for (std::size_t removed = 0; removed < size; ++removed) {
+            std::vector<CatalogueMessages::Member> members = before.members();
+            members.erase(members.begin() + static_cast<std::ptrdiff_t>(removed));
+            const Roster after(2, members);
+            for (int number = 0; number < 50; ++number) {
+                const std::string name = "claim:" + std::to_string(number);
+                const Committee first = Committee::of(before, name);
+                const Committee second = Committee::of(after, name);
+                const std::size_t common = countCommon(first, second);
+                const std::size_t outsideFirst = first.members().size() - common;
+                const std::size_t outsideSecond = second.members().size() - common;
+                // Votes that each quorum must take from the common members; together more than there are.
+                CATCH_REQUIRE(first.quorum() - outsideFirst + second.quorum() - outsideSecond > common);
+            }
+        }
+    }
+}
+
+CATCH_TEST_CASE("The loss of a member moves only the names that it held", "[committee]")
+{
+    std::vector<std::string> members;
+    for (int index = 0; index < 20; ++index) {
+        members.push_back("vm-" + std::to_string(index));
+    }
+    std::vector<std::string> remaining(members.begin() + 1, members.end());
+    for (int number = 0; number < 1000; ++number) {
+        const std::string name = "shard:" + std::to_string(number);
+        const std::string before = rendezvousWinner(name, members);
+        if (before != members.front()) {
+            CATCH_REQUIRE(rendezvousWinner(name, remaining) == before);
+        }
+    }
+}
