--- /dev/null
+++ b/tests/unit/process/health/healthmonitortest.cpp
@@ -0,0 +1,169 @@
+#include "process/health/healthmonitor.h"
+
+#include "process/health/crashregistry.h"
+#include "support/fakedirectory.h"
+
+#include <catch2/catch.hpp>
+
+#include <map>
+#include <memory>
+#include <random>
+
+using namespace Hyssophall;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// A monitor over one service with the test's clock and random numbers from a seed.
+struct Fixture {
+    explicit Fixture(int instances, unsigned int seed = 1)
+        : generator(seed)
+    {
+        this->directory.add("reads", instances);
+        HealthMonitor::Options options;
+        options.clock = [this] { return this->now; };
+        options.random = [this] { return this->generator(); };
+        options.reportCrash = [this](std::uint64_t fingerprint, const std::string &instance) {
+            if (this->registry.report(fingerprint, instance, this->now)) {
+                this->poisonFound = fingerprint;
+            }
+        };
+        this->monitor = std::make_unique<HealthMonitor>(options, this->directory);
+    }
+
+    std::string send(TryOutcome outcome, std::chrono::microseconds latency, std::uint64_t fingerprint = 1, bool idempotent = true)
+    {
+        const std::optional<FleetMessages::Instance> instance = this->monitor->choose("reads", idempotent, {});
+        CATCH_REQUIRE(instance.has_value());
+        this->monitor->finish(*instance, outcome, latency, fingerprint);
+        return instance->id();
+    }
+
+    std::vector<HealthMonitor::ServiceReport> collectAll()
+    {
+        return this->monitor->collect([](const std::string &, bool) { return true; });
+    }
+
+    TestSupport::FakeDirectory directory;
+    std::mt19937_64 generator;
+    SteadyTime now{1h};
+    CrashRegistry registry;
+    std::uint64_t poisonFound = 0;
+    std::unique_ptr<HealthMonitor> monitor;
+};
+
+} // namespace
+
+CATCH_TEST_CASE("A failing instance loses its share before any ejection", "[routing]")
+{
+    Fixture fixture(8);
+    std::map<std::string, int> sent;
+    int failures = 0;
+    for (int request = 0; request < 1000; ++request) {
+        const std::optional<FleetMessages::Instance> instance = fixture.monitor->choose("reads", true, {});
+        const bool fails = instance->id() == "reads-04";
+        failures += fails ? 1 : 0;
+        fixture.monitor->finish(*instance, fails ? TryOutcome::ServerError : TryOutcome::Answered, 5ms, 1);
+        ++sent[instance->id()];
+    }
+    // An even share would be 125.
+    CATCH_REQUIRE(failures < 40);
+    // It keeps getting a few, or its recovery would go unnoticed.
+    CATCH_REQUIRE(failures > 0);
+}
+
+CATCH_TEST_CASE("A request that can't be retried avoids instances that fail", "[routing]")
+{
+    Fixture fixture(4);
+    for (int request = 0; request < 400; ++request) {
+        const std::optional<FleetMessages::Instance> instance = fixture.monitor->choose("reads", true, {});
+        fixture.monitor->finish(*instance, instance->id() == "reads-02" ? TryOutcome::TimedOut : TryOutcome::Answered, 5ms, 1);
+    }
+    for (int request = 0; request < 400; ++request) {
+        CATCH_REQUIRE(fixture.send(TryOutcome::Answered, 5ms, 2, false) != "reads-02");
+    }
+}
+
+CATCH_TEST_CASE("Leaving and tried instances get no request, ejected ones only when nothing else is left", "[leaving-upstream]")
+{
+    Fixture fixture(3);
+    fixture.directory.byService["reads"][0].instance.set_state(FleetMessages::INSTANCE_STATE_LEAVING);
+    fixture.directory.byService["reads"][1].ejected = true;
+    for (int request = 0; request < 100; ++request) {
+        CATCH_REQUIRE(fixture.send(TryOutcome::Answered, 5ms) == "reads-02");
+    }
+    CATCH_REQUIRE(fixture.monitor->choose("reads", true, {"reads-02"})->id() == "reads-01");
+    CATCH_REQUIRE_FALSE(fixture.monitor->choose("reads", true, {"reads-01", "reads-02"}).has_value());
+}
+
+CATCH_TEST_CASE("A request that fells two instances is poison and isn't charged to them", "[poison]")
+{
+    Fixture fixture(4);
+    const FleetMessages::Instance first = fixture.directory.byService["reads"][0].instance;
+    const FleetMessages::Instance second = fixture.directory.byService["reads"][1].instance;
+    fixture.monitor->choose("reads", true, {});
+    fixture.monitor->finish(first, TryOutcome::ConnectionLost, 5ms, 77);
+    CATCH_REQUIRE(fixture.poisonFound == 0);
+    fixture.monitor->finish(second, TryOutcome::ConnectionLost, 5ms, 77);
+    CATCH_REQUIRE(fixture.poisonFound == 77);
+    fixture.monitor->markPoison(77, CrashRegistry::memory);
+    CATCH_REQUIRE(fixture.monitor->isPoison(77));
+    CATCH_REQUIRE_FALSE(fixture.monitor->isPoison(78));
+    fixture.now += 3s;
+    for (const HealthMonitor::ServiceReport &report : fixture.collectAll()) {
+        for (const FleetMessages::OutcomeCounts &counts : report.counts) {
+            CATCH_REQUIRE(counts.failed() == 0);
+        }
+    }
+    fixture.now += CrashRegistry::memory;
+    CATCH_REQUIRE_FALSE(fixture.monitor->isPoison(77));
+}
+
+CATCH_TEST_CASE("A frequent request in flight on crashed instances isn't taken for the poison", "[poison][true-refusal]")
+{
+    // Guards against false refusals: the innocent request is lost together with the one that crashes the instance.
+    Fixture fixture(4);
+    fixture.send(TryOutcome::Answered, 5ms, 5);
+    for (const KnownInstance &known : fixture.directory.byService["reads"]) {
+        fixture.monitor->finish(known.instance, TryOutcome::ConnectionLost, 5ms, 5);
+    }
+    CATCH_REQUIRE(fixture.poisonFound == 0);
+}
+
+CATCH_TEST_CASE("Lost connections count against an instance once no poison explains them", "[ejection]")
+{
+    Fixture fixture(2);
+    const FleetMessages::Instance first = fixture.directory.byService["reads"][0].instance;
+    fixture.monitor->choose("reads", true, {});
+    fixture.monitor->finish(first, TryOutcome::ConnectionLost, 5ms, 91);
+    CATCH_REQUIRE(fixture.collectAll().empty());
+    fixture.now += 3s;
+    const std::vector<HealthMonitor::ServiceReport> reports = fixture.collectAll();
+    CATCH_REQUIRE(reports.size() == 1);
+    CATCH_REQUIRE(reports.front().suspicious);
+    CATCH_REQUIRE(reports.front().counts.front().failed() == 1);
+}
+
+CATCH_TEST_CASE("A slow instance is noticed, one that starts cold is spared", "[ejection]")
+{
+    Fixture fixture(6);
+    std::set<std::string> slowOnes;
+    for (int round = 0; round < 2; ++round) {
+        for (int request = 0; request < 600; ++request) {
+            const std::optional<FleetMessages::Instance> instance = fixture.monitor->choose("reads", true, {});
+            const bool slow = instance->id() == "reads-01" || instance->id() == "reads-05";
+            fixture.monitor->finish(*instance, TryOutcome::Answered, slow ? 80ms : 5ms, 1);
+        }
+        if (round == 0) {
+            // The last instance is replaced by a fresh one, which is slow while it warms up.
+            fixture.directory.byService["reads"][5].instance.set_incarnation(2);
+            fixture.collectAll();
+        }
+    }
+    for (const HealthMonitor::ServiceReport &report : fixture.collectAll()) {
+        for (const FleetMessages::OutcomeCounts &counts : report.counts) {
+            CATCH_INFO(counts.instance());
+            CATCH_REQUIRE((counts.slow() > 0) == (counts.instance() == "reads-01"));
+        }
+    }
+}
