Health: Judge instances by a cumulative sum test

Change: the arbiter adds up the log-likelihood ratio of "bad" against "normal", never below zero, and ejects at 9. At least a fifth of the VMs that use an instance must find it bad. Ruled out: a shorter half-life of the interval's samples, which brings back false ejections.

--- a/libraries/process/health/ejectionarbiter.cpp
+++ b/libraries/process/health/ejectionarbiter.cpp
@@ -13,24 +13,24 @@
 constexpr std::chrono::seconds renewalInterval{4};
 // An ejection that comes back within this time after the last one is a repetition and lasts longer.
 constexpr std::chrono::seconds repetitionTime{60};
-constexpr std::size_t accusersNeeded = 2;
-constexpr double samplesOfOneAccuser = 20;
-constexpr double smallestBadShare = 0.12;
-constexpr double badShareOverMedian = 0.05;
-// Standard deviations of the lower bound; with 2.6, chance alone ejects about once in 200 decisions at the threshold itself.
-constexpr double boundDeviations = 2.6;
-
-// Lower bound of Wilson's score interval: the share that the evidence supports, which is low for few samples.
-double lowerBoundOfShare(double bad, double total)
+constexpr std::ptrdiff_t accusersNeeded = 2;
+// Share of the VMs that use an instance and must find it bad: a rack that lost its way to the instance is too few.
+constexpr double accusingShareNeeded = 0.2;
+constexpr double samplesOfOneReporter = 20;
+// Failure shares that the test weighs against each other: one that is still normal, and one that is clearly bad.
+constexpr double smallestNormalShare = 0.06;
+constexpr double normalOverMedian = 2;
+constexpr double smallestBadShare = 0.25;
+constexpr double badOverNormal = 3;
+constexpr double largestBadShare = 0.9;
+// Evidence, as a log-likelihood ratio, that ejects: with 9, a sound instance is taken for a bad one once in e^9 (8,100) trials at most.
+constexpr double evidenceNeeded = 9;
+// Old evidence fades, so that rare failures over hours don't add up.
+constexpr std::chrono::duration<double> suspicionHalfLife{10};
+
+double fade(std::chrono::steady_clock::duration age, std::chrono::duration<double> halfLife)
 {
-    if (total <= 0) {
-        return 0;
-    }
-    const double share = bad / total;
-    const double squared = boundDeviations * boundDeviations;
-    const double centre = share + squared / (2 * total);
-    const double spread = boundDeviations * std::sqrt(share * (1 - share) / total + squared / (4 * total * total));
-    return (centre - spread) / (1 + squared / total);
+    return std::exp2(-(std::chrono::duration<double>(age) / halfLife));
 }
 
 } // namespace
@@ -67,9 +67,13 @@
         }
         decay(evidence, now);
         const double bad = static_cast<double>(count.failed()) + static_cast<double>(count.slow());
-        evidence.good += count.good();
+        const double good = static_cast<double>(count.good());
+        evidence.good += good;
         evidence.bad += bad;
-        if (bad > 0 && bad >= count.good() * smallestBadShare) {
+        evidence.newGood += good;
+        evidence.newBad += bad;
+        evidence.reporters[member] = now;
+        if (bad > 0 && bad >= good * smallestNormalShare) {
             evidence.accusers[member] = now;
         }
     }
@@ -97,12 +101,12 @@
     if (now - this->startedAt < quietPeriod) {
         return records;
     }
-    const double median = this->medianBadShare(instances);
+    this->weighEvidence(instances);
     std::vector<std::pair<double, const KnownInstance *>> candidates;
     for (const KnownInstance &known : instances) {
         const Evidence &evidence = this->evidences[known.instance.id()];
-        if (known.instance.state() == FleetMessages::INSTANCE_STATE_READY && !evidence.ejected && !known.ejected && this->isBad(evidence, median, now)) {
-            candidates.emplace_back(evidence.bad / (evidence.bad + evidence.good), &known);
+        if (known.instance.state() == FleetMessages::INSTANCE_STATE_READY && !evidence.ejected && !known.ejected && isBad(evidence, now)) {
+            candidates.emplace_back(evidence.suspicion, &known);
         }
     }
     // The worst go first, since the floor may not allow all.
@@ -129,16 +133,32 @@
 
 void EjectionArbiter::decay(Evidence &evidence, SteadyTime now)
 {
-    if (evidence.decayedAt == SteadyTime()) {
-        evidence.decayedAt = now;
-        return;
+    if (evidence.decayedAt != SteadyTime()) {
+        const double factor = fade(now - evidence.decayedAt, evidenceHalfLife);
+        evidence.good *= factor;
+        evidence.bad *= factor;
+        evidence.suspicion *= fade(now - evidence.decayedAt, suspicionHalfLife);
     }
-    const double factor = std::exp2(-(std::chrono::duration<double>(now - evidence.decayedAt) / evidenceHalfLife));
-    evidence.good *= factor;
-    evidence.bad *= factor;
     evidence.decayedAt = now;
 }
 
+void EjectionArbiter::weighEvidence(const InstanceDirectory::Instances &instances)
+{
+    // A service that is bad as a whole has no outliers; ejecting would only push its load onto fewer instances.
+    const double normal = std::max(smallestNormalShare, normalOverMedian * this->medianBadShare(instances));
+    const double bad = std::clamp(badOverNormal * normal, smallestBadShare, largestBadShare);
+    for (const KnownInstance &known : instances) {
+        Evidence &evidence = this->evidences[known.instance.id()];
+        // Cumulative sum test: finds a change to the worse after the fewest samples for a given rate of false alarms.
+        if (normal < bad) {
+            const double gain = evidence.newBad * std::log(bad / normal) + evidence.newGood * std::log((1 - bad) / (1 - normal));
+            evidence.suspicion = std::max(0.0, evidence.suspicion + gain);
+        }
+        evidence.newGood = 0;
+        evidence.newBad = 0;
+    }
+}
+
 double EjectionArbiter::medianBadShare(const InstanceDirectory::Instances &instances) const
 {
     std::vector<double> shares;
@@ -157,19 +177,18 @@
     return *middle;
 }
 
-bool EjectionArbiter::isBad(const Evidence &evidence, double median, SteadyTime now) const
+bool EjectionArbiter::isBad(const Evidence &evidence, SteadyTime now)
 {
-    std::size_t accusers = 0;
-    for (const std::pair<const std::string, SteadyTime> &accuser : evidence.accusers) {
-        accusers += now - accuser.second <= accusationLifetime ? 1 : 0;
-    }
-    const double total = evidence.good + evidence.bad;
-    if (accusers < accusersNeeded && total < samplesOfOneAccuser) {
+    if (evidence.suspicion < evidenceNeeded) {
         return false;
     }
-    // A service that is bad as a whole has no outliers; ejecting would only push its load onto fewer instances.
-    const double threshold = std::max(smallestBadShare, 2 * median + badShareOverMedian);
-    return lowerBoundOfShare(evidence.bad, total) > threshold;
+    const auto isRecent = [now](const std::pair<const std::string, SteadyTime> &entry) { return now - entry.second <= accusationLifetime; };
+    const std::ptrdiff_t accusers = std::count_if(evidence.accusers.begin(), evidence.accusers.end(), isRecent);
+    const std::ptrdiff_t reporters = std::count_if(evidence.reporters.begin(), evidence.reporters.end(), isRecent);
+    if (reporters == 1) {
+        return evidence.good + evidence.bad >= samplesOfOneReporter;
+    }
+    return accusers >= accusersNeeded && static_cast<double>(accusers) >= accusingShareNeeded * static_cast<double>(reporters);
 }
 
 void EjectionArbiter::endOrRenew(const std::string &instance, Evidence &evidence, SteadyTime now, std::vector<FleetMessages::Ejection> &records)
@@ -182,6 +201,9 @@
         evidence.lastEjectionEnd = now;
         evidence.good = 0;
         evidence.bad = 0;
+        evidence.newGood = 0;
+        evidence.newBad = 0;
+        evidence.suspicion = 0;
         evidence.accusers.clear();
         records.push_back(this->record(instance, evidence, std::chrono::milliseconds(0)));
         return;
--- a/libraries/process/health/ejectionarbiter.h
+++ b/libraries/process/health/ejectionarbiter.h
@@ -55,7 +55,13 @@
         double good = 0;
         double bad = 0;
         SteadyTime decayedAt;
-        /// When each VM last reported this instance as mostly bad.
+        /// Counts since the last decision.
+        double newGood = 0;
+        double newBad = 0;
+        /// Cumulative log-likelihood ratio of "bad" against "normal"; never below zero.
+        double suspicion = 0;
+        /// When each VM last reported this instance, and last as worse than normal.
+        std::map<std::string, SteadyTime> reporters;
         std::map<std::string, SteadyTime> accusers;
         SteadyTime ejectedUntil{};
         SteadyTime renewAt{};
@@ -66,7 +72,8 @@
 
     static void decay(Evidence &evidence, SteadyTime now);
     double medianBadShare(const InstanceDirectory::Instances &instances) const;
-    bool isBad(const Evidence &evidence, double median, SteadyTime now) const;
+    void weighEvidence(const InstanceDirectory::Instances &instances);
+    static bool isBad(const Evidence &evidence, SteadyTime now);
     void endOrRenew(const std::string &instance, Evidence &evidence, SteadyTime now, std::vector<FleetMessages::Ejection> &records);
     FleetMessages::Ejection record(const std::string &instance, const Evidence &evidence, std::chrono::milliseconds remaining);
 
