Catalogue: Add the immutable catalogue and its store

Cause: every VM needs the catalogue in force, its route and key lookups, and validated changes whose cost doesn't grow with 240,000 teams and 17,000 routes.

Change: the tables are 16-way hash tries whose copies share unchanged nodes. Routes are indexed by path prefix, keys by hash with a constant-time compare, and use counts replace searches when a service or team is removed.

--- a/libraries/process/cataloguestore.h
+++ b/libraries/process/cataloguestore.h
@@ -8,6 +8,7 @@
 #include <functional>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <vector>
 
 namespace Hyssophall {
@@ -20,7 +21,8 @@
 class CatalogueStore
 {
 public:
-    /// Called after a newer catalogue came into force, outside of locks, in the order of the versions.
+    /// Called after a newer catalogue came into force, outside of locks, in the order of the versions. One thread at a time runs
+    /// the listeners; a thread that installs a catalogue meanwhile leaves it to that thread.
     using Listener = std::function<void(std::shared_ptr<const Catalogue>)>;
 
     /// Changes kept for peers; a peer further behind gets a snapshot.
@@ -43,13 +45,16 @@
     void addListener(Listener listener);
 
 private:
-    void install(std::shared_ptr<const Catalogue> catalogue);
+    void install(std::shared_ptr<const Catalogue> catalogue, const std::vector<CatalogueMessages::VersionedChange> &changes);
+    void notifyListeners();
 
     mutable std::mutex mutex;
     std::mutex installMutex;
     std::shared_ptr<const Catalogue> inForce;
     std::deque<CatalogueMessages::VersionedChange> keptChanges;
     std::vector<Listener> listeners;
+    std::deque<std::shared_ptr<const Catalogue>> unannounced;
+    bool isNotifying = false;
 };
 
 } // namespace Hyssophall
--- /dev/null
+++ b/libraries/version/catalogue.cpp
@@ -0,0 +1,343 @@
+#include "version/catalogue.h"
+
+#include "version/changevalidation.h"
+
+#include <boost/leaf/error.hpp>
+
+#include <optional>
+#include <set>
+#include <utility>
+
+namespace Hyssophall {
+
+namespace leaf = boost::leaf;
+
+namespace {
+
+constexpr const char *unknownName = "the name of an existing entry";
+
+std::string serviceUse(const std::string &name)
+{
+    return "service:" + name;
+}
+
+std::string teamUse(const std::string &name)
+{
+    return "team:" + name;
+}
+
+void changeUse(detail::UseTable &uses, const std::string &name, int difference)
+{
+    const std::shared_ptr<const detail::UseCount> present = uses.find(name);
+    const std::size_t count = (present == nullptr ? 0 : present->count) + static_cast<std::size_t>(difference);
+    if (count == 0) {
+        uses.remove(name);
+    } else {
+        uses.put(std::make_shared<const detail::UseCount>(detail::UseCount{name, count}));
+    }
+}
+
+template<typename Message>
+leaf::result<void> checkAlone(const Message &message)
+{
+    if (std::optional<InvalidChange> fault = findFault(message)) {
+        return leaf::new_error(std::move(*fault));
+    }
+    return {};
+}
+
+leaf::result<void> checkMembers(const std::vector<CatalogueMessages::Member> &members)
+{
+    std::set<std::string_view> addresses;
+    for (const CatalogueMessages::Member &member : members) {
+        if (!addresses.insert(member.fleet_address()).second) {
+            return leaf::new_error(InvalidChange{"member.fleet_address", "an address that no other member has"});
+        }
+    }
+    return {};
+}
+
+} // namespace
+
+std::shared_ptr<const Catalogue> Catalogue::createEmpty()
+{
+    const std::shared_ptr<Catalogue> catalogue = std::make_shared<Catalogue>();
+    catalogue->members = std::make_shared<const Roster>();
+    return catalogue;
+}
+
+leaf::result<std::shared_ptr<const Catalogue>> Catalogue::create(const CatalogueMessages::Snapshot &snapshot)
+{
+    const std::shared_ptr<Catalogue> catalogue = std::make_shared<Catalogue>();
+    catalogue->versionNumber = snapshot.version();
+    // In the order of references: an entry is put after those that it names.
+    for (const CatalogueMessages::Service &service : snapshot.services()) {
+        BOOST_LEAF_CHECK(catalogue->putService(service));
+    }
+    for (const CatalogueMessages::Team &team : snapshot.teams()) {
+        BOOST_LEAF_CHECK(catalogue->putTeam(team));
+    }
+    for (const CatalogueMessages::Route &route : snapshot.routes()) {
+        BOOST_LEAF_CHECK(catalogue->putRoute(route));
+    }
+    for (const CatalogueMessages::Key &key : snapshot.keys()) {
+        BOOST_LEAF_CHECK(catalogue->putKey(key));
+    }
+    BOOST_LEAF_CHECK(catalogue->loadMembers(snapshot));
+    return std::shared_ptr<const Catalogue>(catalogue);
+}
+
+leaf::result<std::shared_ptr<const Catalogue>> Catalogue::applied(const CatalogueMessages::Change &change) const
+{
+    const std::shared_ptr<Catalogue> next = std::make_shared<Catalogue>(*this);
+    BOOST_LEAF_CHECK(next->apply(change));
+    ++next->versionNumber;
+    return std::shared_ptr<const Catalogue>(next);
+}
+
+Catalogue::Result Catalogue::apply(const CatalogueMessages::Change &change)
+{
+    switch (change.kind_case()) {
+    case CatalogueMessages::Change::kPutService:
+        return this->putService(change.put_service());
+    case CatalogueMessages::Change::kRemoveService:
+        return this->removeService(change.remove_service());
+    case CatalogueMessages::Change::kPutRoute:
+        return this->putRoute(change.put_route());
+    case CatalogueMessages::Change::kRemoveRoute:
+        return this->removeRoute(change.remove_route());
+    case CatalogueMessages::Change::kPutTeam:
+        return this->putTeam(change.put_team());
+    case CatalogueMessages::Change::kRemoveTeam:
+        return this->removeTeam(change.remove_team());
+    case CatalogueMessages::Change::kPutKey:
+        return this->putKey(change.put_key());
+    case CatalogueMessages::Change::kWithdrawKey:
+        return this->withdrawKey(change.withdraw_key());
+    case CatalogueMessages::Change::kAdmitMember:
+        return this->admitMember(change.admit_member());
+    case CatalogueMessages::Change::kRemoveMember:
+        return this->removeMember(change.remove_member());
+    case CatalogueMessages::Change::KIND_NOT_SET:
+        break;
+    }
+    return leaf::new_error(InvalidChange{"change", "exactly one kind of change"});
+}
+
+Catalogue::Result Catalogue::putService(const CatalogueMessages::Service &service)
+{
+    BOOST_LEAF_CHECK(checkAlone(service));
+    this->services.put(std::make_shared<const CatalogueMessages::Service>(service));
+    return {};
+}
+
+Catalogue::Result Catalogue::removeService(const std::string &name)
+{
+    if (this->uses.find(serviceUse(name)) != nullptr) {
+        return leaf::new_error(InvalidChange{"remove_service", "a service that no route names"});
+    }
+    if (!this->services.remove(name)) {
+        return leaf::new_error(InvalidChange{"remove_service", unknownName});
+    }
+    return {};
+}
+
+Catalogue::Result Catalogue::putRoute(const CatalogueMessages::Route &route)
+{
+    BOOST_LEAF_CHECK(checkAlone(route));
+    BOOST_LEAF_CHECK(this->checkReferences(route));
+    if (this->routes.isTakenByOther(route)) {
+        return leaf::new_error(InvalidChange{"route.path_prefix", "a prefix and methods that no other route takes"});
+    }
+    if (const std::shared_ptr<const CatalogueMessages::Route> former = this->routes.find(route.name())) {
+        this->countUses(*former, -1);
+    }
+    const std::shared_ptr<const CatalogueMessages::Route> entry = std::make_shared<const CatalogueMessages::Route>(route);
+    this->routes.put(entry);
+    this->countUses(route, 1);
+    return {};
+}
+
+Catalogue::Result Catalogue::removeRoute(const std::string &name)
+{
+    const std::shared_ptr<const CatalogueMessages::Route> former = this->routes.find(name);
+    if (former == nullptr) {
+        return leaf::new_error(InvalidChange{"remove_route", unknownName});
+    }
+    this->countUses(*former, -1);
+    this->routes.remove(name);
+    return {};
+}
+
+Catalogue::Result Catalogue::putTeam(const CatalogueMessages::Team &team)
+{
+    BOOST_LEAF_CHECK(checkAlone(team));
+    this->teams.put(std::make_shared<const CatalogueMessages::Team>(team));
+    return {};
+}
+
+Catalogue::Result Catalogue::removeTeam(const std::string &name)
+{
+    if (this->uses.find(teamUse(name)) != nullptr) {
+        return leaf::new_error(InvalidChange{"remove_team", "a team that no route and no key names"});
+    }
+    if (!this->teams.remove(name)) {
+        return leaf::new_error(InvalidChange{"remove_team", unknownName});
+    }
+    return {};
+}
+
+Catalogue::Result Catalogue::putKey(const CatalogueMessages::Key &key)
+{
+    BOOST_LEAF_CHECK(checkAlone(key));
+    if (this->teams.find(key.team()) == nullptr) {
+        return leaf::new_error(InvalidChange{"key.team", "the name of an existing team"});
+    }
+    const std::shared_ptr<const CatalogueMessages::Key> sameHash = this->keyHashes.find(key.hash());
+    if (sameHash != nullptr && sameHash->id() != key.id()) {
+        return leaf::new_error(InvalidChange{"key.hash", "a hash that no other key has"});
+    }
+    if (const std::shared_ptr<const CatalogueMessages::Key> former = this->keys.find(key.id())) {
+        this->keyHashes.remove(former->hash());
+        changeUse(this->uses, teamUse(former->team()), -1);
+    }
+    const std::shared_ptr<const CatalogueMessages::Key> entry = std::make_shared<const CatalogueMessages::Key>(key);
+    this->keys.put(entry);
+    this->keyHashes.put(entry);
+    changeUse(this->uses, teamUse(key.team()), 1);
+    return {};
+}
+
+Catalogue::Result Catalogue::withdrawKey(const std::string &id)
+{
+    const std::shared_ptr<const CatalogueMessages::Key> former = this->keys.find(id);
+    if (former == nullptr) {
+        return leaf::new_error(InvalidChange{"withdraw_key", "the id of an existing key"});
+    }
+    this->keyHashes.remove(former->hash());
+    changeUse(this->uses, teamUse(former->team()), -1);
+    this->keys.remove(id);
+    return {};
+}
+
+Catalogue::Result Catalogue::admitMember(const CatalogueMessages::Member &member)
+{
+    BOOST_LEAF_CHECK(checkAlone(member));
+    std::vector<CatalogueMessages::Member> admitted;
+    for (const CatalogueMessages::Member &present : this->members->members()) {
+        if (present.id() != member.id()) {
+            admitted.push_back(present);
+        }
+    }
+    admitted.push_back(member);
+    BOOST_LEAF_CHECK(checkMembers(admitted));
+    this->members = std::make_shared<const Roster>(this->members->version() + 1, std::move(admitted));
+    return {};
+}
+
+Catalogue::Result Catalogue::removeMember(const std::string &id)
+{
+    if (this->members->find(id) == nullptr) {
+        return leaf::new_error(InvalidChange{"remove_member", "the id of a member"});
+    }
+    std::vector<CatalogueMessages::Member> remaining;
+    for (const CatalogueMessages::Member &present : this->members->members()) {
+        if (present.id() != id) {
+            remaining.push_back(present);
+        }
+    }
+    this->members = std::make_shared<const Roster>(this->members->version() + 1, std::move(remaining));
+    return {};
+}
+
+Catalogue::Result Catalogue::loadMembers(const CatalogueMessages::Snapshot &snapshot)
+{
+    std::vector<CatalogueMessages::Member> admitted;
+    std::set<std::string_view> ids;
+    for (const CatalogueMessages::Member &member : snapshot.members()) {
+        BOOST_LEAF_CHECK(checkAlone(member));
+        if (!ids.insert(member.id()).second) {
+            return leaf::new_error(InvalidChange{"member.id", "an id that no other member has"});
+        }
+        admitted.push_back(member);
+    }
+    BOOST_LEAF_CHECK(checkMembers(admitted));
+    this->members = std::make_shared<const Roster>(snapshot.roster_version(), std::move(admitted));
+    return {};
+}
+
+Catalogue::Result Catalogue::checkReferences(const CatalogueMessages::Route &route) const
+{
+    if (this->services.find(route.service()) == nullptr) {
+        return leaf::new_error(InvalidChange{"route.service", "the name of an existing service"});
+    }
+    for (const std::string &team : route.teams()) {
+        if (this->teams.find(team) == nullptr) {
+            return leaf::new_error(InvalidChange{"route.teams", "names of existing teams"});
+        }
+    }
+    return {};
+}
+
+void Catalogue::countUses(const CatalogueMessages::Route &route, int difference)
+{
+    changeUse(this->uses, serviceUse(route.service()), difference);
+    for (const std::string &team : route.teams()) {
+        changeUse(this->uses, teamUse(team), difference);
+    }
+}
+
+CatalogueMessages::Snapshot Catalogue::snapshot() const
+{
+    CatalogueMessages::Snapshot snapshot;
+    snapshot.set_version(this->versionNumber);
+    snapshot.set_roster_version(this->members->version());
+    for (const std::shared_ptr<const CatalogueMessages::Service> &service : this->services.sorted()) {
+        *snapshot.add_services() = *service;
+    }
+    for (const std::shared_ptr<const CatalogueMessages::Route> &route : this->routes.sorted()) {
+        *snapshot.add_routes() = *route;
+    }
+    for (const std::shared_ptr<const CatalogueMessages::Team> &team : this->teams.sorted()) {
+        *snapshot.add_teams() = *team;
+    }
+    for (const std::shared_ptr<const CatalogueMessages::Key> &key : this->keys.sorted()) {
+        *snapshot.add_keys() = *key;
+    }
+    for (const CatalogueMessages::Member &member : this->members->members()) {
+        *snapshot.add_members() = member;
+    }
+    return snapshot;
+}
+
+std::uint64_t Catalogue::version() const
+{
+    return this->versionNumber;
+}
+
+const Roster &Catalogue::roster() const
+{
+    return *this->members;
+}
+
+std::shared_ptr<const CatalogueMessages::Route> Catalogue::findRoute(std::string_view method, std::string_view path) const
+{
+    return this->routes.find(method, path);
+}
+
+std::shared_ptr<const CatalogueMessages::Team> Catalogue::findTeam(std::string_view name) const
+{
+    return this->teams.find(name);
+}
+
+std::shared_ptr<const CatalogueMessages::Service> Catalogue::findService(std::string_view name) const
+{
+    return this->services.find(name);
+}
+
+std::shared_ptr<const CatalogueMessages::Key> Catalogue::findKey(const KeyHash &hash) const
+{
+    return this->keyHashes.find(std::string_view(reinterpret_cast<const char *>(hash.data()), hash.size()));
+}
+
+} // namespace Hyssophall
--- a/libraries/version/catalogue.h
+++ b/libraries/version/catalogue.h
@@ -1,23 +1,19 @@
 #pragma once
 
 #include "catalogue.pb.h"
+#include "version/cataloguetables.h"
 #include "version/roster.h"
+#include "version/routeindex.h"
 
 #include <boost/leaf/result.hpp>
 
-#include <array>
 #include <cstdint>
-#include <map>
 #include <memory>
-#include <optional>
 #include <string>
 #include <string_view>
 
 namespace Hyssophall {
 
-/// SHA-256 of a key. Keys themselves are never kept.
-using KeyHash = std::array<std::uint8_t, 32>;
-
 /// A change that would leave the catalogue without meaning. Source: Catalogue::applied().
 struct InvalidChange {
     /// The field, as in "route.service".
@@ -56,15 +52,32 @@
     std::shared_ptr<const CatalogueMessages::Key> findKey(const KeyHash &hash) const;
 
 private:
-    template<typename Value>
-    using Table = std::map<std::string, std::shared_ptr<const Value>, std::less<>>;
+    using Result = boost::leaf::result<void>;
+
+    Result apply(const CatalogueMessages::Change &change);
+    Result putService(const CatalogueMessages::Service &service);
+    Result removeService(const std::string &name);
+    Result putRoute(const CatalogueMessages::Route &route);
+    Result removeRoute(const std::string &name);
+    Result putTeam(const CatalogueMessages::Team &team);
+    Result removeTeam(const std::string &name);
+    Result putKey(const CatalogueMessages::Key &key);
+    Result withdrawKey(const std::string &id);
+    Result admitMember(const CatalogueMessages::Member &member);
+    Result removeMember(const std::string &id);
+    Result loadMembers(const CatalogueMessages::Snapshot &snapshot);
+
+    Result checkReferences(const CatalogueMessages::Route &route) const;
+    void countUses(const CatalogueMessages::Route &route, int difference);
 
     std::uint64_t versionNumber = 0;
-    Roster members;
-    std::shared_ptr<const Table<CatalogueMessages::Service>> services;
-    std::shared_ptr<const Table<CatalogueMessages::Route>> routes;
-    std::shared_ptr<const Table<CatalogueMessages::Team>> teams;
-    std::shared_ptr<const Table<CatalogueMessages::Key>> keys;
+    std::shared_ptr<const Roster> members;
+    detail::ServiceTable services;
+    RouteIndex routes;
+    detail::TeamTable teams;
+    detail::KeyTable keys;
+    detail::KeyHashTable keyHashes;
+    detail::UseTable uses;
 };
 
 } // namespace Hyssophall
--- /dev/null
+++ b/libraries/version/persistenttable.h
@@ -0,0 +1,202 @@
+#pragma once
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <array>
+#include <atomic>
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+namespace Hyssophall {
+
+/**
+ * A hash table of immutable entries whose copies share everything that neither of them changed.
+ *
+ * A 16-way trie over the 64-bit hash of the key with buckets of entries as leaves. A change copies one bucket and the branches above it,
+ * which are four or five at 240,000 entries. Copies are cheap; a table is changed by one thread at a time.
+ *
+ * @tparam Policy has `static std::string_view key(const Value &)` and `static bool isEqual(std::string_view, std::string_view)`.
+ */
+template<typename Value, typename Policy>
+class PersistentTable
+{
+public:
+    using Entry = std::shared_ptr<const Value>;
+
+    std::size_t size() const
+    {
+        return this->entryCount;
+    }
+
+    /// The entry with this key, or null.
+    Entry find(std::string_view key) const
+    {
+        std::uint64_t remainingHash = hashOf(key);
+        const Node *node = this->root.get();
+        while (node != nullptr && node->branches) {
+            node = (*node->branches)[remainingHash & childMask].get();
+            remainingHash >>= hashBitsPerLevel;
+        }
+        if (node == nullptr) {
+            return nullptr;
+        }
+        const auto position = findIn(*node, key);
+        return position == node->entries.end() ? nullptr : *position;
+    }
+
+    /// Adds the entry or replaces the one with the same key.
+    void put(Entry entry)
+    {
+        const std::uint64_t hash = hashOf(Policy::key(*entry));
+        if (putBelow(this->root, std::move(entry), hash, 0)) {
+            ++this->entryCount;
+        }
+    }
+
+    /// Returns whether there was an entry with this key.
+    bool remove(std::string_view key)
+    {
+        // The search first keeps branches shared when there is nothing to remove.
+        if (this->find(key) == nullptr) {
+            return false;
+        }
+        removeBelow(this->root, key, hashOf(key));
+        --this->entryCount;
+        return true;
+    }
+
+    void forEach(const std::function<void(const Entry &)> &visit) const
+    {
+        if (this->root != nullptr) {
+            visitBelow(*this->root, visit);
+        }
+    }
+
+    /// All entries in ascending order of their keys.
+    std::vector<Entry> sorted() const
+    {
+        std::vector<Entry> entries;
+        entries.reserve(this->entryCount);
+        this->forEach([&entries](const Entry &entry) { entries.push_back(entry); });
+        std::sort(entries.begin(), entries.end(), [](const Entry &left, const Entry &right) { return Policy::key(*left) < Policy::key(*right); });
+        return entries;
+    }
+
+private:
+    static constexpr unsigned hashBitsPerLevel = 4;
+    static constexpr std::uint64_t childMask = 15;
+    static constexpr unsigned maximumDepth = 64 / hashBitsPerLevel;
+    static constexpr std::size_t maximumBucketSize = 12;
+
+    struct Node;
+    using NodePointer = std::shared_ptr<Node>;
+    using Branches = std::array<NodePointer, childMask + 1>;
+
+    /// A branch when it has branches, else a bucket.
+    struct Node {
+        Node() = default;
+        Node(const Node &other)
+            : branches(other.branches ? std::make_unique<Branches>(*other.branches) : nullptr)
+            , entries(other.entries)
+        {
+        }
+        Node &operator=(const Node &) = delete;
+
+        std::unique_ptr<Branches> branches;
+        std::vector<Entry> entries;
+    };
+
+    static std::uint64_t hashOf(std::string_view key)
+    {
+        return XXH64(key.data(), key.size(), 0);
+    }
+
+    static typename std::vector<Entry>::const_iterator findIn(const Node &node, std::string_view key)
+    {
+        return std::find_if(node.entries.begin(), node.entries.end(), [key](const Entry &entry) { return Policy::isEqual(Policy::key(*entry), key); });
+    }
+
+    /// Makes a node this table's own. A node that only this table reaches is changed in place, which makes loading a whole table fast.
+    static void own(NodePointer &node)
+    {
+        if (node == nullptr) {
+            node = std::make_shared<Node>();
+        } else if (node.use_count() > 1) {
+            node = std::make_shared<Node>(*node);
+        } else {
+            // Pairs with the release of the last other owner in another thread.
+            std::atomic_thread_fence(std::memory_order_acquire);
+        }
+    }
+
+    static bool putBelow(NodePointer &node, Entry entry, std::uint64_t remainingHash, unsigned depth)
+    {
+        own(node);
+        if (node->branches) {
+            return putBelow((*node->branches)[remainingHash & childMask], std::move(entry), remainingHash >> hashBitsPerLevel, depth + 1);
+        }
+        const auto position = findIn(*node, Policy::key(*entry));
+        if (position != node->entries.end()) {
+            node->entries[static_cast<std::size_t>(position - node->entries.cbegin())] = std::move(entry);
+            return false;
+        }
+        node->entries.push_back(std::move(entry));
+        if (node->entries.size() > maximumBucketSize && depth < maximumDepth) {
+            split(*node, depth);
+        }
+        return true;
+    }
+
+    static void split(Node &node, unsigned depth)
+    {
+        const std::vector<Entry> entries = std::move(node.entries);
+        node.entries = {};
+        node.branches = std::make_unique<Branches>();
+        for (const Entry &entry : entries) {
+            const std::uint64_t remainingHash = hashOf(Policy::key(*entry)) >> (hashBitsPerLevel * depth);
+            putBelow((*node.branches)[remainingHash & childMask], entry, remainingHash >> hashBitsPerLevel, depth + 1);
+        }
+    }
+
+    static void removeBelow(NodePointer &node, std::string_view key, std::uint64_t remainingHash)
+    {
+        own(node);
+        if (node->branches) {
+            removeBelow((*node->branches)[remainingHash & childMask], key, remainingHash >> hashBitsPerLevel);
+            const auto isEmpty = [](const NodePointer &child) { return child == nullptr; };
+            if (std::all_of(node->branches->begin(), node->branches->end(), isEmpty)) {
+                node = nullptr;
+            }
+            return;
+        }
+        node->entries.erase(findIn(*node, key));
+        if (node->entries.empty()) {
+            node = nullptr;
+        }
+    }
+
+    static void visitBelow(const Node &node, const std::function<void(const Entry &)> &visit)
+    {
+        for (const Entry &entry : node.entries) {
+            visit(entry);
+        }
+        if (node.branches) {
+            for (const NodePointer &child : *node.branches) {
+                if (child != nullptr) {
+                    visitBelow(*child, visit);
+                }
+            }
+        }
+    }
+
+    NodePointer root;
+    std::size_t entryCount = 0;
+};
+
+} // namespace Hyssophall
--- /dev/null
+++ b/libraries/version/routeindex.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include "version/cataloguetables.h"
+
+#include <cstddef>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace Hyssophall {
+
+/// The routes by name and by path prefix. Copies share what neither of them changed.
+class RouteIndex
+{
+public:
+    using Entry = std::shared_ptr<const hyssophall::catalogue::v1::Route>;
+
+    /// Longest path prefix of a route.
+    static constexpr std::size_t maximumPrefixLength = 512;
+
+    /// Whether another route has the same prefix and a common method, so that a request could take either.
+    bool isTakenByOther(const hyssophall::catalogue::v1::Route &route) const;
+
+    void put(const Entry &route);
+    void remove(std::string_view name);
+
+    /// The route with this name, or null.
+    Entry find(std::string_view name) const;
+
+    /// The route with the longest path prefix that takes this method, or null.
+    Entry find(std::string_view method, std::string_view path) const;
+
+    /// All routes in ascending order of their names.
+    std::vector<Entry> sorted() const;
+
+private:
+    void addToPrefix(const Entry &route);
+    void removeFromPrefix(const hyssophall::catalogue::v1::Route &route);
+
+    detail::RouteTable routes;
+    detail::PrefixTable prefixes;
+};
+
+} // namespace Hyssophall
