Settings: Read and check the daemon's settings

Cause: a daemon must refuse settings that it doesn't know or that are given twice, with the place and the expected value.

Conclusion: the tests cover each kind of value, repeated and unknown settings, missing ones and lines that are no setting.

--- /dev/null
+++ b/libraries/process/settings/settingfields.cpp
@@ -0,0 +1,197 @@
+#include "process/settings/settingfields.h"
+
+#include <arpa/inet.h>
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <cstdint>
+#include <limits>
+#include <utility>
+
+namespace Hyssophall::detail {
+
+namespace {
+
+constexpr std::size_t maximumNameLength = 128;
+constexpr std::size_t minimumSecretLength = 16;
+
+using Reader = std::function<bool(Settings &, const std::string &)>;
+
+/// Where a value of this type lies in the settings.
+template<typename Value>
+using Place = std::function<Value &(Settings &)>;
+
+bool isNameCharacter(char character)
+{
+    return (character >= 'a' && character <= 'z') || (character >= 'A' && character <= 'Z') || (character >= '0' && character <= '9') || character == '.'
+        || character == '_' || character == '-';
+}
+
+bool readNumber(const std::string &text, std::uint64_t minimum, std::uint64_t maximum, std::uint64_t &number)
+{
+    const char *end = text.data() + text.size();
+    const std::from_chars_result parsed = std::from_chars(text.data(), end, number);
+    return parsed.ec == std::errc() && parsed.ptr == end && number >= minimum && number <= maximum;
+}
+
+SettingField nameField(Place<std::string> place)
+{
+    const Reader read = [place = std::move(place)](Settings &settings, const std::string &text) {
+        place(settings) = text;
+        return !text.empty() && text.size() <= maximumNameLength && std::all_of(text.begin(), text.end(), isNameCharacter);
+    };
+    return {read, "1 to 128 letters, digits, '.', '_' or '-'", true};
+}
+
+SettingField pathField(Place<std::string> place)
+{
+    const Reader read = [place = std::move(place)](Settings &settings, const std::string &text) {
+        place(settings) = text;
+        return !text.empty();
+    };
+    return {read, "a path"};
+}
+
+SettingField endpointField(Place<Endpoint> place)
+{
+    const Reader read = [place = std::move(place)](Settings &settings, const std::string &text) { return readEndpoint(text, place(settings)); };
+    return {read, "host:port with an IP number and a port from 1 to 65535", true};
+}
+
+bool readAddresses(const std::string &text, std::vector<std::string> &addresses)
+{
+    std::size_t start = 0;
+    while (start <= text.size()) {
+        const std::size_t end = std::min(text.find(',', start), text.size());
+        const std::size_t first = std::min(text.find_first_not_of(" \t", start), end);
+        const std::size_t last = text.find_last_not_of(" \t", end == 0 ? 0 : end - 1);
+        const std::string address = first < end ? text.substr(first, last - first + 1) : "";
+        Endpoint endpoint;
+        if (!readEndpoint(address, endpoint) || std::find(addresses.begin(), addresses.end(), address) != addresses.end()) {
+            return false;
+        }
+        addresses.push_back(address);
+        start = end + 1;
+    }
+    return true;
+}
+
+SettingField addressesField(Place<std::vector<std::string>> place)
+{
+    const Reader read = [place = std::move(place)](Settings &settings, const std::string &text) { return readAddresses(text, place(settings)); };
+    return {read, "distinct host:port with IP numbers, separated by commas"};
+}
+
+template<typename Count>
+SettingField countField(Place<Count> place, std::uint64_t minimum, std::uint64_t maximum, const std::string &unit)
+{
+    const Reader read = [place = std::move(place), minimum, maximum](Settings &settings, const std::string &text) {
+        std::uint64_t number = 0;
+        const bool valid = readNumber(text, minimum, maximum, number);
+        place(settings) = Count(static_cast<std::int64_t>(number));
+        return valid;
+    };
+    return {read, unit + " from " + std::to_string(minimum) + " to " + std::to_string(maximum)};
+}
+
+SettingField millisecondsField(Place<std::chrono::milliseconds> place, std::uint64_t minimum, std::uint64_t maximum)
+{
+    return countField<std::chrono::milliseconds>(std::move(place), minimum, maximum, "milliseconds");
+}
+
+bool readRole(Settings &settings, const std::string &text)
+{
+    settings.vm.role = text == "control" ? Role::Control : Role::Entry;
+    return text == "entry" || text == "control";
+}
+
+bool readSecret(Settings &settings, const std::string &text)
+{
+    settings.fleet.secret = text;
+    return text.size() >= minimumSecretLength;
+}
+
+std::map<std::string, SettingField> vmFields()
+{
+    return {
+        {"vm.id", nameField([](Settings &settings) -> std::string & { return settings.vm.id; })},
+        {"vm.failure_domain", nameField([](Settings &settings) -> std::string & { return settings.vm.failureDomain; })},
+        {"vm.role", {readRole, "entry or control"}},
+        {"vm.data_folder", pathField([](Settings &settings) -> std::string & { return settings.vm.dataFolder; })},
+        {"listen.caller", endpointField([](Settings &settings) -> Endpoint & { return settings.listen.caller; })},
+        {"listen.administration", endpointField([](Settings &settings) -> Endpoint & { return settings.listen.administration; })},
+        {"listen.fleet", endpointField([](Settings &settings) -> Endpoint & { return settings.listen.fleet; })},
+        {"listen.maximum_connections",
+            countField<std::size_t>([](Settings &settings) -> std::size_t & { return settings.listen.maximumConnections; }, 1, 100000, "connections")},
+        {"telemetry.trace_file", pathField([](Settings &settings) -> std::string & { return settings.telemetry.traceFile; })},
+        {"telemetry.log_file", pathField([](Settings &settings) -> std::string & { return settings.telemetry.logFile; })},
+    };
+}
+
+std::map<std::string, SettingField> fleetFields()
+{
+    using Milliseconds = std::chrono::milliseconds;
+    return {
+        {"fleet.secret", {readSecret, "at least 16 characters", true}},
+        {"fleet.peers", addressesField([](Settings &settings) -> std::vector<std::string> & { return settings.fleet.peers; })},
+        {"fleet.gossip_interval_ms", millisecondsField([](Settings &settings) -> Milliseconds & { return settings.fleet.gossipInterval; }, 10, 10000)},
+        {"fleet.shard_lease_ms", millisecondsField([](Settings &settings) -> Milliseconds & { return settings.fleet.shardLease; }, 100, 60000)},
+        {"fleet.serving_lease_ms", millisecondsField([](Settings &settings) -> Milliseconds & { return settings.fleet.servingLease; }, 100, 60000)},
+        {"control.replicas", addressesField([](Settings &settings) -> std::vector<std::string> & { return settings.control.replicas; })},
+        {"control.heartbeat_interval_ms",
+            millisecondsField([](Settings &settings) -> Milliseconds & { return settings.control.heartbeatInterval; }, 10, 10000)},
+        {"control.election_timeout_ms", millisecondsField([](Settings &settings) -> Milliseconds & { return settings.control.electionTimeout; }, 50, 60000)},
+    };
+}
+
+std::map<std::string, SettingField> requestFields()
+{
+    using Milliseconds = std::chrono::milliseconds;
+    constexpr std::uint64_t gibibyte = 1024ULL * 1024 * 1024;
+    return {
+        {"limits.maximum_request_bytes",
+            countField<std::size_t>([](Settings &settings) -> std::size_t & { return settings.limits.maximumRequestBytes; }, 1, gibibyte, "bytes")},
+        {"limits.maximum_answer_bytes",
+            countField<std::size_t>([](Settings &settings) -> std::size_t & { return settings.limits.maximumAnswerBytes; }, 1, gibibyte, "bytes")},
+        {"limits.rate_wait_ms", millisecondsField([](Settings &settings) -> Milliseconds & { return settings.limits.rateWait; }, 0, 60000)},
+        {"limits.default_timeout_ms", millisecondsField([](Settings &settings) -> Milliseconds & { return settings.limits.defaultTimeout; }, 1, 3600000)},
+        {"claims.retention_s",
+            countField<std::chrono::seconds>([](Settings &settings) -> std::chrono::seconds & { return settings.claims.retention; }, 1, 86400, "seconds")},
+        {"claims.maximum_body_bytes",
+            countField<std::size_t>([](Settings &settings) -> std::size_t & { return settings.claims.maximumBodyBytes; }, 0, 1024 * 1024, "bytes")},
+        {"shutdown.drain_notice_ms", millisecondsField([](Settings &settings) -> Milliseconds & { return settings.shutdown.drainNotice; }, 0, 600000)},
+        {"shutdown.drain_limit_ms", millisecondsField([](Settings &settings) -> Milliseconds & { return settings.shutdown.drainLimit; }, 0, 3600000)},
+    };
+}
+
+} // namespace
+
+const std::map<std::string, SettingField> &settingFields()
+{
+    static const std::map<std::string, SettingField> fields = []() {
+        std::map<std::string, SettingField> all = vmFields();
+        all.merge(fleetFields());
+        all.merge(requestFields());
+        return all;
+    }();
+    return fields;
+}
+
+bool readEndpoint(const std::string &text, Endpoint &endpoint)
+{
+    const std::size_t colon = text.rfind(':');
+    std::uint64_t port = 0;
+    if (colon == std::string::npos || !readNumber(text.substr(colon + 1), 1, std::numeric_limits<unsigned short>::max(), port)) {
+        return false;
+    }
+    const std::string host = text.substr(0, colon);
+    std::array<unsigned char, sizeof(in6_addr)> address{};
+    const bool isBracketed = host.size() > 2 && host.front() == '[' && host.back() == ']';
+    const bool isNumber = isBracketed ? inet_pton(AF_INET6, host.substr(1, host.size() - 2).c_str(), address.data()) == 1
+                                      : inet_pton(AF_INET, host.c_str(), address.data()) == 1;
+    endpoint = {host, static_cast<unsigned short>(port)};
+    return isNumber;
+}
+
+} // namespace Hyssophall::detail
