Catalogue: Add the JSON form of entries and changes

Cause: operators edit the catalogue as JSON, where a misspelt field must not silently become a default.

Unknown, repeated and mistyped fields are refused with their path; hashes are left out of the published catalogue.

Conclusion: each kind of change survives both directions; the tests name the field of each fault.

--- /dev/null
+++ b/tests/unit/version/cataloguejsontest.cpp
@@ -0,0 +1,80 @@
+#include "version/cataloguejson.h"
+
+#include <boost/leaf/handle_errors.hpp>
+#include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
+
+#include <string>
+
+using namespace Hyssophall;
+
+namespace {
+
+/// The field of the fault in a change, or nothing for one that is read.
+std::string faultOf(const std::string &text)
+{
+    return boost::leaf::try_handle_all(
+        [&]() -> boost::leaf::result<std::string> {
+            BOOST_LEAF_AUTO(json, parseJson(text));
+            BOOST_LEAF_CHECK(changeFromJson(json));
+            return std::string();
+        },
+        [](const InvalidChange &fault) { return fault.field; },
+        []() { return std::string("untyped"); });
+}
+
+} // namespace
+
+// Guards against a field that is lost or altered between an operator's file and the control log.
+CATCH_TEST_CASE("Each kind of change survives its JSON form", "[catalogue][config-in-force]")
+{
+    for (const std::string text : {
+             R"({"put_service":{"announce_token_hash":"00ff","floor_count":2,"floor_per_mille":700,"name":"orders","owner":"o"}})",
+             R"({"put_route":{"methods":["GET"],"name":"r","open":true,"owner":"o","path_prefix":"/a","route_class":"non_idempotent",)"
+             R"("service":"s","teams":["t"],"timeout_milliseconds":5}})",
+             R"({"put_team":{"burst":2.5,"name":"t","owner":"o","rate":0.1,"weight":1.0}})",
+             R"({"put_key":{"hash":"ab","id":"k","team":"t"}})",
+             R"({"admit_member":{"admitted_incarnation":"18446744073709551615","failure_domain":"a","fleet_address":"127.0.0.1:1","id":"v"}})",
+             R"({"remove_service":"s"})",
+             R"({"remove_route":"r"})",
+             R"({"remove_team":"t"})",
+             R"({"withdraw_key":"k"})",
+             R"({"remove_member":"v"})",
+         }) {
+        CATCH_CAPTURE(text);
+        const boost::leaf::result<CatalogueMessages::Change> change = changeFromJson(nlohmann::json::parse(text));
+        CATCH_REQUIRE(change);
+        CATCH_REQUIRE(changeToJson(*change).dump() == text);
+    }
+}
+
+// Guards against misspelt or mistyped fields that would silently become defaults.
+CATCH_TEST_CASE("Unknown, repeated and mistyped fields are refused with their path", "[catalogue]")
+{
+    CATCH_REQUIRE(faultOf(R"({"put_team":{"name":"t","rat":1}})") == "team.rat");
+    CATCH_REQUIRE(faultOf(R"({"put_team":{"name":"t","rate":"1"}})") == "team.rate");
+    CATCH_REQUIRE(faultOf(R"({"put_team":{"rate":1,"rate":2}})") == "body");
+    CATCH_REQUIRE(faultOf(R"({"put_team":[]})") == "team");
+    CATCH_REQUIRE(faultOf(R"({"put_service":{"floor_count":-1}})") == "service.floor_count");
+    CATCH_REQUIRE(faultOf(R"({"put_service":{"floor_count":4294967296}})") == "service.floor_count");
+    CATCH_REQUIRE(faultOf(R"({"put_service":{"announce_token_hash":"0"}})") == "service.announce_token_hash");
+    CATCH_REQUIRE(faultOf(R"({"put_route":{"route_class":"unspecified"}})") == "route.route_class");
+    CATCH_REQUIRE(faultOf(R"({"put_route":{"methods":"GET"}})") == "route.methods");
+    CATCH_REQUIRE(faultOf(R"({"put_route":{"open":1}})") == "route.open");
+    CATCH_REQUIRE(faultOf(R"({"admit_member":{"admitted_incarnation":"1x"}})") == "member.admitted_incarnation");
+    CATCH_REQUIRE(faultOf(R"({"remove_team":1})") == "remove_team");
+    CATCH_REQUIRE(faultOf(R"({"drop_team":"t"})") == "change.drop_team");
+    CATCH_REQUIRE(faultOf(R"({"remove_team":"t","remove_route":"r"})") == "change");
+    for (const std::string &text : {std::string(), std::string("{"), std::string("{} x"), std::string(100000, '['), std::string("\"\xff\"")}) {
+        CATCH_REQUIRE(faultOf(text) == "body");
+    }
+}
+
+// Guards against hashes leaving the fleet through the administration API.
+CATCH_TEST_CASE("The published catalogue holds no hashes", "[catalogue][key-isolation]")
+{
+    CatalogueMessages::Snapshot snapshot;
+    snapshot.add_keys()->set_hash(std::string(32, 'x'));
+    snapshot.add_services()->set_announce_token_hash(std::string(32, 'x'));
+    CATCH_REQUIRE(snapshotToJsonWithoutHashes(snapshot).dump().find("hash") == std::string::npos);
+}
