Fleet: Add the gRPC transport between VMs

Cause: VMs exchange gossip, leases, claims and announcements over gRPC.

Change: FleetClient implements FleetTransport with one kept channel for each address, keepalive and a deadline on each call.

--- /dev/null
+++ b/libraries/process/fleet/fleetclient.h
@@ -0,0 +1,73 @@
+#pragma once
+
+#include "process/fleet/fleettransport.h"
+
+#include <memory>
+#include <string>
+
+namespace Hyssophall {
+
+/**
+ * Calls to the fleet ports of other VMs over gRPC, with one kept channel for each address.
+ *
+ * Completions run on threads of gRPC; once the destructor has begun, a new call fails at once on the caller's thread.
+ *
+ * A connection that goes silent during a call is closed after about 4 s by keepalive, so that the next call opens a new one.
+ */
+class FleetClient final : public FleetTransport
+{
+public:
+    /// @p secret is sent with each call.
+    explicit FleetClient(const std::string &secret);
+
+    /// Cancels the calls in flight and waits until their completions have run.
+    ~FleetClient() override;
+
+    void exchange(const std::string &address,
+        const FleetMessages::ExchangeMessage &request,
+        std::chrono::milliseconds timeout,
+        Completion<FleetMessages::ExchangeMessage> done) override;
+    void fetchCatalogue(const std::string &address,
+        const FleetMessages::FetchCatalogueRequest &request,
+        std::chrono::milliseconds timeout,
+        Completion<FleetMessages::FetchCatalogueReply> done) override;
+    void grantLeases(const std::string &address,
+        const FleetMessages::GrantLeasesRequest &request,
+        std::chrono::milliseconds timeout,
+        Completion<FleetMessages::GrantLeasesReply> done) override;
+    void claim(const std::string &address,
+        const FleetMessages::ClaimRequest &request,
+        std::chrono::milliseconds timeout,
+        Completion<FleetMessages::ClaimReply> done) override;
+    void finishClaim(const std::string &address,
+        const FleetMessages::FinishClaimRequest &request,
+        std::chrono::milliseconds timeout,
+        Completion<FleetMessages::FinishClaimReply> done) override;
+    void recoverClaims(const std::string &address,
+        const FleetMessages::RecoverClaimsRequest &request,
+        std::chrono::milliseconds timeout,
+        Completion<FleetMessages::RecoverClaimsReply> done) override;
+    void borrowTokens(const std::string &address,
+        const FleetMessages::BorrowTokensRequest &request,
+        std::chrono::milliseconds timeout,
+        Completion<FleetMessages::BorrowTokensReply> done) override;
+    void reportOutcomes(const std::string &address,
+        const FleetMessages::ReportOutcomesRequest &request,
+        std::chrono::milliseconds timeout,
+        Completion<FleetMessages::ReportOutcomesReply> done) override;
+    void reportCrash(const std::string &address,
+        const FleetMessages::ReportCrashRequest &request,
+        std::chrono::milliseconds timeout,
+        Completion<FleetMessages::ReportCrashReply> done) override;
+    void announce(const std::string &address,
+        const FleetMessages::AnnounceRequest &request,
+        std::chrono::milliseconds timeout,
+        Completion<FleetMessages::AnnounceReply> done) override;
+
+private:
+    class Implementation;
+
+    std::unique_ptr<Implementation> implementation;
+};
+
+} // namespace Hyssophall
