--- /dev/null
+++ b/libraries/process/fleet/membership.h
@@ -0,0 +1,107 @@
+#pragma once
+
+#include "process/fleet/fleettransport.h"
+#include "process/fleet/memberview.h"
+#include "process/hooks.h"
+#include "version/roster.h"
+
+#include <cstddef>
+#include <map>
+#include <mutex>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace Hyssophall {
+
+/**
+ * What this VM knows of the other members of the roster: incarnations, heartbeats and when they were last fresh.
+ *
+ * Heartbeats only move forward, also over a restart: a restarted member continues above the heartbeat that others
+ * remember, so the greater heartbeat always belongs to the later incarnation, although incarnations are random.
+ */
+class Membership final : public MemberView
+{
+public:
+    /// This VM, as the roster should have it.
+    struct Self {
+        std::string id;
+        std::string address;
+        /// Random at each start; not zero.
+        std::uint64_t incarnation = 0;
+    };
+
+    /// A member without a fresh heartbeat for this time is suspect; a round of gossip takes 250 ms.
+    static constexpr std::chrono::milliseconds suspectAfter{2000};
+    static constexpr std::chrono::milliseconds deadAfter{4000};
+
+    Membership(Self self, SteadyClock clock);
+
+    std::vector<std::string> liveMembers() const override;
+    std::string addressOf(const std::string &memberId) const override;
+    std::vector<MemberStatus> members() const override;
+
+    /// Takes the members of a newer roster; what is known of the members that stay is kept. An older roster is ignored.
+    void setRoster(const Roster &roster);
+    std::uint64_t rosterVersion() const;
+    std::size_t rosterSize() const;
+    bool contains(const std::string &memberId) const;
+
+    /// Advances this VM's heartbeat, once for each round of gossip.
+    void beat(std::uint64_t catalogueVersion);
+
+    /// Marks this VM as leaving; it no longer counts among the live members.
+    void leave();
+    FleetMessages::MemberState self() const;
+
+    /// Notes a completed round trip with a member.
+    void confirm(const FleetMessages::MemberState &member);
+
+    /// Takes the member states and heartbeats of a message.
+    void merge(const FleetMessages::ExchangeMessage &message);
+
+    /// Adds changed member states to a message, up to @p budget bytes. Returns the bytes used.
+    std::size_t addStates(FleetMessages::ExchangeMessage &message, std::size_t budget);
+
+    /// Adds the least sent fresh heartbeats, up to @p budget bytes.
+    void addHeartbeats(FleetMessages::ExchangeMessage &message, std::size_t budget);
+
+    /// Adds what is known of @p sender when its own heartbeat is behind, as after a restart.
+    void addCorrection(FleetMessages::ExchangeMessage &message, const FleetMessages::MemberState &sender) const;
+    void addAllStates(FleetMessages::ExchangeMessage &message) const;
+
+    /// Members other than this VM that are alive, or those that seem dead. Leaving members are in neither.
+    std::vector<std::string> peers(bool alive) const;
+
+private:
+    struct Known {
+        std::string address;
+        std::string failureDomain;
+        FleetMessages::MemberState state;
+        std::uint8_t incarnationTag = 0;
+        /// The epoch of the clock: never.
+        SteadyTime fresh;
+        unsigned heartbeatSends = 0;
+        unsigned stateSends = 0;
+    };
+    using KnownMembers = std::map<std::string, Known, std::less<>>;
+
+    Liveness livenessOf(const Known &member, SteadyTime now) const;
+    bool isSelf(const std::string &id) const;
+    void mergeState(const FleetMessages::MemberState &state, SteadyTime now);
+    void mergeHeartbeats(const FleetMessages::HeartbeatDigest &digest, std::uint64_t senderVersion, SteadyTime now);
+    void mergeHeartbeat(Known &member, std::uint64_t heartbeat, std::uint8_t tag, std::uint64_t version, SteadyTime now);
+    void continueAbove(std::uint64_t heartbeat);
+    std::vector<Known *> freshHeartbeats(SteadyTime now);
+
+    const std::string ownAddress;
+    const SteadyClock clock;
+    mutable std::mutex mutex;
+    FleetMessages::MemberState ownState;
+    std::uint64_t version = 0;
+    KnownMembers known;
+    /// Members by the hash that HeartbeatDigest uses; null where two members share a hash.
+    std::unordered_map<std::uint32_t, Known *> byHash;
+};
+
+} // namespace Hyssophall
