--- a/tests/unit/process/fleet/fleetcoretest.cpp
+++ b/tests/unit/process/fleet/fleetcoretest.cpp
@@ -1,4 +1,4 @@
-#include "simulatedfleet.h"
+#include "simulatedgossip.h"
 
 #include <catch2/catch.hpp>
 
