Quorum: Add leases, claims and fleet-wide limits

Cause: Shard ownership, the right to serve, at-most-once claims and the fleet-wide limits need decisions by quorums and single owners.

Change: Add the lease voter and holder with the shard and serving leases, the claim store with its recovery and coordinator, the token bucket owner with the borrowing limiter, and QuorumNode, which runs them. Leases are tested in a simulated fleet with cuts, stops, restarts and clocks whose rates differ by up to 5%.

--- /dev/null
+++ b/libraries/process/fleet/claimgroups.cpp
@@ -0,0 +1,42 @@
+#include "process/fleet/claimgroups.h"
+
+#include <gnutls/crypto.h>
+
+namespace Hyssophall {
+
+std::string claimKeyHash(std::string_view team, std::string_view idempotencyKey)
+{
+    std::string text = std::to_string(team.size()) + ":";
+    text.append(team).append(idempotencyKey);
+    std::string hash(32, '\0');
+    gnutls_hash_fast(GNUTLS_DIG_SHA256, text.data(), text.size(), hash.data());
+    return hash;
+}
+
+std::uint32_t claimGroupOf(std::string_view keyHash)
+{
+    std::uint32_t value = 0;
+    for (std::size_t index = 0; index < 4 && index < keyHash.size(); ++index) {
+        value = (value << 8U) | static_cast<unsigned char>(keyHash[index]);
+    }
+    return value % claimGroupCount;
+}
+
+Committee ClaimGroups::committeeOf(const Roster &roster, std::uint32_t group)
+{
+    std::lock_guard<std::mutex> lock(this->mutex);
+    if (!this->known || this->rosterVersion != roster.version() || this->rosterSize != roster.members().size()) {
+        this->committees.clear();
+        this->committees.resize(claimGroupCount);
+        this->known = true;
+        this->rosterVersion = roster.version();
+        this->rosterSize = roster.members().size();
+    }
+    std::unique_ptr<Committee> &committee = this->committees[group % claimGroupCount];
+    if (committee == nullptr) {
+        committee = std::make_unique<Committee>(Committee::of(roster, "claims:" + std::to_string(group)));
+    }
+    return *committee;
+}
+
+} // namespace Hyssophall
--- /dev/null
+++ b/tests/unit/process/fleet/leasetest.cpp
@@ -0,0 +1,198 @@
+#include "simulatedfleet.h"
+
+#include <catch2/catch.hpp>
+
+using namespace Hyssophall;
+using namespace Hyssophall::Tests;
+
+namespace {
+
+/// Fails when a lease has two holders or an epoch goes back.
+class LeaseCheck
+{
+public:
+    void check(SimulatedFleet &fleet, bool epochsToo)
+    {
+        for (std::uint32_t shard = 0; shard < shardCount; ++shard) {
+            std::uint64_t epoch = this->epochs[shard];
+            const std::size_t holders = fleet.holdersOf(shard, epoch);
+            this->twoHolders += holders > 1 ? 1 : 0;
+            this->held += holders;
+            this->backwards += epochsToo && epoch < this->epochs[shard] ? 1 : 0;
+            this->epochs[shard] = std::max(epoch, this->epochs[shard]);
+        }
+    }
+    std::size_t twoHolders = 0;
+    std::size_t backwards = 0;
+    std::size_t held = 0;
+
+private:
+    std::map<std::uint32_t, std::uint64_t> epochs;
+};
+
+void injectFault(SimulatedFleet &fleet)
+{
+    const std::size_t first = fleet.random()() % fleet.size();
+    const std::size_t second = fleet.random()() % fleet.size();
+    switch (fleet.random()() % 6) {
+    case 0:
+        fleet.cut(first, second, true);
+        fleet.at(Milliseconds(6000), [&fleet, first, second] { fleet.cut(first, second, false); });
+        break;
+    case 1:
+        fleet.isolate(first, true);
+        fleet.at(Milliseconds(4000), [&fleet, first] { fleet.isolate(first, false); });
+        break;
+    case 2:
+        fleet.stopClockUse(first, true);
+        fleet.at(Milliseconds(500 + fleet.random()() % 5000), [&fleet, first] { fleet.stopClockUse(first, false); });
+        break;
+    case 3:
+        fleet.restart(first);
+        break;
+    case 4:
+        fleet.kill(first);
+        fleet.at(Milliseconds(5000), [&fleet, first] { fleet.isAlive(first) ? void() : fleet.restart(first); });
+        break;
+    default:
+        fleet.setClockRate(first, 0.95 + 0.1 * static_cast<double>(fleet.random()() % 1000) / 1000);
+    }
+}
+
+} // namespace
+
+CATCH_TEST_CASE("A shard never has two holders under cuts, stops, restarts and clocks of different rates", "[lease][fleet-limit][ejection-floor]")
+{
+    for (const std::uint64_t seed : {1, 2, 3, 4}) {
+        SimulatedFleet fleet(seed % 2 == 0 ? 5 : 11, 3, seed);
+        LeaseCheck check;
+        for (int round = 0; round < 3000; ++round) {
+            fleet.runFor(Milliseconds(20));
+            if (round % 50 == 49) {
+                injectFault(fleet);
+            }
+            check.check(fleet, false);
+        }
+        CATCH_INFO("seed " << seed);
+        CATCH_REQUIRE(check.twoHolders == 0);
+        CATCH_REQUIRE(check.held > 100000);
+    }
+}
+
+CATCH_TEST_CASE("Shards move to successors with greater epochs when VMs fail one after the other", "[lease][fleet-limit]")
+{
+    SimulatedFleet fleet(9, 3, 7);
+    LeaseCheck check;
+    fleet.runFor(Milliseconds(1000));
+    std::uint64_t epoch = 0;
+    for (std::uint32_t shard = 0; shard < shardCount; ++shard) {
+        CATCH_REQUIRE(fleet.holdersOf(shard, epoch) == 1);
+    }
+    for (std::size_t lost = 0; lost < 9; ++lost) {
+        fleet.kill(lost);
+        for (int round = 0; round < 300; ++round) {
+            fleet.runFor(Milliseconds(20));
+            check.check(fleet, true);
+        }
+        // The successor needs the suspicion time and what is left of the lease.
+        for (std::uint32_t shard = 0; shard < shardCount; ++shard) {
+            CATCH_REQUIRE(fleet.holdersOf(shard, epoch) == 1);
+        }
+        fleet.restart(lost);
+        fleet.runFor(Milliseconds(8000));
+    }
+    CATCH_REQUIRE(check.twoHolders == 0);
+    CATCH_REQUIRE(check.backwards == 0);
+}
+
+CATCH_TEST_CASE("A VM that is cut off loses its serving lease within 3 s and gets it back with the catalogue of the others", "[lease][key-isolation]")
+{
+    SimulatedFleet fleet(7, 3, 8);
+    fleet.runFor(Milliseconds(1000));
+    for (std::size_t index = 0; index < fleet.size(); ++index) {
+        CATCH_REQUIRE(fleet.node(index).servingLease().isHeld());
+    }
+    fleet.isolate(2, true);
+    for (std::size_t index = 0; index < fleet.size(); ++index) {
+        fleet.setCatalogueVersion(index, index == 2 ? 1 : 2);
+    }
+    fleet.runFor(Milliseconds(3000));
+    CATCH_REQUIRE_FALSE(fleet.node(2).servingLease().isHeld());
+    CATCH_REQUIRE(fleet.node(3).servingLease().isHeld());
+    fleet.isolate(2, false);
+    // A key may have been withdrawn in the version that this VM doesn't have.
+    for (int round = 0; round < 500; ++round) {
+        fleet.runFor(Milliseconds(10));
+        CATCH_REQUIRE_FALSE(fleet.node(2).servingLease().isHeld());
+    }
+    fleet.setCatalogueVersion(2, 2);
+    fleet.runFor(Milliseconds(4000));
+    CATCH_REQUIRE(fleet.node(2).servingLease().isHeld());
+}
+
+CATCH_TEST_CASE("A VM that stays behind a catalogue version that it was told loses its serving lease", "[lease][key-isolation]")
+{
+    SimulatedFleet fleet(5, 3, 9);
+    fleet.runFor(Milliseconds(1000));
+    fleet.setCatalogueVersion(0, 2);
+    fleet.setCatalogueVersion(1, 2);
+    // One more renewal may be on its way, then the lease runs out.
+    fleet.runFor(Milliseconds(4000));
+    CATCH_REQUIRE_FALSE(fleet.node(4).servingLease().isHeld());
+    CATCH_REQUIRE(fleet.node(0).servingLease().isHeld());
+}
+
+CATCH_TEST_CASE("A voter is silent after a restart, refuses distant rosters and VMs outside its roster", "[lease]")
+{
+    std::vector<CatalogueMessages::Member> members(2);
+    members[0].set_id("a");
+    members[0].set_admitted_incarnation(5);
+    members[1].set_id("b");
+    const Roster roster(10, members);
+    const SteadyTime start{std::chrono::hours(1)};
+    FleetMessages::GrantLeasesRequest request;
+    request.set_holder("b");
+    request.set_roster_version(12);
+    request.add_leases()->set_name("shard:1");
+    request.mutable_leases(0)->set_duration_milliseconds(2000);
+
+    LeaseVoter restarted({}, "a", 6, start);
+    CATCH_REQUIRE_FALSE(restarted.grant(request, roster, 1, start + Milliseconds(2999)).voting());
+    CATCH_REQUIRE(restarted.grant(request, roster, 1, start + Milliseconds(3000)).grants(0).granted());
+    LeaseVoter admitted({}, "a", 5, start);
+    CATCH_REQUIRE(admitted.grant(request, roster, 1, start).grants(0).granted());
+    request.set_roster_version(13);
+    CATCH_REQUIRE_FALSE(admitted.grant(request, roster, 1, start).voting());
+    request.set_roster_version(10);
+    request.set_holder("c");
+    CATCH_REQUIRE_FALSE(admitted.grant(request, roster, 1, start).voting());
+}
+
+CATCH_TEST_CASE("A delayed release or renewal of a past grant has no effect", "[lease]")
+{
+    std::vector<CatalogueMessages::Member> members(3);
+    members[0].set_id("a");
+    members[1].set_id("b");
+    members[2].set_id("c");
+    const Roster roster(1, members);
+    const SteadyTime start{std::chrono::hours(1)};
+    LeaseVoter voter({}, "c", 1, start - std::chrono::hours(1));
+    const auto ask = [&](const std::string &holder, std::uint64_t epoch, bool release, Milliseconds time) {
+        FleetMessages::GrantLeasesRequest request;
+        request.set_holder(holder);
+        request.set_roster_version(1);
+        FleetMessages::LeaseRequest &lease = *request.add_leases();
+        lease.set_name("shard:1");
+        lease.set_duration_milliseconds(2000);
+        lease.set_epoch(epoch);
+        lease.set_release(release);
+        return voter.grant(request, roster, 1, start + time).grants(0);
+    };
+    CATCH_REQUIRE(ask("a", 0, false, Milliseconds(0)).epoch() == 1);
+    CATCH_REQUIRE(ask("a", 0, false, Milliseconds(10)).epoch() == 2);
+    ask("a", 1, true, Milliseconds(20));
+    CATCH_REQUIRE_FALSE(ask("b", 0, false, Milliseconds(30)).granted());
+    ask("a", 2, true, Milliseconds(40));
+    CATCH_REQUIRE(ask("b", 0, false, Milliseconds(50)).epoch() == 3);
+    CATCH_REQUIRE_FALSE(ask("a", 2, false, Milliseconds(5000)).granted());
+}
--- /dev/null
+++ b/tests/unit/process/fleet/simulatedfleet.cpp
@@ -0,0 +1,452 @@
+#include "simulatedfleet.h"
+
+#include <algorithm>
+
+namespace Hyssophall::Tests {
+
+namespace {
+
+thread_local CooperativeTask *currentTask = nullptr;
+
+std::string idOf(std::size_t index)
+{
+    return "vm-" + std::to_string(index);
+}
+
+} // namespace
+
+CooperativeTask::CooperativeTask(std::function<void()> body)
+    : thread([this, body = std::move(body)] {
+        currentTask = this;
+        std::unique_lock<std::mutex> lock(this->mutex);
+        this->changed.wait(lock, [this] { return this->bodyRuns; });
+        lock.unlock();
+        body();
+        lock.lock();
+        this->ended = true;
+        this->bodyRuns = false;
+        this->changed.notify_all();
+    })
+{
+}
+
+CooperativeTask::~CooperativeTask()
+{
+    while (this->resume()) { }
+    this->thread.join();
+}
+
+void CooperativeTask::handOver(bool toBody)
+{
+    std::unique_lock<std::mutex> lock(this->mutex);
+    this->bodyRuns = toBody;
+    this->changed.notify_all();
+    this->changed.wait(lock, [this, toBody] { return this->bodyRuns != toBody; });
+}
+
+bool CooperativeTask::resume()
+{
+    if (!this->ended) {
+        this->handOver(true);
+    }
+    return !this->ended;
+}
+
+void CooperativeTask::pauseCurrent()
+{
+    currentTask->handOver(false);
+}
+
+class SimulatedFleet::View : public MemberView
+{
+public:
+    std::vector<std::string> liveMembers() const override
+    {
+        return std::vector<std::string>(this->live.begin(), this->live.end());
+    }
+    std::string addressOf(const std::string &memberId) const override
+    {
+        return memberId;
+    }
+    std::vector<MemberStatus> members() const override
+    {
+        return {};
+    }
+    std::set<std::string> live;
+    std::map<std::size_t, std::chrono::nanoseconds> lastSeen;
+};
+
+struct SimulatedFleet::Vm {
+    double clockRate = 1;
+    SteadyTime clockBase{std::chrono::hours(1)};
+    std::chrono::nanoseconds clockSet{0};
+    bool stopped = false;
+    bool alive = false;
+    std::uint64_t incarnation = 0;
+    std::uint64_t catalogueVersion = 1;
+    std::shared_ptr<const Roster> roster;
+    std::deque<std::function<void()>> deferred;
+    View view;
+    FleetHandlers handlers;
+    std::unique_ptr<Transport> transport;
+    std::unique_ptr<QuorumNode> node;
+};
+
+/// Delivers calls after a random delay of 0.2 to 3 ms each way; a call over a cut link has no answer until its timeout.
+class SimulatedFleet::Transport : public FleetTransport
+{
+public:
+    Transport(SimulatedFleet &fleet, std::size_t self, std::uint64_t incarnation)
+        : fleet(fleet)
+        , self(self)
+        , incarnation(incarnation)
+    {
+    }
+
+    template<typename Request, typename Reply>
+    void call(const std::string &address,
+        const Request &request,
+        Milliseconds timeout,
+        Completion<Reply> done,
+        std::function<Reply(const Request &)> FleetHandlers::*handler)
+    {
+        const std::size_t target = std::stoul(address.substr(3));
+        const std::shared_ptr<bool> answered = std::make_shared<bool>(false);
+        // Events outlive the transport of a VM that restarts.
+        SimulatedFleet &fleet = this->fleet;
+        const std::size_t self = this->self;
+        const auto complete = [&fleet, self, incarnation = this->incarnation, answered](const std::function<void()> &action) {
+            fleet.deliver(self, incarnation, [answered, action] {
+                if (!*answered) {
+                    *answered = true;
+                    action();
+                }
+            });
+        };
+        fleet.at(timeout, [complete, done] { complete([done] { done(boost::leaf::new_error(FleetCallFailure{FleetCallFailure::Reason::Unreachable})); }); });
+        if (!fleet.isOpen(self, target)) {
+            return;
+        }
+        const std::uint64_t targetIncarnation = fleet.vms[target]->incarnation;
+        fleet.later([&fleet, self, target, targetIncarnation, request, handler, complete, done] {
+            fleet.deliver(target, targetIncarnation, [&fleet, self, target, request, handler, complete, done] {
+                const Reply reply = (fleet.vms[target]->handlers.*handler)(request);
+                if (fleet.isOpen(target, self)) {
+                    fleet.later([complete, done, reply] { complete([done, reply] { done(reply); }); });
+                }
+            });
+        });
+    }
+
+    void grantLeases(const std::string &address,
+        const FleetMessages::GrantLeasesRequest &request,
+        Milliseconds timeout,
+        Completion<FleetMessages::GrantLeasesReply> done) override
+    {
+        this->call(address, request, timeout, std::move(done), &FleetHandlers::grantLeases);
+    }
+    void claim(
+        const std::string &address, const FleetMessages::ClaimRequest &request, Milliseconds timeout, Completion<FleetMessages::ClaimReply> done) override
+    {
+        this->call(address, request, timeout, std::move(done), &FleetHandlers::claim);
+    }
+    void finishClaim(const std::string &address,
+        const FleetMessages::FinishClaimRequest &request,
+        Milliseconds timeout,
+        Completion<FleetMessages::FinishClaimReply> done) override
+    {
+        this->call(address, request, timeout, std::move(done), &FleetHandlers::finishClaim);
+    }
+    void recoverClaims(const std::string &address,
+        const FleetMessages::RecoverClaimsRequest &request,
+        Milliseconds timeout,
+        Completion<FleetMessages::RecoverClaimsReply> done) override
+    {
+        this->call(address, request, timeout, std::move(done), &FleetHandlers::recoverClaims);
+    }
+    void borrowTokens(const std::string &address,
+        const FleetMessages::BorrowTokensRequest &request,
+        Milliseconds timeout,
+        Completion<FleetMessages::BorrowTokensReply> done) override
+    {
+        this->call(address, request, timeout, std::move(done), &FleetHandlers::borrowTokens);
+    }
+    void exchange(const std::string &, const FleetMessages::ExchangeMessage &, Milliseconds, Completion<FleetMessages::ExchangeMessage>) override
+    {
+    }
+    void fetchCatalogue(
+        const std::string &, const FleetMessages::FetchCatalogueRequest &, Milliseconds, Completion<FleetMessages::FetchCatalogueReply>) override
+    {
+    }
+    void reportOutcomes(
+        const std::string &, const FleetMessages::ReportOutcomesRequest &, Milliseconds, Completion<FleetMessages::ReportOutcomesReply>) override
+    {
+    }
+    void reportCrash(const std::string &, const FleetMessages::ReportCrashRequest &, Milliseconds, Completion<FleetMessages::ReportCrashReply>) override
+    {
+    }
+    void announce(const std::string &, const FleetMessages::AnnounceRequest &, Milliseconds, Completion<FleetMessages::AnnounceReply>) override
+    {
+    }
+
+private:
+    SimulatedFleet &fleet;
+    std::size_t self;
+    std::uint64_t incarnation;
+};
+
+SimulatedFleet::SimulatedFleet(std::size_t count, std::size_t domains, std::uint64_t seed, QuorumNode::Options options)
+    : generator(seed)
+    , options(std::move(options))
+    , domains(domains)
+{
+    this->options.claimWait = [](SteadyTime) { CooperativeTask::pauseCurrent(); };
+    for (std::size_t index = 0; index < count; ++index) {
+        this->vms.push_back(std::make_unique<Vm>());
+    }
+    const std::shared_ptr<const Roster> roster = this->createRoster();
+    for (std::size_t index = 0; index < count; ++index) {
+        this->vms[index]->roster = roster;
+        this->create(index, 1000 + index);
+    }
+    this->updateViews();
+}
+
+SimulatedFleet::~SimulatedFleet()
+{
+    // Tasks end at their deadlines.
+    while (!this->tasks.empty()) {
+        this->runFor(Milliseconds(100));
+    }
+    for (std::unique_ptr<Vm> &vm : this->vms) {
+        vm->alive = false;
+    }
+}
+
+std::shared_ptr<const Roster> SimulatedFleet::createRoster() const
+{
+    std::vector<CatalogueMessages::Member> members(this->vms.size());
+    for (std::size_t index = 0; index < members.size(); ++index) {
+        members[index].set_id(idOf(index));
+        members[index].set_fleet_address(idOf(index));
+        members[index].set_failure_domain("domain-" + std::to_string(index % this->domains));
+        members[index].set_admitted_incarnation(1000 + index);
+    }
+    return std::make_shared<const Roster>(1, std::move(members));
+}
+
+void SimulatedFleet::create(std::size_t index, std::uint64_t incarnation)
+{
+    Vm &vm = *this->vms[index];
+    vm.alive = true;
+    vm.incarnation = incarnation;
+    vm.transport = std::make_unique<Transport>(*this, index, incarnation);
+    FleetContext context;
+    context.self = idOf(index);
+    context.incarnation = incarnation;
+    context.clock = [this, index] { return this->localTime(index); };
+    context.random = [this] { return this->generator(); };
+    context.roster = [&vm] { return vm.roster; };
+    context.catalogueVersion = [&vm] { return vm.catalogueVersion; };
+    context.transport = vm.transport.get();
+    vm.node = std::make_unique<QuorumNode>(context, this->options, vm.view, [this](const std::string &team) -> std::optional<TeamLimit> {
+        const auto found = this->teams.find(team);
+        return found == this->teams.end() ? std::nullopt : std::optional<TeamLimit>(found->second);
+    });
+    vm.node->setHandlers(vm.handlers);
+    this->scheduleRound(index, incarnation, 0);
+}
+
+void SimulatedFleet::scheduleRound(std::size_t index, std::uint64_t incarnation, std::uint64_t round)
+{
+    this->at(Milliseconds(5), [this, index, incarnation, round] {
+        this->deliver(index, incarnation, [this, index, incarnation, round] {
+            QuorumNode &node = *this->vms[index]->node;
+            if (round % 4 == 0) {
+                node.stepShardLeases();
+                node.stepServingLease();
+            }
+            if (round % 20 == 0) {
+                node.stepOwner();
+                node.stepClaims();
+            }
+            node.stepLimits();
+            this->scheduleRound(index, incarnation, round + 1);
+        });
+    });
+}
+
+void SimulatedFleet::deliver(std::size_t index, std::uint64_t incarnation, std::function<void()> action)
+{
+    Vm &vm = *this->vms[index];
+    if (!vm.alive || vm.incarnation != incarnation) {
+        return;
+    }
+    if (vm.stopped) {
+        vm.deferred.push_back([this, index, incarnation, action = std::move(action)] { this->deliver(index, incarnation, action); });
+        return;
+    }
+    action();
+}
+
+void SimulatedFleet::at(Milliseconds delay, std::function<void()> action)
+{
+    this->events.emplace(this->now + delay, std::move(action));
+}
+
+void SimulatedFleet::later(std::function<void()> action)
+{
+    const std::chrono::nanoseconds delay(200000 + this->generator() % 2800000);
+    this->events.emplace(this->now + delay, std::move(action));
+}
+
+void SimulatedFleet::startTask(std::function<void()> body)
+{
+    this->tasks.push_back(std::make_unique<CooperativeTask>(std::move(body)));
+}
+
+void SimulatedFleet::runFor(Milliseconds duration)
+{
+    const std::chrono::nanoseconds end = this->now + duration;
+    std::chrono::nanoseconds nextViews = this->now;
+    while (!this->events.empty() && this->events.begin()->first <= end) {
+        const auto event = this->events.begin();
+        this->now = event->first;
+        const std::function<void()> action = std::move(event->second);
+        this->events.erase(event);
+        action();
+        std::erase_if(this->tasks, [](const std::unique_ptr<CooperativeTask> &task) { return !task->resume(); });
+        if (this->now >= nextViews) {
+            this->updateViews();
+            nextViews = this->now + Milliseconds(100);
+        }
+    }
+    this->now = end;
+}
+
+void SimulatedFleet::updateViews()
+{
+    for (std::size_t viewer = 0; viewer < this->vms.size(); ++viewer) {
+        View &view = this->vms[viewer]->view;
+        view.live.clear();
+        for (std::size_t other = 0; other < this->vms.size(); ++other) {
+            if (other == viewer || (this->isRunning(other) && this->isOpen(viewer, other) && this->isOpen(other, viewer))) {
+                view.lastSeen[other] = this->now;
+            }
+            if (view.lastSeen.contains(other) && this->now - view.lastSeen[other] < std::chrono::seconds(3)) {
+                view.live.insert(idOf(other));
+            }
+        }
+    }
+}
+
+void SimulatedFleet::cut(std::size_t from, std::size_t to, bool isCut)
+{
+    isCut ? (void)this->cuts.insert({from, to}) : (void)this->cuts.erase({from, to});
+}
+
+void SimulatedFleet::isolate(std::size_t index, bool isolated)
+{
+    for (std::size_t other = 0; other < this->vms.size(); ++other) {
+        this->cut(index, other, isolated);
+        this->cut(other, index, isolated);
+    }
+}
+
+void SimulatedFleet::stopClockUse(std::size_t index, bool stopped)
+{
+    Vm &vm = *this->vms[index];
+    vm.stopped = stopped;
+    std::deque<std::function<void()>> deferred;
+    deferred.swap(vm.deferred);
+    for (const std::function<void()> &action : deferred) {
+        action();
+    }
+}
+
+void SimulatedFleet::kill(std::size_t index)
+{
+    Vm &vm = *this->vms[index];
+    vm.alive = false;
+    vm.stopped = false;
+    vm.deferred.clear();
+    vm.node.reset();
+}
+
+void SimulatedFleet::restart(std::size_t index)
+{
+    this->kill(index);
+    this->create(index, this->generator());
+}
+
+void SimulatedFleet::setClockRate(std::size_t index, double rate)
+{
+    Vm &vm = *this->vms[index];
+    vm.clockBase = this->localTime(index);
+    vm.clockSet = this->now;
+    vm.clockRate = rate;
+}
+
+void SimulatedFleet::setCatalogueVersion(std::size_t index, std::uint64_t version)
+{
+    this->vms[index]->catalogueVersion = version;
+}
+
+void SimulatedFleet::setRoster(std::size_t index, std::shared_ptr<const Roster> roster)
+{
+    this->vms[index]->roster = std::move(roster);
+}
+
+bool SimulatedFleet::isOpen(std::size_t from, std::size_t to) const
+{
+    return this->vms[from]->alive && this->vms[to]->alive && !this->cuts.contains({from, to});
+}
+
+bool SimulatedFleet::isRunning(std::size_t index) const
+{
+    return this->vms[index]->alive && !this->vms[index]->stopped;
+}
+
+bool SimulatedFleet::isAlive(std::size_t index) const
+{
+    return this->vms[index]->alive;
+}
+
+std::size_t SimulatedFleet::size() const
+{
+    return this->vms.size();
+}
+
+QuorumNode &SimulatedFleet::node(std::size_t index)
+{
+    return *this->vms[index]->node;
+}
+
+SteadyTime SimulatedFleet::localTime(std::size_t index) const
+{
+    const Vm &vm = *this->vms[index];
+    return vm.clockBase + std::chrono::nanoseconds(static_cast<std::int64_t>(static_cast<double>((this->now - vm.clockSet).count()) * vm.clockRate));
+}
+
+std::chrono::nanoseconds SimulatedFleet::elapsed() const
+{
+    return this->now;
+}
+
+std::size_t SimulatedFleet::holdersOf(std::uint32_t shard, std::uint64_t &epoch)
+{
+    std::size_t holders = 0;
+    for (std::size_t index = 0; index < this->vms.size(); ++index) {
+        const std::optional<std::uint64_t> held = this->isAlive(index) ? this->node(index).shardLeases().heldEpoch(shard) : std::nullopt;
+        holders += held ? 1 : 0;
+        epoch = held.value_or(epoch);
+    }
+    return holders;
+}
+
+std::mt19937_64 &SimulatedFleet::random()
+{
+    return this->generator;
+}
+
+} // namespace Hyssophall::Tests
