Proxy: Add the upstream client and the request path

Cause: libcurl sends a POST again by itself when a reused connection closes without an answer, so a non-idempotent request could run twice. An answer that only the close of the connection ends, or that arrives late, could be taken as whole.

Change: the upstream client counts the sendings of a transfer and aborts the second, opens a new connection for each non-idempotent request, drops idle connections with readable bytes and takes an answer only with its length or last chunk. The request path admits, limits, claims, tries and answers with typed refusals; its parts are interfaces.

Conclusion: the outcome of each try is known as answered, proven not run or unknown.

--- /dev/null
+++ b/libraries/connection/upstreamclient.h
@@ -0,0 +1,49 @@
+#pragma once
+
+#include "connection/connectionpool.h"
+#include "connection/upstreamsender.h"
+
+#include <atomic>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <utility>
+
+namespace Hyssophall {
+
+/// Sends requests to upstream instances over pooled connections. Thread-safe.
+class UpstreamClient : public UpstreamSender
+{
+public:
+    struct Options {
+        std::size_t maximumAnswerBytes = 8 * 1024 * 1024;
+        /// Idle connections that are kept for each instance.
+        std::size_t maximumIdle = 64;
+        /// Middleboxes drop idle connections without a sign, so that connections aren't trusted for long.
+        std::chrono::milliseconds maximumIdleTime{5000};
+        /// How long a new connection may take that decides about a time-out on a reused one.
+        std::chrono::milliseconds probeLimit{200};
+    };
+
+    explicit UpstreamClient(const Options &options);
+
+    UpstreamResult send(const UpstreamCall &call) override;
+
+    /// Number of instances that have a pool.
+    std::size_t poolCount() const;
+
+private:
+    using Address = std::pair<std::string, std::uint16_t>;
+
+    std::shared_ptr<ConnectionPool> poolOf(const Address &address);
+    void retireIdle(SteadyTime now);
+    void judgeTimeOut(const UpstreamCall &call, ConnectionPool &pool, SteadyTime began, UpstreamResult &result) const;
+
+    const Options options;
+    mutable std::mutex mutex;
+    std::map<Address, std::shared_ptr<ConnectionPool>> pools;
+    SteadyTime nextSweep;
+};
+
+} // namespace Hyssophall
--- /dev/null
+++ b/libraries/connection/upstreamsender.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include "connection/upstreamresult.h"
+#include "process/hooks.h"
+
+#include <cstdint>
+#include <functional>
+#include <string>
+
+namespace Hyssophall {
+
+/// One request to one upstream instance.
+struct UpstreamCall {
+    /// IP number of the instance.
+    std::string host;
+    std::uint16_t port = 0;
+    HttpRequest request;
+    /// Non-idempotent requests get a new connection.
+    bool idempotent = false;
+    /// Sent as X-Request-Id; an answer with another one is refused as crossed.
+    std::string requestId;
+    SteadyTime deadline;
+    /// Called once the connection stands, right before the first byte; false keeps the request from being sent. May be empty.
+    std::function<bool()> mayBeSent;
+};
+
+/// Interface to the upstream HTTP client. Thread-safe.
+class UpstreamSender
+{
+public:
+    virtual ~UpstreamSender() = default;
+
+    /// Sends the request once at most and waits for the whole answer or the deadline.
+    virtual UpstreamResult send(const UpstreamCall &call) = 0;
+};
+
+} // namespace Hyssophall
--- /dev/null
+++ b/libraries/process/proxy/admission.cpp
@@ -0,0 +1,113 @@
+#include "process/proxy/admission.h"
+
+#include "request/callerkey.h"
+#include "request/fingerprint.h"
+#include "request/requestdeadline.h"
+#include "request/requesttarget.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace Hyssophall {
+
+namespace {
+
+boost::leaf::error_id refuse(RefusalCode code, std::chrono::milliseconds retryAfter = std::chrono::milliseconds(0))
+{
+    return boost::leaf::new_error(Refusal{code, RequestOutcome::NotRun, retryAfter});
+}
+
+bool isMethod(const std::string &method)
+{
+    // CONNECT and TRACE have no meaning behind a gateway.
+    return !method.empty() && method != "CONNECT" && method != "TRACE"
+        && std::all_of(method.begin(), method.end(), [](char byte) { return byte >= 'A' && byte <= 'Z'; });
+}
+
+bool isTeamAllowed(const CatalogueMessages::Route &route, const std::string &team)
+{
+    return route.teams().empty() || std::find(route.teams().begin(), route.teams().end(), team) != route.teams().end();
+}
+
+} // namespace
+
+Admission::Admission(CatalogueSource catalogue, const ServingLease &lease, const InstanceHealth &health, std::chrono::milliseconds defaultTimeout)
+    : catalogue(std::move(catalogue))
+    , lease(lease)
+    , health(health)
+    , defaultTimeout(defaultTimeout)
+{
+}
+
+boost::leaf::result<RequestContext> Admission::admit(const CallerRequest &request, RequestRecord &record) const
+{
+    if (!isMethod(request.http.method) || !isPlainTarget(request.http.target)) {
+        return refuse(RefusalCode::MalformedRequest);
+    }
+    const std::shared_ptr<const CatalogueLookup> inForce = this->catalogue();
+    RequestContext context;
+    context.request = &request;
+    context.route = inForce->findRoute(request.http.method, targetPath(request.http.target));
+    if (context.route == nullptr) {
+        return refuse(RefusalCode::RouteUnknown);
+    }
+    record.route = context.route->name();
+    record.service = context.route->service();
+    const std::chrono::milliseconds routeTimeout(context.route->timeout_milliseconds());
+    const std::optional<std::chrono::milliseconds> timeout
+        = requestTimeout(request.http.headers, routeTimeout.count() > 0 ? routeTimeout : this->defaultTimeout);
+    if (!timeout) {
+        return refuse(RefusalCode::MalformedRequest);
+    }
+    context.deadline = request.arrival + *timeout;
+    if (!context.route->open()) {
+        boost::leaf::result<void> authenticated = this->authenticate(*inForce, context);
+        if (!authenticated) {
+            return authenticated.error();
+        }
+        record.team = context.teamName();
+    }
+    context.fingerprint = requestFingerprint(record.team, record.route, request.http);
+    if (this->health.isPoison(context.fingerprint)) {
+        return refuse(RefusalCode::PoisonRequest);
+    }
+    return context;
+}
+
+boost::leaf::result<void> Admission::confirm(const RequestContext &context) const
+{
+    if (!context.keyHash) {
+        return {};
+    }
+    if (!this->lease.isHeld()) {
+        return refuse(RefusalCode::VmIsolated, std::chrono::seconds(1));
+    }
+    const std::shared_ptr<const CatalogueMessages::Key> key = this->catalogue()->findKey(*context.keyHash);
+    if (key == nullptr || key->team() != context.teamName()) {
+        return refuse(RefusalCode::KeyUnknown);
+    }
+    return {};
+}
+
+boost::leaf::result<void> Admission::authenticate(const CatalogueLookup &inForce, RequestContext &context) const
+{
+    context.keyHash = callerKeyHash(context.request->http.headers);
+    if (!context.keyHash) {
+        return refuse(RefusalCode::KeyMissing);
+    }
+    // Without the lease, the key table may be old in both directions: neither a match nor a miss proves anything.
+    if (!this->lease.isHeld()) {
+        return refuse(RefusalCode::VmIsolated, std::chrono::seconds(1));
+    }
+    const std::shared_ptr<const CatalogueMessages::Key> key = inForce.findKey(*context.keyHash);
+    context.team = key == nullptr ? nullptr : inForce.findTeam(key->team());
+    if (context.team == nullptr) {
+        return refuse(RefusalCode::KeyUnknown);
+    }
+    if (!isTeamAllowed(*context.route, context.team->name())) {
+        return refuse(RefusalCode::RouteForbidden);
+    }
+    return {};
+}
+
+} // namespace Hyssophall
--- /dev/null
+++ b/libraries/process/proxy/admission.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include "process/fleet/servinglease.h"
+#include "process/health/instancehealth.h"
+#include "process/proxy/requestcontext.h"
+
+#include <boost/leaf/result.hpp>
+
+namespace Hyssophall {
+
+/// Decides whether a request may run: form, route, key, team and poison. Thread-safe.
+class Admission
+{
+public:
+    Admission(CatalogueSource catalogue, const ServingLease &lease, const InstanceHealth &health, std::chrono::milliseconds defaultTimeout);
+
+    /// Fills in @p record as far as the request gets. Errors: Refusal.
+    boost::leaf::result<RequestContext> admit(const CallerRequest &request, RequestRecord &record) const;
+
+    /// Whether the key is still good in the catalogue in force and this VM may still serve. Errors: Refusal.
+    boost::leaf::result<void> confirm(const RequestContext &context) const;
+
+private:
+    boost::leaf::result<void> authenticate(const CatalogueLookup &catalogue, RequestContext &context) const;
+
+    const CatalogueSource catalogue;
+    const ServingLease &lease;
+    const InstanceHealth &health;
+    const std::chrono::milliseconds defaultTimeout;
+};
+
+} // namespace Hyssophall
--- /dev/null
+++ b/libraries/process/proxy/upstreamtries.cpp
@@ -0,0 +1,124 @@
+#include "process/proxy/upstreamtries.h"
+
+#include "connection/headerfilter.h"
+
+#include <boost/leaf/handle_errors.hpp>
+
+#include <utility>
+
+namespace Hyssophall {
+
+namespace {
+
+HttpAnswer forwardedAnswer(const HttpAnswer &answer, const CallerRequest &request)
+{
+    HttpAnswer forwarded = answer;
+    // A length in the answer to HEAD, which has no body, is that of the body that GET would give.
+    const std::string *length = request.http.method == "HEAD" ? findHeader(answer.headers, "Content-Length") : nullptr;
+    forwarded.headers = forwardedAnswerHeaders(answer.headers);
+    if (length != nullptr) {
+        forwarded.headers.push_back({"Content-Length", *length});
+    }
+    const std::string *requestId = findHeader(request.http.headers, "X-Request-Id");
+    if (requestId != nullptr) {
+        forwarded.headers.push_back({"X-Request-Id", *requestId});
+    }
+    return forwarded;
+}
+
+} // namespace
+
+UpstreamTries::UpstreamTries(const Admission &admission, InstanceHealth &health, UpstreamSender &sender, SteadyClock clock, RandomSource random)
+    : admission(admission)
+    , health(health)
+    , sender(sender)
+    , clock(std::move(clock))
+    , random(std::move(random))
+{
+}
+
+TriesResult UpstreamTries::run(const RequestContext &context, RequestRecord &record)
+{
+    State state;
+    state.result.answer = refusalAnswer({RefusalCode::NoInstance, RequestOutcome::NotRun, std::chrono::seconds(1)});
+    this->budget.addRequest(this->clock());
+    while (state.goesOn) {
+        const std::optional<hyssophall::fleet::v1::Instance> instance = this->health.choose(context.route->service(), context.isIdempotent(), state.tried);
+        if (!instance) {
+            break;
+        }
+        state.tried.insert(instance->id());
+        this->tryOnce(context, *instance, record, state);
+    }
+    return std::move(state.result);
+}
+
+void UpstreamTries::tryOnce(const RequestContext &context, const hyssophall::fleet::v1::Instance &instance, RequestRecord &record, State &state)
+{
+    TryRecord tried;
+    tried.spanId = newSpanId(this->random);
+    tried.instance = instance.id();
+    tried.began = std::chrono::system_clock::now();
+    state.withheld.reset();
+    const UpstreamResult result = this->sender.send(this->createCall(context, instance, record, tried.spanId, state));
+    const TryVerdict verdict(result);
+    this->health.finish(instance, verdict.outcome(), result.latency, context.fingerprint);
+    tried.duration = result.latency;
+    tried.outcome = verdict.outcome();
+    tried.status = result.answer ? result.answer->status : 0;
+    tried.reusedConnection = result.reusedConnection;
+    record.upstreamDuration += result.latency;
+    record.tries.push_back(std::move(tried));
+    this->judge(context, result, verdict, state);
+}
+
+void UpstreamTries::judge(const RequestContext &context, const UpstreamResult &result, const TryVerdict &verdict, State &state)
+{
+    TriesResult &sum = state.result;
+    sum.mayHaveRun = sum.mayHaveRun || !verdict.isProvenNotRun();
+    sum.mayHaveSent = sum.mayHaveSent || result.answer || result.failure->mayHaveSent;
+    sum.capacitySignal = verdict.capacitySignal();
+    sum.lastLatency = result.latency;
+    if (verdict.isAnswer()) {
+        sum.answer = CallerAnswer{forwardedAnswer(*result.answer, *context.request), std::nullopt};
+    } else {
+        Refusal refusal = state.withheld.value_or(verdict.refusal(true));
+        refusal.outcome = sum.mayHaveRun ? RequestOutcome::Unknown : RequestOutcome::NotRun;
+        sum.answer = refusalAnswer(refusal);
+    }
+    const SteadyTime now = this->clock();
+    state.goesOn = verdict.mayRetry(context.isIdempotent(), state.retries) && now < context.deadline && this->budget.tryTake(now);
+    ++state.retries;
+}
+
+UpstreamCall UpstreamTries::createCall(
+    const RequestContext &context, const hyssophall::fleet::v1::Instance &instance, const RequestRecord &record, const std::string &spanId, State &state) const
+{
+    UpstreamCall call;
+    call.host = instance.host();
+    call.port = static_cast<std::uint16_t>(instance.port());
+    call.request = context.request->http;
+    call.request.headers = forwardedRequestHeaders(context.request->http.headers);
+    call.request.headers.push_back({"traceparent", record.trace.traceparent(spanId)});
+    call.idempotent = context.isIdempotent();
+    call.requestId = record.trace.traceId + spanId;
+    call.deadline = context.deadline;
+    call.mayBeSent = [this, &context, &state] {
+        return boost::leaf::try_handle_all(
+            [this, &context]() -> boost::leaf::result<bool> {
+                boost::leaf::result<void> confirmed = this->admission.confirm(context);
+                if (!confirmed) {
+                    return confirmed.error();
+                }
+                return true;
+            },
+            [&state](const Refusal &refusal) {
+                state.withheld = refusal;
+                return false;
+            },
+            [] { return false; });
+    };
+    return call;
+}
+
+} // namespace Hyssophall
--- /dev/null
+++ b/libraries/request/callerkey.cpp
@@ -0,0 +1,32 @@
+#include "request/callerkey.h"
+
+#include <gnutls/crypto.h>
+
+namespace Hyssophall {
+
+namespace {
+
+std::string_view callerKey(const HttpHeaders &headers)
+{
+    constexpr std::string_view scheme = "Bearer ";
+    const std::string *authorization = findHeader(headers, "Authorization");
+    if (authorization != nullptr && isSameHeaderName(std::string_view(*authorization).substr(0, scheme.size()), scheme)) {
+        return std::string_view(*authorization).substr(scheme.size());
+    }
+    const std::string *plain = findHeader(headers, "X-Api-Key");
+    return plain == nullptr ? std::string_view() : std::string_view(*plain);
+}
+
+} // namespace
+
+std::optional<KeyHash> callerKeyHash(const HttpHeaders &headers)
+{
+    const std::string_view key = callerKey(headers);
+    KeyHash hash{};
+    if (key.empty() || gnutls_hash_fast(GNUTLS_DIG_SHA256, key.data(), key.size(), hash.data()) != 0) {
+        return std::nullopt;
+    }
+    return hash;
+}
+
+} // namespace Hyssophall
--- /dev/null
+++ b/libraries/request/callermessage.cpp
@@ -0,0 +1,33 @@
+#include "request/callermessage.h"
+
+#include <nlohmann/json.hpp>
+
+namespace Hyssophall {
+
+namespace {
+
+std::string_view refusalMessage(const Refusal &refusal)
+{
+    return refusal.outcome == RequestOutcome::NotRun ? "The request was not run." : "It is not known whether the request was run.";
+}
+
+} // namespace
+
+CallerAnswer refusalAnswer(const Refusal &refusal)
+{
+    const std::string code(refusalName(refusal.code));
+    const std::string outcome(outcomeName(refusal.outcome));
+    CallerAnswer answer;
+    answer.refusal = refusal;
+    answer.http.status = refusalStatus(refusal.code);
+    answer.http.headers = {{"Content-Type", "application/json"}, {"Hyssophall-Refusal", code}, {"Hyssophall-Outcome", outcome}};
+    if (refusal.retryAfter.count() > 0) {
+        const std::chrono::seconds seconds = std::chrono::ceil<std::chrono::seconds>(refusal.retryAfter);
+        answer.http.headers.push_back({"Retry-After", std::to_string(seconds.count())});
+    }
+    const nlohmann::json body{{"error", {{"code", code}, {"outcome", outcome}, {"message", refusalMessage(refusal)}}}};
+    answer.http.body = body.dump();
+    return answer;
+}
+
+} // namespace Hyssophall
