Proxy: Test the caller endpoint with kept and draining connections

Cause: ulfius cuts off large bodies without a word, keeps one value for each header name, and stops with connections in flight.

Change: tests drive the endpoint with raw callers and raw upstreams: typed refusals, headers both ways, a key withdrawn on a kept connection, HEAD, and a drain with a request in flight.

--- /dev/null
+++ b/tests/unit/process/proxy/callerendpointtest.cpp
@@ -0,0 +1,171 @@
+#include "process/proxy/callerendpoint.h"
+
+#include "connection/upstreamclient.h"
+#include "unit/process/proxy/pathmocks.h"
+#include "unit/support/rawcaller.h"
+#include "unit/support/rawupstream.h"
+
+#include <boost/leaf/handle_errors.hpp>
+#include <catch2/catch.hpp>
+
+#include <future>
+
+using namespace Hyssophall;
+using HyssophallTest::MockedPath;
+using HyssophallTest::RawCaller;
+using HyssophallTest::RawConnection;
+using HyssophallTest::RawUpstream;
+
+namespace {
+
+const std::string key = "Authorization: Bearer red-key\r\n";
+
+std::string get(const std::string &target, const std::string &headers = key)
+{
+    return "GET " + target + " HTTP/1.1\r\nHost: x\r\n" + headers + "\r\n";
+}
+
+std::string post(const std::string &body)
+{
+    return "POST /write HTTP/1.1\r\nHost: x\r\n" + key + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+bool contains(const std::string &text, const std::string &part)
+{
+    return text.find(part) != std::string::npos;
+}
+
+// An upstream, the request path with a real HTTP client, and an endpoint in front.
+struct Gateway {
+    explicit Gateway(RawUpstream::Behaviour behaviour)
+        : upstream(std::move(behaviour))
+        , client({})
+        , mocked(&client, {this->upstream.port()})
+    {
+        boost::leaf::try_handle_all(
+            [this]() -> boost::leaf::result<void> {
+                CallerEndpoint::Options options;
+                options.endpoint = {"127.0.0.1", 0};
+                options.maximumRequestBytes = 1000;
+                BOOST_LEAF_ASSIGN(
+                    this->endpoint, CallerEndpoint::create(options, [this](const CallerRequest &request) { return this->mocked.path.handle(request); }));
+                return {};
+            },
+            [] { CATCH_FAIL("The endpoint doesn't start"); });
+    }
+
+    RawUpstream upstream;
+    UpstreamClient client;
+    MockedPath mocked;
+    std::unique_ptr<CallerEndpoint> endpoint;
+};
+
+void answerOk(RawConnection &connection, const std::string &)
+{
+    connection.write(RawUpstream::answer("ok"));
+}
+
+} // namespace
+
+CATCH_TEST_CASE("A request passes whole and its key doesn't", "[proxy][key-isolation][whole-answer]")
+{
+    Gateway gateway([](RawConnection &connection, const std::string &) {
+        connection.write(
+            RawUpstream::answer("ok", "Set-Cookie: a=1\r\nSet-Cookie: b=2\r\nSet-Cookie: c=3\r\nVary: x\r\nVary: y\r\nHyssophall-Refusal: forged\r\n"));
+    });
+    RawCaller caller(gateway.endpoint->port());
+    const std::string answer = caller.exchange(get("/read?a=b%20c&d", key + "X-Api-Key: red-key\r\nProxy-Authorization: red-key\r\nX-Kept: 1\r\n"));
+    CATCH_CHECK(contains(answer, "HTTP/1.1 200 "));
+    for (const std::string kept : {": a=1", ": b=2", ": c=3", "Vary: x, y", "\r\n\r\nok"}) {
+        CATCH_CHECK(contains(answer, kept));
+    }
+    CATCH_CHECK(!contains(answer, "forged"));
+    const std::string request = gateway.upstream.requests().at(0);
+    CATCH_CHECK(contains(request, "GET /read?a=b%20c&d HTTP/1.1\r\n"));
+    CATCH_CHECK(contains(request, "X-Kept: 1\r\n"));
+    CATCH_CHECK(!contains(request, "red-key"));
+    const std::string body(999, 'b');
+    CATCH_CHECK(contains(caller.exchange(post(body)), "ok"));
+    CATCH_CHECK(contains(gateway.upstream.requests().at(1), "\r\n\r\n" + body));
+}
+
+CATCH_TEST_CASE("Requests that can't be run get a typed refusal and aren't cut off or forwarded", "[proxy][true-refusal]")
+{
+    Gateway gateway(answerOk);
+    RawCaller caller(gateway.endpoint->port());
+    CATCH_CHECK(contains(caller.exchange(post(std::string(1001, 'b'))), "Hyssophall-Refusal: request_too_large\r\n"));
+    CATCH_CHECK(contains(RawCaller(gateway.endpoint->port()).exchange(get("/read/../blue")), "Hyssophall-Refusal: malformed_request\r\n"));
+    CATCH_CHECK(contains(RawCaller(gateway.endpoint->port()).exchange(get("/read", "")), "\"outcome\":\"not-run\""));
+    CATCH_CHECK(contains(RawCaller(gateway.endpoint->port()).exchange(get("/")), "Hyssophall-Refusal: route_unknown\r\n"));
+    CATCH_CHECK(gateway.upstream.requests().empty());
+}
+
+CATCH_TEST_CASE("A withdrawn key stops working on a kept connection", "[proxy][key-isolation]")
+{
+    Gateway gateway(answerOk);
+    RawCaller caller(gateway.endpoint->port());
+    CATCH_CHECK(contains(caller.exchange(get("/read")), "HTTP/1.1 200 "));
+    gateway.mocked.lookup->keysLeft = 0;
+    CATCH_CHECK(contains(caller.exchange(get("/read")), "Hyssophall-Refusal: key_unknown\r\n"));
+    CATCH_CHECK(gateway.upstream.requests().size() == 1);
+}
+
+CATCH_TEST_CASE("An answer to HEAD keeps the length of its resource", "[proxy][whole-answer]")
+{
+    Gateway gateway([](RawConnection &connection, const std::string &) { connection.write("HTTP/1.1 200 OK\r\nContent-Length: 77\r\n\r\n"); });
+    RawCaller caller(gateway.endpoint->port());
+    CATCH_CHECK(contains(caller.exchange("HEAD /read HTTP/1.1\r\nHost: x\r\n" + key + "\r\n", true), "Content-Length: 77\r\n"));
+    CATCH_CHECK(contains(caller.exchange("HEAD /read HTTP/1.1\r\nHost: x\r\n" + key + "\r\n", true), "HTTP/1.1 200 "));
+}
+
+CATCH_TEST_CASE("An upstream that reads a POST and closes runs it once and the caller learns that it is unknown", "[proxy][at-most-once][true-refusal]")
+{
+    Gateway gateway([](RawConnection &connection, const std::string &request) {
+        if (request.substr(0, 4) == "POST") {
+            throw RawUpstream::Close();
+        }
+        connection.write(RawUpstream::answer("ok"));
+    });
+    RawCaller caller(gateway.endpoint->port());
+    CATCH_CHECK(contains(caller.exchange(get("/read")), "HTTP/1.1 200 "));
+    const std::string answer = caller.exchange(post("order"));
+    CATCH_CHECK(contains(answer, "HTTP/1.1 502 "));
+    CATCH_CHECK(contains(answer, "Hyssophall-Outcome: unknown\r\n"));
+    CATCH_CHECK(gateway.upstream.requests().size() == 2);
+}
+
+CATCH_TEST_CASE("A graceful shutdown finishes requests in flight and closes their connections", "[proxy][graceful-shutdown]")
+{
+    std::promise<void> arrived;
+    std::promise<void> release;
+    Gateway gateway([&arrived, &release](RawConnection &connection, const std::string &request) {
+        if (request.substr(0, 4) == "POST") {
+            arrived.set_value();
+            release.get_future().wait();
+        }
+        connection.write(RawUpstream::answer("finished"));
+    });
+    RawCaller kept(gateway.endpoint->port());
+    CATCH_CHECK(contains(kept.exchange(get("/read")), "finished"));
+    RawCaller running(gateway.endpoint->port());
+    running.write(post("order"));
+    arrived.get_future().wait();
+    CATCH_CHECK(gateway.endpoint->requestsInFlight() == 1);
+
+    gateway.endpoint->beginDrain();
+    RawCaller during(gateway.endpoint->port());
+    const std::string drained = during.exchange(get("/read"));
+    CATCH_CHECK(contains(drained, "finished"));
+    CATCH_CHECK(contains(drained, "Connection: close\r\n"));
+    CATCH_CHECK(during.isClosedByPeer());
+
+    gateway.endpoint->stopAccepting();
+    gateway.mocked.path.stopAccepting();
+    CATCH_CHECK(contains(kept.exchange(get("/read")), "Hyssophall-Refusal: shutting_down\r\n"));
+    CATCH_CHECK(!gateway.endpoint->waitUntilIdle(std::chrono::milliseconds(20)));
+    release.set_value();
+    CATCH_CHECK(contains(running.readAnswer(), "finished"));
+    CATCH_CHECK(gateway.endpoint->waitUntilIdle(std::chrono::seconds(5)));
+    gateway.endpoint.reset();
+    CATCH_CHECK(gateway.upstream.requests().size() == 3);
+}
