--- a/libraries/process/proxy/admission.cpp
+++ b/libraries/process/proxy/admission.cpp
@@ -31,7 +31,7 @@
 
 } // namespace
 
-Admission::Admission(CatalogueSource catalogue, const ServingLease &lease, const InstanceHealth &health, std::chrono::milliseconds defaultTimeout)
+Admission::Admission(CatalogueLookupSource catalogue, const ServingLease &lease, const InstanceHealth &health, std::chrono::milliseconds defaultTimeout)
     : catalogue(std::move(catalogue))
     , lease(lease)
     , health(health)
--- a/libraries/process/proxy/admission.h
+++ b/libraries/process/proxy/admission.h
@@ -12,7 +12,7 @@
 class Admission
 {
 public:
-    Admission(CatalogueSource catalogue, const ServingLease &lease, const InstanceHealth &health, std::chrono::milliseconds defaultTimeout);
+    Admission(CatalogueLookupSource catalogue, const ServingLease &lease, const InstanceHealth &health, std::chrono::milliseconds defaultTimeout);
 
     /// Fills in @p record as far as the request gets. Errors: Refusal.
     boost::leaf::result<RequestContext> admit(const CallerRequest &request, RequestRecord &record) const;
@@ -23,7 +23,7 @@
 private:
     boost::leaf::result<void> authenticate(const CatalogueLookup &catalogue, RequestContext &context) const;
 
-    const CatalogueSource catalogue;
+    const CatalogueLookupSource catalogue;
     const ServingLease &lease;
     const InstanceHealth &health;
     const std::chrono::milliseconds defaultTimeout;
--- a/libraries/process/proxy/cataloguelookup.h
+++ b/libraries/process/proxy/cataloguelookup.h
@@ -19,6 +19,6 @@
 };
 
 /// Source of the catalogue in force.
-using CatalogueSource = std::function<std::shared_ptr<const CatalogueLookup>()>;
+using CatalogueLookupSource = std::function<std::shared_ptr<const CatalogueLookup>()>;
 
 } // namespace Hyssophall
--- a/libraries/process/proxy/requestpath.h
+++ b/libraries/process/proxy/requestpath.h
@@ -18,7 +18,7 @@
 public:
     /// The parts that decide and act for the path; all outlive it.
     struct Parts {
-        CatalogueSource catalogue;
+        CatalogueLookupSource catalogue;
         const ServingLease &lease;
         RateLimiter &rateLimiter;
         ClaimCoordinator &claims;
