Control: Add the gRPC service, the control group and the remote proposer

Cause: the Raft core needs threads, peers and an entrance for operators' changes on control VMs and on entry VMs. Change: ControlGroup runs a replica with one thread for ticking, one for applying and one for each peer. RemoteChangeProposer follows the leader and tells a change that wasn't sent from one of unknown fate. The grace for silent replicas at the start is 10 s instead of 30 s, because a group with one lost VM is without a leader for that long after a restart.

--- /dev/null
+++ b/libraries/process/control/controlproposals.cpp
@@ -0,0 +1,235 @@
+// How ControlGroup has changes decided, and its status.
+
+#include "process/control/controlgroup.h"
+
+#include <algorithm>
+#include <thread>
+#include <utility>
+
+namespace Hyssophall {
+
+namespace {
+
+/// How often a waiting proposal looks whether this replica still leads.
+constexpr std::chrono::milliseconds leadershipCheck{50};
+
+bool isRosterChange(const ControlMessages::CatalogueChange &change)
+{
+    return change.change().has_admit_member() || change.change().kind_case() == CatalogueMessages::Change::kRemoveMember;
+}
+
+ControlMessages::ProposeReply undecided(ControlMessages::ProposeReply::Result result)
+{
+    ControlMessages::ProposeReply reply;
+    reply.set_result(result);
+    return reply;
+}
+
+ControlMessages::ProposeReply decided(const ControlMessages::ChangeOutcome &outcome)
+{
+    ControlMessages::ProposeReply reply;
+    reply.set_result(ControlMessages::ProposeReply::RESULT_DECIDED);
+    *reply.mutable_outcome() = outcome;
+    return reply;
+}
+
+ControlMessages::ProposeReply refusal(ControlMessages::ChangeOutcome::Result result, const std::string &field, const std::string &expected)
+{
+    ControlMessages::ChangeOutcome outcome;
+    outcome.set_result(result);
+    outcome.set_field(field);
+    outcome.set_expected(expected);
+    return decided(outcome);
+}
+
+} // namespace
+
+RemoteChangeProposer::Hooks ControlGroup::routeHooks()
+{
+    RemoteChangeProposer::Hooks route;
+    route.addresses = [this] {
+        std::vector<std::string> addresses = {this->ownAddress};
+        std::lock_guard<std::mutex> lock(this->mutex);
+        for (const ControlMessages::Replica &peer : this->replica->log().configuration().replicas()) {
+            addresses.push_back(peer.address());
+        }
+        return addresses;
+    };
+    route.propose = [this](const std::string &address,
+                        const ControlMessages::ProposeRequest &request,
+                        std::chrono::milliseconds timeout) -> boost::leaf::result<ControlMessages::ProposeReply> {
+        if (address == this->ownAddress) {
+            return this->decideHere(request, std::chrono::steady_clock::now() + timeout);
+        }
+        return this->clients->at(address)->propose(request, timeout);
+    };
+    route.now = [] { return std::chrono::steady_clock::now(); };
+    route.sleep = [](std::chrono::milliseconds duration) { std::this_thread::sleep_for(duration); };
+    return route;
+}
+
+boost::leaf::result<ControlMessages::ChangeOutcome> ControlGroup::propose(const ControlMessages::CatalogueChange &change, SteadyTime deadline)
+{
+    return this->router.propose(change, deadline);
+}
+
+boost::leaf::result<ControlMessages::ChangeOutcome> ControlGroup::putReplica(const ControlMessages::Replica &newReplica, SteadyTime deadline)
+{
+    return this->router.putReplica(newReplica, deadline);
+}
+
+boost::leaf::result<ControlMessages::ChangeOutcome> ControlGroup::removeReplica(const std::string &replicaId, SteadyTime deadline)
+{
+    return this->router.removeReplica(replicaId, deadline);
+}
+
+boost::leaf::result<ControlMessages::StatusReply> ControlGroup::status(SteadyTime)
+{
+    return this->statusHere();
+}
+
+ControlMessages::ProposeReply ControlGroup::decideHere(const ControlMessages::ProposeRequest &request, SteadyTime deadline)
+{
+    return request.has_change() ? this->decideChange(request.change(), deadline) : this->decideGroup(request, deadline);
+}
+
+ControlMessages::ProposeReply ControlGroup::decideChange(const ControlMessages::CatalogueChange &change, SteadyTime deadline)
+{
+    if (change.change_id().empty()) {
+        return refusal(ControlMessages::ChangeOutcome::RESULT_INVALID, "change_id", "an id that is unique to the change");
+    }
+    std::optional<ControlMessages::ChangeOutcome> known;
+    const std::function<bool()> isKnown = [this, &known, &change] {
+        known = this->state.outcome(change.change_id());
+        return known.has_value();
+    };
+    {
+        std::lock_guard<std::mutex> lock(this->stateMutex);
+        if (isKnown()) {
+            return decided(*known);
+        }
+    }
+    // The applied index is read before the hook, so that a roster change applied in between is found in the log.
+    const std::uint64_t appliedBefore = this->appliedIndex;
+    const bool rosterSettled = !isRosterChange(change) || this->hooks.isRosterSettled();
+    std::uint64_t term = 0;
+    {
+        std::lock_guard<std::mutex> lock(this->mutex);
+        if (!this->replica->isLeading()) {
+            return this->notLeader();
+        }
+        if (!this->holdsChange(change.change_id())) {
+            if (isRosterChange(change) && (!rosterSettled || this->holdsRosterChangeAfter(appliedBefore))) {
+                return refusal(ControlMessages::ChangeOutcome::RESULT_ROSTER_UNSETTLED, "roster", "the previous roster change in force on all serving VMs");
+            }
+            if (!this->replica->propose(change)) {
+                // The disk failed during the append; the entry may come back at the next start.
+                return undecided(ControlMessages::ProposeReply::RESULT_UNKNOWN);
+            }
+            this->afterReplicaCall();
+        }
+        term = this->replica->term();
+    }
+    if (!this->waitUntil(isKnown, term, deadline)) {
+        return undecided(ControlMessages::ProposeReply::RESULT_UNKNOWN);
+    }
+    return decided(*known);
+}
+
+ControlMessages::ProposeReply ControlGroup::decideGroup(const ControlMessages::ProposeRequest &request, SteadyTime deadline)
+{
+    std::uint64_t term = 0;
+    std::uint64_t index = 0;
+    {
+        std::lock_guard<std::mutex> lock(this->mutex);
+        const RaftReplica::GroupChange change
+            = request.has_put_replica() ? this->replica->putReplica(request.put_replica()) : this->replica->removeReplica(request.remove_replica());
+        this->afterReplicaCall();
+        switch (change) {
+        case RaftReplica::GroupChange::NotLeader:
+            return this->notLeader();
+        case RaftReplica::GroupChange::Busy:
+            return refusal(ControlMessages::ChangeOutcome::RESULT_CONFLICT, "group", "the previous change of the group committed");
+        case RaftReplica::GroupChange::Invalid:
+            return refusal(ControlMessages::ChangeOutcome::RESULT_INVALID,
+                "replica",
+                "an id, an address and a disk incarnation, none of them the leader's, and 1 voter at least and 7 replicas at most afterwards");
+        case RaftReplica::GroupChange::Unchanged:
+        case RaftReplica::GroupChange::Appended:
+            break;
+        }
+        term = this->replica->term();
+        index = this->replica->log().configurationIndex();
+    }
+    if (!this->waitUntil([this, index] { return this->appliedIndex >= index; }, term, deadline)) {
+        return undecided(ControlMessages::ProposeReply::RESULT_UNKNOWN);
+    }
+    return refusal(ControlMessages::ChangeOutcome::RESULT_ACCEPTED, "", "");
+}
+
+bool ControlGroup::waitUntil(const std::function<bool()> &condition, std::uint64_t term, SteadyTime deadline)
+{
+    std::unique_lock<std::mutex> lock(this->stateMutex);
+    while (!condition()) {
+        const SteadyTime now = std::chrono::steady_clock::now();
+        if (now >= deadline || this->leadingTerm != term || this->stopping) {
+            return false;
+        }
+        this->stateChanged.wait_until(lock, std::min(deadline, now + leadershipCheck));
+    }
+    return true;
+}
+
+bool ControlGroup::holdsChange(const std::string &changeId) const
+{
+    const std::vector<ControlMessages::Entry> &entries = this->replica->log().entries();
+    return std::any_of(entries.begin(), entries.end(), [this, &changeId](const ControlMessages::Entry &entry) {
+        return entry.index() > this->appliedIndex && entry.change().change_id() == changeId;
+    });
+}
+
+bool ControlGroup::holdsRosterChangeAfter(std::uint64_t index) const
+{
+    const ReplicaLog &log = this->replica->log();
+    // A snapshot beyond the index may hold a roster change.
+    return index < log.snapshotIndex() || std::any_of(log.entries().begin(), log.entries().end(), [index](const ControlMessages::Entry &entry) {
+        return entry.index() > index && isRosterChange(entry.change());
+    });
+}
+
+ControlMessages::ProposeReply ControlGroup::notLeader() const
+{
+    ControlMessages::ProposeReply reply = undecided(ControlMessages::ProposeReply::RESULT_NOT_LEADER);
+    const ControlMessages::Replica *leader = ReplicaGroup::find(this->replica->log().configuration(), this->replica->leaderId());
+    if (leader != nullptr && leader->id() != this->replica->id()) {
+        reply.set_leader_address(leader->address());
+    }
+    return reply;
+}
+
+ControlMessages::StatusReply ControlGroup::statusHere() const
+{
+    std::lock_guard<std::mutex> lock(this->mutex);
+    const RaftReplica &own = *this->replica;
+    ControlMessages::StatusReply reply;
+    reply.set_id(own.id());
+    if (own.isHalted()) {
+        reply.set_role("halted");
+    } else if (own.isLeading()) {
+        reply.set_role("leader");
+    } else if (!own.isVoting()) {
+        reply.set_role("recovering");
+    } else {
+        reply.set_role(ReplicaGroup::hasVoter(own.log().configuration(), own.id(), own.diskIncarnation()) ? "follower" : "learner");
+    }
+    reply.set_term(own.term());
+    reply.set_leader(own.leaderId());
+    *reply.mutable_last() = own.log().last();
+    reply.set_committed_index(own.committedIndex());
+    reply.set_catalogue_version(this->catalogueVersion);
+    reply.set_disk_incarnation(own.diskIncarnation());
+    *reply.mutable_configuration() = own.log().configuration();
+    return reply;
+}
+
+} // namespace Hyssophall
--- /dev/null
+++ b/libraries/process/control/peerlink.cpp
@@ -0,0 +1,47 @@
+#include "process/control/peerlink.h"
+
+#include <utility>
+
+namespace Hyssophall {
+
+PeerLink::PeerLink(Hooks hooks, std::chrono::milliseconds timeout)
+    : hooks(std::move(hooks))
+    , timeout(timeout)
+    , thread([this] { this->run(); })
+{
+}
+
+PeerLink::~PeerLink()
+{
+    this->stopping = true;
+    this->ring.close();
+    this->thread.join();
+}
+
+void PeerLink::send(const RaftReplica::Replica &peer, const RaftReplica::Request &request)
+{
+    this->ring.tryPush(Message{peer, request, std::chrono::steady_clock::now()});
+}
+
+void PeerLink::run()
+{
+    while (!this->stopping) {
+        const std::optional<Message> message = this->ring.popUntil(std::chrono::steady_clock::now() + std::chrono::seconds(1));
+        // Messages that waited for long behind a call that hung are stale; the replica has sent newer ones since.
+        if (message && std::chrono::steady_clock::now() - message->queuedAt < this->timeout) {
+            this->transmit(*message);
+        }
+    }
+}
+
+void PeerLink::transmit(const Message &message)
+{
+    const bool snapshot = std::holds_alternative<ControlMessages::InstallSnapshotRequest>(message.request);
+    const SteadyTime sentAt = std::chrono::steady_clock::now();
+    const std::optional<RaftReplica::Reply> reply = this->hooks.call(message.request, snapshot ? snapshotTimeout : this->timeout);
+    if (reply && !this->stopping) {
+        this->hooks.accept(message.peer, message.request, sentAt, *reply);
+    }
+}
+
+} // namespace Hyssophall
--- a/libraries/process/control/raftreplica.h
+++ b/libraries/process/control/raftreplica.h
@@ -44,7 +44,7 @@
         std::chrono::milliseconds heartbeatInterval{100};
         std::chrono::milliseconds electionTimeout{600};
         /// How long a starting replica waits for the replicas beyond those that form a majority with it.
-        std::chrono::milliseconds recallGrace{30000};
+        std::chrono::milliseconds recallGrace{10000};
         std::size_t maximumBatchBytes = 256 * 1024;
     };
 
--- /dev/null
+++ b/tests/unit/process/control/controlgrouptest.cpp
@@ -0,0 +1,159 @@
+#include "process/control/controlgroup.h"
+#include "unit/process/control/simulatedgroup.h"
+
+#include <boost/leaf/handle_errors.hpp>
+#include <catch2/catch.hpp>
+#include <grpcpp/grpcpp.h>
+
+#include <arpa/inet.h>
+#include <atomic>
+#include <filesystem>
+#include <random>
+#include <sys/socket.h>
+#include <unistd.h>
+
+using namespace Hyssophall;
+
+namespace {
+
+constexpr std::chrono::seconds longWait{20};
+
+SteadyTime soon()
+{
+    return std::chrono::steady_clock::now() + longWait;
+}
+
+std::uint64_t randomNumber()
+{
+    std::random_device device;
+    return (static_cast<std::uint64_t>(device()) << 32) | device();
+}
+
+unsigned short freePort()
+{
+    const int descriptor = socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    socklen_t length = sizeof(address);
+    bind(descriptor, reinterpret_cast<sockaddr *>(&address), length);
+    getsockname(descriptor, reinterpret_cast<sockaddr *>(&address), &length);
+    close(descriptor);
+    return ntohs(address.sin_port);
+}
+
+/// A control VM with a real server and disk on loopback.
+struct ControlVm {
+    explicit ControlVm(const std::string &id)
+    {
+        this->settings.vm.id = id;
+        this->settings.vm.dataFolder = (std::filesystem::temp_directory_path() / ("hyssophall-controlgroup-test-" + std::to_string(getpid()) + id)).string();
+        this->settings.fleet.secret = "a secret of the test fleet";
+        this->settings.listen.fleet = Endpoint{"127.0.0.1", freePort()};
+        std::filesystem::remove_all(this->settings.vm.dataFolder);
+        this->start();
+    }
+
+    ~ControlVm()
+    {
+        this->stop();
+        std::filesystem::remove_all(this->settings.vm.dataFolder);
+    }
+
+    void start()
+    {
+        this->catalogue = NaiveCatalogue();
+        this->group = std::move(ControlGroup::create(this->settings, this->catalogue, {[this] { return this->rosterSettled.load(); }, randomNumber}).value());
+        grpc::ServerBuilder builder;
+        builder.AddListeningPort(this->address(), grpc::InsecureServerCredentials());
+        builder.RegisterService(&this->group->service());
+        this->server = builder.BuildAndStart();
+    }
+
+    void stop()
+    {
+        if (this->server) {
+            this->server->Shutdown(std::chrono::system_clock::now());
+            this->server.reset();
+            this->group.reset();
+        }
+    }
+
+    std::string address() const
+    {
+        return this->settings.listen.fleet.host + ":" + std::to_string(this->settings.listen.fleet.port);
+    }
+
+    Settings settings;
+    NaiveCatalogue catalogue;
+    std::atomic<bool> rosterSettled{true};
+    std::unique_ptr<ControlGroup> group;
+    std::unique_ptr<grpc::Server> server;
+};
+
+ControlMessages::CatalogueChange change(const std::string &id, std::uint64_t expectedVersion)
+{
+    ControlMessages::CatalogueChange change;
+    change.set_change_id(id);
+    change.set_expected_version(expectedVersion);
+    change.mutable_change()->mutable_put_team()->set_name(id);
+    return change;
+}
+
+} // namespace
+
+CATCH_TEST_CASE("Three control VMs over gRPC decide changes from any VM, and survive the loss of one", "[control-log][config-in-force]")
+{
+    // Guards against faults in the wiring of threads, calls and disk that the simulated group can't show.
+    std::vector<std::unique_ptr<ControlVm>> vms;
+    Settings entry;
+    for (const char *id : {"a", "b", "c"}) {
+        vms.push_back(std::make_unique<ControlVm>(id));
+        entry.control.replicas.push_back(vms.back()->address());
+    }
+    entry.fleet.secret = vms[0]->settings.fleet.secret;
+    CATCH_REQUIRE(vms[0]->group->bootstrap(entry.control.replicas, soon()));
+    CATCH_REQUIRE_FALSE(vms[1]->group->bootstrap(entry.control.replicas, soon()));
+
+    const std::unique_ptr<RemoteChangeProposer> remote = RemoteChangeProposer::create(entry);
+    CATCH_REQUIRE(remote->propose(change("one", 0), soon()).value().version() == 1);
+    CATCH_REQUIRE(vms[2]->group->propose(change("two", 1), soon()).value().version() == 2);
+    CATCH_REQUIRE(vms[1]->group->propose(change("late", 1), soon()).value().result() == ControlMessages::ChangeOutcome::RESULT_CONFLICT);
+
+    vms[0]->stop();
+    CATCH_REQUIRE(remote->propose(change("three", 2), soon()).value().version() == 3);
+    CATCH_REQUIRE(remote->propose(change("one", 0), soon()).value().version() == 1);
+    vms[0]->start();
+    while (vms[0]->group->status(soon())->role() == "recovering") {
+        // A replica that hasn't heard from all others yet takes part only after a grace of several seconds.
+        std::this_thread::yield();
+    }
+    vms[1]->stop();
+    CATCH_REQUIRE(remote->propose(change("four", 3), soon()).value().version() == 4);
+}
+
+CATCH_TEST_CASE("A roster change is refused until the previous one is in force everywhere", "[control-log]")
+{
+    // Guards against quorums of committees that don't meet because the roster moved twice.
+    ControlVm vm("a");
+    CATCH_REQUIRE(vm.group->bootstrap({vm.address()}, soon()));
+    ControlMessages::CatalogueChange admission = change("admit", 0);
+    admission.mutable_change()->mutable_admit_member()->set_id("vm-9");
+    vm.rosterSettled = false;
+    CATCH_REQUIRE(vm.group->propose(admission, soon()).value().result() == ControlMessages::ChangeOutcome::RESULT_ROSTER_UNSETTLED);
+    vm.rosterSettled = true;
+    // The naive catalogue takes no members, which shows that the change reached it.
+    CATCH_REQUIRE(vm.group->propose(admission, soon()).value().result() == ControlMessages::ChangeOutcome::RESULT_INVALID);
+}
+
+CATCH_TEST_CASE("Calls without the fleet's secret are refused", "[control-log]")
+{
+    // Guards against a stranger on the network who votes or changes the catalogue.
+    ControlVm vm("a");
+    ControlClient stranger(vm.address(), "another secret of a fleet");
+    CATCH_REQUIRE_FALSE(stranger.call(ControlMessages::VoteRequest(), longWait).has_value());
+    CATCH_REQUIRE_FALSE(stranger.status(longWait).has_value());
+    CATCH_REQUIRE_FALSE(stranger.propose(ControlMessages::ProposeRequest(), longWait));
+    ControlClient member(vm.address(), vm.settings.fleet.secret);
+    CATCH_REQUIRE(member.status(longWait)->id() == "a");
+}
