Administration: Add the administration API

Cause: operators and upstream instances need an HTTP endpoint on each VM for changes, keys, the control group and announcements.

--- /dev/null
+++ b/libraries/process/administration/answers.cpp
@@ -0,0 +1,85 @@
+#include "process/administration/answers.h"
+
+#include <boost/leaf/handle_errors.hpp>
+#include <nlohmann/json.hpp>
+
+namespace Hyssophall::Administration {
+
+namespace leaf = boost::leaf;
+
+using nlohmann::json;
+
+namespace {
+
+HttpAnswer unavailableAnswer(const ControlUnavailable &error)
+{
+    if (error.reason == ControlUnavailable::Reason::NoQuorum) {
+        return errorAnswer(503, "no_quorum", "the control group has no quorum; the change was not accepted");
+    }
+    return errorAnswer(504, "outcome_unknown", "the change may or may not have been accepted; resend it with the same change_id");
+}
+
+} // namespace
+
+HttpAnswer jsonAnswer(int status, const json &object)
+{
+    // Values that come from other VMs may not be UTF-8; an answer with replaced characters is better than none.
+    return {status, object.dump(-1, ' ', false, json::error_handler_t::replace) + "\n"};
+}
+
+HttpAnswer errorAnswer(int status, const std::string &code, const std::string &message)
+{
+    return jsonAnswer(status, {{"error", {{"code", code}, {"message", message}}}});
+}
+
+HttpAnswer invalidAnswer(const InvalidChange &fault)
+{
+    const json error = {
+        {"code", "invalid_change"},
+        {"message", fault.field + " must hold " + fault.expected},
+        {"field", fault.field},
+        {"expected", fault.expected},
+    };
+    return jsonAnswer(422, {{"error", error}});
+}
+
+HttpAnswer outcomeAnswer(const ControlMessages::ChangeOutcome &outcome, const json &details)
+{
+    switch (outcome.result()) {
+    case ControlMessages::ChangeOutcome::RESULT_ACCEPTED: {
+        json accepted = {{"result", "accepted"}, {"change_id", outcome.change_id()}, {"version", outcome.version()}};
+        accepted.update(details);
+        return jsonAnswer(200, accepted);
+    }
+    case ControlMessages::ChangeOutcome::RESULT_CONFLICT: {
+        const json error = {{"code", "conflict"}, {"message", "another version is in force"}, {"version", outcome.version()}};
+        return jsonAnswer(409, {{"error", error}});
+    }
+    case ControlMessages::ChangeOutcome::RESULT_INVALID:
+        return invalidAnswer(InvalidChange{outcome.field(), outcome.expected()});
+    default:
+        return unavailableAnswer(ControlUnavailable{ControlUnavailable::Reason::Unknown});
+    }
+}
+
+json progressJson(const Progress &progress)
+{
+    return {
+        {"in_force", progress.inForce},
+        {"members", progress.members},
+        {"confirmed", progress.confirmed},
+        {"expired", progress.expired},
+        {"pending", progress.pending},
+    };
+}
+
+HttpAnswer answerOf(const std::function<leaf::result<HttpAnswer>()> &handler)
+{
+    return leaf::try_handle_all(
+        handler,
+        [](const InvalidChange &fault) { return invalidAnswer(fault); },
+        [](const ControlUnavailable &error) { return unavailableAnswer(error); },
+        []() { return errorAnswer(500, "internal", "the request failed in an unexpected way"); });
+}
+
+} // namespace Hyssophall::Administration
--- /dev/null
+++ b/libraries/process/administration/httpmessage.h
@@ -0,0 +1,26 @@
+#pragma once
+
+#include <map>
+#include <string>
+#include <vector>
+
+namespace Hyssophall::Administration {
+
+/// A request to the administration port, free of the web server's types.
+struct HttpRequest {
+    std::string method;
+    /// The path's segments after percent-decoding, as in {"v1", "keys", "mobile-1"}.
+    std::vector<std::string> segments;
+    std::map<std::string, std::string> query;
+    /// The key or token from "Authorization: Bearer ..."; empty without one.
+    std::string bearer;
+    std::string body;
+};
+
+struct HttpAnswer {
+    int status = 200;
+    std::string body;
+    std::string contentType = "application/json";
+};
+
+} // namespace Hyssophall::Administration
--- /dev/null
+++ b/libraries/process/administration/readendpoint.cpp
@@ -0,0 +1,108 @@
+#include "process/administration/readendpoint.h"
+
+#include "process/administration/answers.h"
+#include "version/cataloguejson.h"
+
+#include <nlohmann/json.hpp>
+
+#include <charconv>
+
+namespace Hyssophall::Administration {
+
+using nlohmann::json;
+
+namespace {
+
+const char *livenessName(Liveness liveness)
+{
+    switch (liveness) {
+    case Liveness::Alive:
+        return "alive";
+    case Liveness::Suspect:
+        return "suspect";
+    case Liveness::Dead:
+        return "dead";
+    case Liveness::Leaving:
+        return "leaving";
+    }
+    return "dead";
+}
+
+} // namespace
+
+ReadEndpoint::ReadEndpoint(const Hooks &hooks, const Configuration &configuration, ProgressTracker &progress)
+    : hooks(hooks)
+    , configuration(configuration)
+    , tracker(progress)
+{
+}
+
+HttpAnswer ReadEndpoint::catalogue() const
+{
+    return jsonAnswer(200, snapshotToJsonWithoutHashes(this->hooks.store->current()->snapshot()));
+}
+
+HttpAnswer ReadEndpoint::version() const
+{
+    const std::shared_ptr<const Catalogue> catalogue = this->hooks.store->current();
+    return jsonAnswer(200, {{"version", catalogue->version()}, {"roster_version", catalogue->roster().version()}});
+}
+
+HttpAnswer ReadEndpoint::vm() const
+{
+    const VmIdentity &vm = this->configuration.vm;
+    return jsonAnswer(200,
+        {
+            {"id", vm.id},
+            {"fleet_address", vm.fleetAddress},
+            {"failure_domain", vm.failureDomain},
+            // A string, because many readers of JSON keep only 53 bits of a number.
+            {"incarnation", std::to_string(vm.incarnation)},
+        });
+}
+
+HttpAnswer ReadEndpoint::progress(const std::string &version) const
+{
+    std::uint64_t number = 0;
+    const std::from_chars_result parsed = std::from_chars(version.data(), version.data() + version.size(), number);
+    if (parsed.ec != std::errc() || parsed.ptr != version.data() + version.size()) {
+        return invalidAnswer(InvalidChange{"version", "a version number"});
+    }
+    const std::shared_ptr<const Catalogue> catalogue = this->hooks.store->current();
+    json object = progressJson(this->tracker.progress(number, catalogue->roster(), this->hooks.members->members()));
+    object["version"] = number;
+    return jsonAnswer(200, object);
+}
+
+HttpAnswer ReadEndpoint::members() const
+{
+    json list = json::array();
+    for (const MemberView::MemberStatus &member : this->hooks.members->members()) {
+        list.push_back({
+            {"id", member.id},
+            {"fleet_address", member.address},
+            {"failure_domain", member.failureDomain},
+            {"liveness", livenessName(member.liveness)},
+            {"incarnation", std::to_string(member.incarnation)},
+            {"catalogue_version", member.catalogueVersion},
+        });
+    }
+    return jsonAnswer(200, {{"members", list}});
+}
+
+HttpAnswer ReadEndpoint::instances(const std::string &service) const
+{
+    if (this->hooks.store->current()->findService(service) == nullptr) {
+        return errorAnswer(404, "service_unknown", "the catalogue has no service of this name");
+    }
+    json list = json::array();
+    const std::shared_ptr<const InstanceDirectory::Instances> instances = this->hooks.instances->instances(service);
+    for (const KnownInstance &known : *instances) {
+        json object = entryToJson(known.instance);
+        object["ejected"] = known.ejected;
+        list.push_back(std::move(object));
+    }
+    return jsonAnswer(200, {{"service", service}, {"instances", list}});
+}
+
+} // namespace Hyssophall::Administration
--- a/libraries/process/keyhash.cpp
+++ b/libraries/process/keyhash.cpp
@@ -13,6 +13,16 @@
 
 } // namespace
 
+std::string createRandomKey()
+{
+    KeyHash bits{};
+    if (gnutls_rnd(GNUTLS_RND_KEY, bits.data(), bits.size()) != 0) {
+        // A key from a failed generator could be guessed.
+        std::abort();
+    }
+    return hexadecimal(bits);
+}
+
 KeyHash hashKey(std::string_view key)
 {
     KeyHash hash{};
--- a/libraries/process/keyhash.h
+++ b/libraries/process/keyhash.h
@@ -8,6 +8,9 @@
 
 namespace Hyssophall {
 
+/// A key of 256 random bits as 64 hexadecimal digits.
+std::string createRandomKey();
+
 /// SHA-256 of a key as its holder sends it.
 KeyHash hashKey(std::string_view key);
 
