--- a/libraries/process/fleet/fleetclient.cpp
+++ b/libraries/process/fleet/fleetclient.cpp
@@ -73,7 +73,7 @@
     {
     }
 
-    ~Implementation()
+    void stop()
     {
         std::unique_lock<std::mutex> lock(this->mutex);
         this->stopping = true;
@@ -151,7 +151,15 @@
 {
 }
 
-FleetClient::~FleetClient() = default;
+FleetClient::~FleetClient()
+{
+    this->stop();
+}
+
+void FleetClient::stop()
+{
+    this->implementation->stop();
+}
 
 void FleetClient::exchange(const std::string &address,
     const FleetMessages::ExchangeMessage &request,
--- a/libraries/process/fleet/fleetclient.h
+++ b/libraries/process/fleet/fleetclient.h
@@ -10,7 +10,7 @@
 /**
  * Calls to the fleet ports of other VMs over gRPC, with one kept channel for each address.
  *
- * Completions run on threads of gRPC; once the destructor has begun, a new call fails at once on the caller's thread.
+ * Completions run on threads of gRPC; once stop() has begun, a new call fails at once on the caller's thread.
  *
  * A connection that goes silent during a call is closed after about 4 s by keepalive, so that the next call opens a new one.
  */
@@ -20,9 +20,12 @@
     /// @p secret is sent with each call.
     explicit FleetClient(const std::string &secret);
 
-    /// Cancels the calls in flight and waits until their completions have run.
+    /// Stops as stop() does.
     ~FleetClient() override;
 
+    /// Cancels the calls in flight and waits until their completions have run. Later calls fail at once.
+    void stop();
+
     void exchange(const std::string &address,
         const FleetMessages::ExchangeMessage &request,
         std::chrono::milliseconds timeout,
--- a/libraries/process/fleet/gossip.cpp
+++ b/libraries/process/fleet/gossip.cpp
@@ -23,8 +23,8 @@
 constexpr std::size_t maximumPassedOnAgain = 200;
 /// Full member states are rare, and must not crowd out records.
 constexpr std::size_t stateBudget = 400;
-/// Bytes that stay for heartbeats beside records that aren't urgent.
-constexpr std::size_t heartbeatReserve = 600;
+/// Heartbeats leave a part of each message to records.
+constexpr std::size_t heartbeatBudgetBesideRecords = 500;
 
 std::optional<RecordStore::Digests> digestsOf(const FleetMessages::ExchangeMessage &message)
 {
@@ -53,6 +53,7 @@
     , records(records)
     , seeds(std::move(seeds))
     , hooks(std::move(hooks))
+    , rumors(this->hooks.random())
     , lastMatch(this->hooks.clock())
     , lastAsked(this->lastMatch - differenceAskInterval)
 {
@@ -126,7 +127,7 @@
     }
 }
 
-FleetMessages::ExchangeMessage Gossip::createMessage()
+FleetMessages::ExchangeMessage Gossip::createMessage(std::optional<std::uint64_t> peerRosterVersion)
 {
     FleetMessages::ExchangeMessage message;
     *message.mutable_sender() = this->membership.self();
@@ -134,9 +135,10 @@
     message.set_roster_version(this->membership.rosterVersion());
     message.set_records_digest(RecordStore::combine(this->records.digests()));
     const std::size_t used = this->membership.addStates(message, stateBudget);
-    this->addRecords(message, maximumUpdateBytes - used);
+    const std::size_t heartbeatBudget = this->rumors.size() > 0 ? heartbeatBudgetBesideRecords : maximumUpdateBytes - used;
+    this->membership.addHeartbeats(message, heartbeatBudget, this->hooks.random(), peerRosterVersion);
     const std::size_t size = message.ByteSizeLong();
-    this->membership.addHeartbeats(message, size < maximumUpdateBytes ? maximumUpdateBytes - size : 0);
+    this->addRecords(message, size < maximumUpdateBytes ? maximumUpdateBytes - size : 0);
     return message;
 }
 
@@ -149,8 +151,7 @@
             return RumorQueue::Offer::Obsolete;
         }
         const std::size_t size = record->ByteSizeLong() + 3;
-        const std::size_t limit = isUrgent(*record) ? budget : std::min(budget, maximumUpdateBytes - heartbeatReserve);
-        if (used + size > limit) {
+        if (used + size > budget) {
             return RumorQueue::Offer::TooLarge;
         }
         used += size;
@@ -178,7 +179,7 @@
 
 void Gossip::exchangeWith(const Target &target, bool mayAsk)
 {
-    FleetMessages::ExchangeMessage message = this->createMessage();
+    FleetMessages::ExchangeMessage message = this->createMessage(std::nullopt);
     const bool asked = mayAsk && this->membership.contains(this->membership.self().id()) && this->askForRecords(message);
     this->hooks.send(target.address, message, [this, target, asked](std::optional<FleetMessages::ExchangeMessage> answer) {
         if (answer) {
@@ -207,7 +208,7 @@
 {
     this->membership.merge(message);
     this->mergeRecords(message);
-    FleetMessages::ExchangeMessage answer = this->createMessage();
+    FleetMessages::ExchangeMessage answer = this->createMessage(message.roster_version());
     this->membership.addCorrection(answer, message.sender());
     if (message.wants_all_records()) {
         answer.clear_records();
--- a/libraries/process/fleet/gossip.h
+++ b/libraries/process/fleet/gossip.h
@@ -61,7 +61,7 @@
     std::vector<Target> chooseTargets();
     void addRandom(std::vector<Target> &targets, std::vector<std::string> candidates, std::size_t count);
     void addSeeds(std::vector<Target> &targets, std::size_t count);
-    FleetMessages::ExchangeMessage createMessage();
+    FleetMessages::ExchangeMessage createMessage(std::optional<std::uint64_t> peerRosterVersion);
     void addRecords(FleetMessages::ExchangeMessage &message, std::size_t budget);
     bool askForRecords(FleetMessages::ExchangeMessage &message);
     void exchangeWith(const Target &target, bool mayAsk);
--- a/libraries/process/fleet/membership.cpp
+++ b/libraries/process/fleet/membership.cpp
@@ -11,10 +11,15 @@
 
 namespace {
 
-/// Sends of one heartbeat value. Newer values follow each round, so few sends of each are enough.
-constexpr unsigned heartbeatRepetition = 3;
-/// Encoded size of an entry of HeartbeatDigest: hash 4, heartbeat up to 4, tag 1, lag 1.
-constexpr std::size_t heartbeatBytes = 10;
+/// Each message has the heartbeats of half of the members where they fit. A VM gets 16 messages a second, so the chance that
+/// none in the suspicion time has a given member is below 1 in 10^9.
+constexpr std::size_t smallestRun = 32;
+constexpr std::size_t runDivisor = 2;
+/// Encoded size of an entry of HeartbeatDigest: heartbeat up to 3 in the first 6 days, tag 1, lag 1.
+constexpr std::size_t positionedBytes = 5;
+constexpr std::size_t hashBytes = 4;
+/// A VM that met no other roster version for this time, in about 50 messages, takes it that its own is in force everywhere.
+constexpr std::chrono::seconds rosterDifferenceLimit{3};
 
 std::uint32_t memberHash(std::string_view id)
 {
@@ -95,6 +100,7 @@
         return;
     }
     this->version = roster.version();
+    this->lastRosterDifference = this->clock();
     KnownMembers next;
     for (const CatalogueMessages::Member &member : roster.members()) {
         const KnownMembers::iterator previous = this->known.find(member.id());
@@ -106,7 +112,9 @@
     }
     this->known = std::move(next);
     this->byHash.clear();
+    this->ordered.clear();
     for (KnownMembers::value_type &entry : this->known) {
+        this->ordered.push_back(&entry.second);
         const auto [position, added] = this->byHash.emplace(memberHash(entry.first), &entry.second);
         if (!added) {
             position->second = nullptr;
@@ -171,7 +179,10 @@
     for (const FleetMessages::MemberState &state : message.members()) {
         this->mergeState(state, now);
     }
-    this->mergeHeartbeats(message.heartbeats(), message.sender().catalogue_version(), now);
+    if (message.roster_version() != this->version) {
+        this->lastRosterDifference = now;
+    }
+    this->mergeHeartbeats(message, now);
 }
 
 void Membership::continueAbove(std::uint64_t heartbeat)
@@ -200,7 +211,6 @@
     }
     if (state.heartbeat() > member.state.heartbeat()) {
         member.fresh = now;
-        member.heartbeatSends = 0;
     }
     if (member.state.incarnation() != state.incarnation() || member.state.leaving() != state.leaving()) {
         member.stateSends = 0;
@@ -213,16 +223,30 @@
     member.incarnationTag = tagOf(state.incarnation());
 }
 
-void Membership::mergeHeartbeats(const FleetMessages::HeartbeatDigest &digest, std::uint64_t senderVersion, SteadyTime now)
+Membership::Known *Membership::memberOf(const FleetMessages::ExchangeMessage &message, int index)
 {
-    const int count
-        = std::min({digest.members_size(), digest.heartbeats_size(), static_cast<int>(digest.incarnation_tags().size()), digest.version_lags_size()});
-    for (int index = 0; index < count; ++index) {
+    const FleetMessages::HeartbeatDigest &digest = message.heartbeats();
+    if (index < digest.members_size()) {
         const std::unordered_map<std::uint32_t, Known *>::iterator found = this->byHash.find(digest.members(index));
-        if (found != this->byHash.end() && found->second != nullptr) {
-            const std::uint8_t tag = static_cast<std::uint8_t>(digest.incarnation_tags()[static_cast<std::size_t>(index)]);
-            const std::uint64_t version = senderVersion - static_cast<std::uint64_t>(digest.version_lags(index));
-            this->mergeHeartbeat(*found->second, digest.heartbeats(index), tag, version, now);
+        return found == this->byHash.end() ? nullptr : found->second;
+    }
+    if (digest.members_size() > 0 || message.roster_version() != this->version || this->ordered.empty()) {
+        return nullptr;
+    }
+    return this->ordered[(digest.first_position() + static_cast<std::size_t>(index)) % this->ordered.size()];
+}
+
+void Membership::mergeHeartbeats(const FleetMessages::ExchangeMessage &message, SteadyTime now)
+{
+    const FleetMessages::HeartbeatDigest &digest = message.heartbeats();
+    const std::string &tags = digest.incarnation_tags();
+    const int count = std::min({digest.heartbeats_size(), static_cast<int>(tags.size()), digest.version_lags_size()});
+    for (int index = 0; index < count; ++index) {
+        Known *member = this->memberOf(message, index);
+        if (member != nullptr && digest.heartbeats(index) > 0) {
+            const std::uint8_t tag = static_cast<std::uint8_t>(tags[static_cast<std::size_t>(index)]);
+            const std::uint64_t version = message.sender().catalogue_version() - static_cast<std::uint64_t>(digest.version_lags(index));
+            this->mergeHeartbeat(*member, digest.heartbeats(index), tag, version, now);
         }
     }
 }
@@ -246,7 +270,6 @@
     member.incarnationTag = tag;
     member.state.set_heartbeat(heartbeat);
     member.state.set_catalogue_version(version);
-    member.heartbeatSends = 0;
     member.fresh = now;
 }
 
@@ -274,43 +297,37 @@
     return used;
 }
 
-std::vector<Membership::Known *> Membership::freshHeartbeats(SteadyTime now)
-{
-    std::vector<Known *> result;
-    for (KnownMembers::value_type &entry : this->known) {
-        Known &member = entry.second;
-        if (member.fresh != SteadyTime() && now - member.fresh < suspectAfter && member.heartbeatSends < heartbeatRepetition) {
-            result.push_back(&member);
-        }
-    }
-    return result;
-}
-
-void Membership::addHeartbeats(FleetMessages::ExchangeMessage &message, std::size_t budget)
+void Membership::addHeartbeats(
+    FleetMessages::ExchangeMessage &message, std::size_t budget, std::uint64_t random, std::optional<std::uint64_t> peerRosterVersion)
 {
     const SteadyTime now = this->clock();
     std::lock_guard<std::mutex> lock(this->mutex);
-    std::vector<Known *> fresh = this->freshHeartbeats(now);
-    const std::size_t count = std::min(fresh.size(), budget / heartbeatBytes);
+    const bool byHashes = peerRosterVersion ? *peerRosterVersion != this->version : now - this->lastRosterDifference < rosterDifferenceLimit;
+    const std::size_t wanted = std::max(smallestRun, this->ordered.size() / runDivisor);
+    const std::size_t count = std::min({wanted, this->ordered.size(), budget / (positionedBytes + (byHashes ? hashBytes : 0))});
     if (count == 0) {
         return;
     }
-    // Least sent first; of these the latest, since older ones are likelier to be known to the peer.
-    std::nth_element(fresh.begin(), fresh.begin() + static_cast<std::ptrdiff_t>(count - 1), fresh.end(), [](const Known *left, const Known *right) {
-        return left->heartbeatSends != right->heartbeatSends ? left->heartbeatSends < right->heartbeatSends : left->fresh > right->fresh;
-    });
-    fresh.resize(count);
     FleetMessages::HeartbeatDigest &digest = *message.mutable_heartbeats();
-    const std::uint64_t ownVersion = message.sender().catalogue_version();
-    for (Known *member : fresh) {
-        digest.add_members(memberHash(member->state.id()));
-        digest.add_heartbeats(member->state.heartbeat());
-        digest.mutable_incarnation_tags()->push_back(static_cast<char>(member->incarnationTag));
-        digest.add_version_lags(static_cast<std::int64_t>(ownVersion - member->state.catalogue_version()));
-        ++member->heartbeatSends;
+    const std::size_t first = static_cast<std::size_t>(random % this->ordered.size());
+    digest.set_first_position(static_cast<std::uint32_t>(first));
+    for (std::size_t offset = 0; offset < count; ++offset) {
+        const Known &member = *this->ordered[(first + offset) % this->ordered.size()];
+        if (byHashes) {
+            digest.add_members(memberHash(member.state.id()));
+        }
+        this->addHeartbeat(digest, member, message.sender().catalogue_version(), now);
     }
 }
 
+void Membership::addHeartbeat(FleetMessages::HeartbeatDigest &digest, const Known &member, std::uint64_t ownVersion, SteadyTime now) const
+{
+    const bool isFresh = member.fresh != SteadyTime() && now - member.fresh < deadAfter;
+    digest.add_heartbeats(isFresh ? member.state.heartbeat() : 0);
+    digest.mutable_incarnation_tags()->push_back(static_cast<char>(member.incarnationTag));
+    digest.add_version_lags(isFresh ? static_cast<std::int64_t>(ownVersion - member.state.catalogue_version()) : 0);
+}
+
 void Membership::addCorrection(FleetMessages::ExchangeMessage &message, const FleetMessages::MemberState &sender) const
 {
     std::lock_guard<std::mutex> lock(this->mutex);
--- a/libraries/process/fleet/membership.h
+++ b/libraries/process/fleet/membership.h
@@ -8,6 +8,7 @@
 #include <cstddef>
 #include <map>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -63,8 +64,9 @@
     /// Adds changed member states to a message, up to @p budget bytes. Returns the bytes used.
     std::size_t addStates(FleetMessages::ExchangeMessage &message, std::size_t budget);
 
-    /// Adds the least sent fresh heartbeats, up to @p budget bytes.
-    void addHeartbeats(FleetMessages::ExchangeMessage &message, std::size_t budget);
+    /// Adds the heartbeats of a run of members that begins at a random place, up to @p budget bytes.
+    /// @p peerRosterVersion is the receiver's roster version where it is known.
+    void addHeartbeats(FleetMessages::ExchangeMessage &message, std::size_t budget, std::uint64_t random, std::optional<std::uint64_t> peerRosterVersion);
 
     /// Adds what is known of @p sender when its own heartbeat is behind, as after a restart.
     void addCorrection(FleetMessages::ExchangeMessage &message, const FleetMessages::MemberState &sender) const;
@@ -81,7 +83,6 @@
         std::uint8_t incarnationTag = 0;
         /// The epoch of the clock: never.
         SteadyTime fresh;
-        unsigned heartbeatSends = 0;
         unsigned stateSends = 0;
     };
     using KnownMembers = std::map<std::string, Known, std::less<>>;
@@ -89,10 +90,11 @@
     Liveness livenessOf(const Known &member, SteadyTime now) const;
     bool isSelf(const std::string &id) const;
     void mergeState(const FleetMessages::MemberState &state, SteadyTime now);
-    void mergeHeartbeats(const FleetMessages::HeartbeatDigest &digest, std::uint64_t senderVersion, SteadyTime now);
+    void mergeHeartbeats(const FleetMessages::ExchangeMessage &message, SteadyTime now);
+    Known *memberOf(const FleetMessages::ExchangeMessage &message, int index);
     void mergeHeartbeat(Known &member, std::uint64_t heartbeat, std::uint8_t tag, std::uint64_t version, SteadyTime now);
     void continueAbove(std::uint64_t heartbeat);
-    std::vector<Known *> freshHeartbeats(SteadyTime now);
+    void addHeartbeat(FleetMessages::HeartbeatDigest &digest, const Known &member, std::uint64_t ownVersion, SteadyTime now) const;
 
     const std::string ownAddress;
     const SteadyClock clock;
@@ -100,6 +102,10 @@
     FleetMessages::MemberState ownState;
     std::uint64_t version = 0;
     KnownMembers known;
+    /// In the order of the roster.
+    std::vector<Known *> ordered;
+    /// When another roster version than this VM's was last in force somewhere.
+    SteadyTime lastRosterDifference;
     /// Members by the hash that HeartbeatDigest uses; null where two members share a hash.
     std::unordered_map<std::uint32_t, Known *> byHash;
 };
--- a/libraries/process/fleet/rumorqueue.cpp
+++ b/libraries/process/fleet/rumorqueue.cpp
@@ -1,12 +1,19 @@
 #include "process/fleet/rumorqueue.h"
 
+#include <xxhash.h>
+
 #include <vector>
 
 namespace Hyssophall {
 
+RumorQueue::RumorQueue(std::uint64_t salt)
+    : salt(salt)
+{
+}
+
 RumorQueue::Rank RumorQueue::rankOf(const Entry &entry)
 {
-    return {!entry.urgent, entry.sends, entry.order};
+    return {!entry.urgent, entry.sends, entry.shuffle, entry.arrival};
 }
 
 void RumorQueue::add(const std::string &key, bool urgent, unsigned repetition)
@@ -16,7 +23,7 @@
     if (!added) {
         this->ranked.erase(rankOf(position->second));
     }
-    position->second = {urgent, 0, repetition, ++this->arrivals};
+    position->second = {urgent, 0, repetition, XXH64(key.data(), key.size(), this->salt), ++this->arrivals};
     this->ranked.emplace(rankOf(position->second), position);
 }
 
--- a/libraries/process/fleet/rumorqueue.h
+++ b/libraries/process/fleet/rumorqueue.h
@@ -23,6 +23,9 @@
     };
     using Consumer = std::function<Offer(const std::string &key)>;
 
+    /// @p salt differs between VMs, so that they don't all send the same records first and leave the others for later.
+    explicit RumorQueue(std::uint64_t salt);
+
     /// Passes the record on to @p repetition peers, from the start again if it is queued already.
     void add(const std::string &key, bool urgent, unsigned repetition);
 
@@ -39,15 +42,17 @@
         bool urgent = false;
         unsigned sends = 0;
         unsigned repetition = 0;
-        std::uint64_t order = 0;
+        std::uint64_t shuffle = 0;
+        std::uint64_t arrival = 0;
     };
-    /// (not urgent, sends, order of arrival).
-    using Rank = std::tuple<bool, unsigned, std::uint64_t>;
+    /// (not urgent, sends, shuffle, arrival).
+    using Rank = std::tuple<bool, unsigned, std::uint64_t, std::uint64_t>;
     using Entries = std::map<std::string, Entry, std::less<>>;
 
     static Rank rankOf(const Entry &entry);
     void countSend(Entries::iterator position);
 
+    const std::uint64_t salt;
     mutable std::mutex mutex;
     Entries entries;
     std::map<Rank, Entries::iterator> ranked;
