Daemon: Add the composition, the flags and the shutdown sequence

Cause: the request path had no program.

Change: hyssophalld checks settings and reports a wrong one with file, line and expected value, creates telemetry, the upstream client, the request path and the caller endpoint, and on SIGTERM announces, waits, stops accepting, waits for requests in flight and leaves the fleet. The parts that come from the fleet are made in servingparts.cpp; a build without them refuses to start. Retries ask for a new connection, because what silenced one pooled connection may have silenced others.

--- a/libraries/connection/upstreamclient.cpp
+++ b/libraries/connection/upstreamclient.cpp
@@ -13,7 +13,7 @@
 {
     const SteadyTime began = std::chrono::steady_clock::now();
     const std::shared_ptr<ConnectionPool> pool = this->poolOf({call.host, call.port});
-    std::unique_ptr<UpstreamConnection> connection = call.idempotent ? pool->take(began) : nullptr;
+    std::unique_ptr<UpstreamConnection> connection = call.idempotent && !call.newConnection ? pool->take(began) : nullptr;
     SteadyTime deadline = call.deadline;
     if (connection != nullptr) {
         // A reused connection may have gone silent; half of the time is kept for another try.
--- a/libraries/connection/upstreamsender.h
+++ b/libraries/connection/upstreamsender.h
@@ -17,6 +17,8 @@
     HttpRequest request;
     /// Non-idempotent requests get a new connection.
     bool idempotent = false;
+    /// Asks for a new connection, as for a retry: whatever silenced one pooled connection may have silenced others.
+    bool newConnection = false;
     /// Sent as X-Request-Id; an answer with another one is refused as crossed.
     std::string requestId;
     SteadyTime deadline;
--- a/libraries/process/proxy/upstreamtries.cpp
+++ b/libraries/process/proxy/upstreamtries.cpp
@@ -101,6 +101,7 @@
     call.request.headers = forwardedRequestHeaders(context.request->http.headers);
     call.request.headers.push_back({"traceparent", record.trace.traceparent(spanId)});
     call.idempotent = context.isIdempotent();
+    call.newConnection = state.retries > 0;
     call.requestId = record.trace.traceId + spanId;
     call.deadline = context.deadline;
     call.mayBeSent = [this, &context, &state] {
--- a/libraries/request/callerkey.cpp
+++ b/libraries/request/callerkey.cpp
@@ -1,6 +1,6 @@
 #include "request/callerkey.h"
 
-#include <gnutls/crypto.h>
+#include "process/keyhash.h"
 
 namespace Hyssophall {
 
@@ -22,11 +22,7 @@
 std::optional<KeyHash> callerKeyHash(const HttpHeaders &headers)
 {
     const std::string_view key = callerKey(headers);
-    KeyHash hash{};
-    if (key.empty() || gnutls_hash_fast(GNUTLS_DIG_SHA256, key.data(), key.size(), hash.data()) != 0) {
-        return std::nullopt;
-    }
-    return hash;
+    return key.empty() ? std::nullopt : std::optional<KeyHash>(hashKey(key));
 }
 
 } // namespace Hyssophall
--- /dev/null
+++ b/services/hyssophalld/daemon.cpp
@@ -0,0 +1,150 @@
+#include "daemon.h"
+
+#include "process/proxy/cataloguesnapshot.h"
+#include "process/proxy/shutdownsequence.h"
+
+#include <glog/logging.h>
+
+#include <random>
+#include <thread>
+
+namespace Hyssophall {
+
+namespace {
+
+std::uint64_t systemRandom()
+{
+    thread_local std::mt19937_64 generator{(static_cast<std::uint64_t>(std::random_device()()) << 32U) | std::random_device()()};
+    return generator();
+}
+
+UpstreamClient::Options clientOptions(const Settings &settings)
+{
+    UpstreamClient::Options options;
+    options.maximumAnswerBytes = settings.limits.maximumAnswerBytes;
+    return options;
+}
+
+RequestPath::Options pathOptions(const Settings &settings)
+{
+    RequestPath::Options options;
+    options.defaultTimeout = settings.limits.defaultTimeout;
+    options.rateWait = settings.limits.rateWait;
+    options.maximumClaimBodyBytes = settings.claims.maximumBodyBytes;
+    return options;
+}
+
+} // namespace
+
+boost::leaf::result<std::unique_ptr<Daemon>> Daemon::create(const Settings &settings)
+{
+    std::unique_ptr<Daemon> daemon(new Daemon(settings));
+    boost::leaf::result<void> started = daemon->start();
+    if (!started) {
+        return started.error();
+    }
+    return daemon;
+}
+
+Daemon::Daemon(const Settings &settings)
+    : settings(settings)
+    , metrics(std::make_unique<RequestMetrics>())
+    , store(std::make_unique<CatalogueStore>())
+{
+}
+
+boost::leaf::result<void> Daemon::start()
+{
+    boost::leaf::result<void> telemetry = this->startTelemetry();
+    if (!telemetry) {
+        return telemetry.error();
+    }
+    BOOST_LEAF_ASSIGN(this->parts, createServingParts(this->settings, *this->store));
+    this->client = std::make_unique<UpstreamClient>(clientOptions(this->settings));
+    this->path = std::make_unique<RequestPath>(this->requestPathParts(), pathOptions(this->settings));
+    this->addGauges();
+    return this->startCallerEndpoint();
+}
+
+boost::leaf::result<void> Daemon::startTelemetry()
+{
+    if (!this->settings.telemetry.traceFile.empty()) {
+        BOOST_LEAF_ASSIGN(this->spans, SpanWriter::create(this->settings.telemetry.traceFile, this->settings.vm.id));
+    }
+    return {};
+}
+
+boost::leaf::result<void> Daemon::startCallerEndpoint()
+{
+    CallerEndpoint::Options options;
+    options.endpoint = this->settings.listen.caller;
+    options.maximumConnections = this->settings.listen.maximumConnections;
+    options.maximumRequestBytes = this->settings.limits.maximumRequestBytes;
+    BOOST_LEAF_ASSIGN(this->callers, CallerEndpoint::create(options, [this](const CallerRequest &request) { return this->path->handle(request); }));
+    LOG(INFO) << "Serving callers on " << this->settings.listen.caller.address();
+    return {};
+}
+
+RequestPath::Parts Daemon::requestPathParts() const
+{
+    std::vector<RequestObserver *> observers{this->metrics.get()};
+    if (this->spans != nullptr) {
+        observers.push_back(this->spans.get());
+    }
+    return {[this] { return std::make_shared<CatalogueSnapshot>(this->store->current()); },
+        *this->parts.lease,
+        *this->parts.rateLimiter,
+        *this->parts.claims,
+        *this->parts.capacity,
+        *this->parts.health,
+        *this->client,
+        std::chrono::steady_clock::now,
+        systemRandom,
+        observers};
+}
+
+void Daemon::addGauges()
+{
+    this->metrics->addGauge(
+        "hyssophall_upstream_pools", "Upstream instances with pooled connections.", [this] { return static_cast<double>(this->client->poolCount()); });
+    this->metrics->addGauge("hyssophall_requests_in_flight", "Requests of callers in flight.", [this] {
+        return this->callers == nullptr ? 0.0 : static_cast<double>(this->callers->requestsInFlight());
+    });
+    this->metrics->addGauge(
+        "hyssophall_catalogue_version", "Version of the catalogue in force.", [this] { return static_cast<double>(this->store->current()->version()); });
+    this->metrics->addGauge("hyssophall_spans_dropped", "Requests whose spans were dropped.", [this] {
+        return this->spans == nullptr ? 0.0 : static_cast<double>(this->spans->droppedRequests());
+    });
+}
+
+bool Daemon::isReady() const
+{
+    return !this->stopping && this->parts.lease != nullptr && this->parts.lease->isHeld();
+}
+
+std::string Daemon::metricsText()
+{
+    return this->metrics->text();
+}
+
+bool Daemon::shutDown()
+{
+    ShutdownSequence::Steps steps;
+    steps.announce = [this] {
+        this->stopping = true;
+        this->callers->beginDrain();
+    };
+    steps.sleep = [](std::chrono::milliseconds duration) { std::this_thread::sleep_for(duration); };
+    steps.stopAccepting = [this] {
+        this->path->stopAccepting();
+        this->callers->stopAccepting();
+    };
+    steps.waitUntilIdle = [this](std::chrono::milliseconds limit) { return this->callers->waitUntilIdle(limit); };
+    steps.leaveFleet = [this] { this->parts.leaveFleet(); };
+    LOG(INFO) << "Shutting down with " << this->callers->requestsInFlight() << " requests in flight";
+    const bool finished = ShutdownSequence(this->settings.shutdown, steps).run();
+    LOG(INFO) << (finished ? "All requests are finished" : "The drain limit passed with requests in flight");
+    return finished;
+}
+
+} // namespace Hyssophall
--- /dev/null
+++ b/services/hyssophalld/daemon.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include "connection/upstreamclient.h"
+#include "process/proxy/callerendpoint.h"
+#include "process/proxy/requestpath.h"
+#include "process/telemetry/requestmetrics.h"
+#include "process/telemetry/spanwriter.h"
+#include "servingparts.h"
+
+#include <atomic>
+#include <memory>
+#include <string>
+
+namespace Hyssophall {
+
+/// All long-lived objects of a daemon and their connections.
+class Daemon
+{
+public:
+    /// Starts to serve. Errors: MissingPart, TelemetryFileFailure, EndpointFailure.
+    static boost::leaf::result<std::unique_ptr<Daemon>> create(const Settings &settings);
+
+    /// Ends what create() began, in the opposite order; requests in flight are cut off without shutDown().
+    ~Daemon() = default;
+
+    /// What /ready reports.
+    bool isReady() const;
+
+    /// What /metrics reports.
+    std::string metricsText();
+
+    /// The steps from SIGTERM to the exit. Returns true when no request was interrupted.
+    bool shutDown();
+
+private:
+    explicit Daemon(const Settings &settings);
+
+    boost::leaf::result<void> start();
+    boost::leaf::result<void> startTelemetry();
+    boost::leaf::result<void> startCallerEndpoint();
+    RequestPath::Parts requestPathParts() const;
+    void addGauges();
+
+    // In the order of creation: later members use earlier ones.
+    const Settings settings;
+    std::atomic<bool> stopping{false};
+    std::unique_ptr<RequestMetrics> metrics;
+    std::unique_ptr<SpanWriter> spans;
+    std::unique_ptr<CatalogueStore> store;
+    ServingParts parts;
+    std::unique_ptr<UpstreamClient> client;
+    std::unique_ptr<RequestPath> path;
+    std::unique_ptr<CallerEndpoint> callers;
+};
+
+} // namespace Hyssophall
--- /dev/null
+++ b/services/hyssophalld/main.cpp
@@ -0,0 +1,128 @@
+#include "daemon.h"
+#include "process/telemetry/jsonlogsink.h"
+
+#include <absl/flags/flag.h>
+#include <absl/flags/parse.h>
+#include <absl/flags/reflection.h>
+#include <absl/flags/usage.h>
+#include <absl/flags/usage_config.h>
+#include <boost/leaf/handle_errors.hpp>
+
+#include <csignal>
+#include <cstring>
+#include <iostream>
+#include <string_view>
+
+ABSL_FLAG(std::string, settings, "", "Serve with the settings in this INI file.");
+ABSL_FLAG(std::string, check, "", "Check the settings in this INI file and exit: 0 when they can be used, 1 when not.");
+
+namespace {
+
+using namespace Hyssophall;
+
+constexpr int failureStatus = 1;
+constexpr int usageStatus = 2;
+
+int reportSetting(const InvalidSetting &fault)
+{
+    std::cerr << fault.file << ":" << fault.line << ": " << fault.setting << ": expected " << fault.expected << std::endl;
+    return failureStatus;
+}
+
+int reportEndpoint(const EndpointFailure &failure)
+{
+    std::cerr << failure.endpoint.address() << " can't be opened: " << (failure.error == 0 ? "the web server didn't start" : std::strerror(failure.error))
+              << std::endl;
+    return failureStatus;
+}
+
+int reportFile(const TelemetryFileFailure &failure)
+{
+    std::cerr << failure.file << " can't be opened for appending" << std::endl;
+    return failureStatus;
+}
+
+int reportPart(const MissingPart &part)
+{
+    std::cerr << "This build has no part for: " << part.name << std::endl;
+    return failureStatus;
+}
+
+int reportUnknown()
+{
+    std::cerr << "The daemon can't start for an unknown reason" << std::endl;
+    return failureStatus;
+}
+
+boost::leaf::result<int> check(const std::string &file)
+{
+    boost::leaf::result<Settings> settings = Settings::createFromFile(file);
+    if (!settings) {
+        return settings.error();
+    }
+    std::cout << file << ": the settings can be used" << std::endl;
+    return 0;
+}
+
+// Abseil's own --help exits with 1, as if it were an error.
+bool asksForHelp(int argumentCount, char **arguments)
+{
+    return argumentCount == 2 && std::string_view(arguments[1]) == "--help";
+}
+
+int printHelp()
+{
+    std::cout << absl::ProgramUsageMessage() << "\n";
+    for (const char *name : {"settings", "check"}) {
+        std::cout << "  --" << name << "  " << absl::FindCommandLineFlag(name)->Help() << "\n";
+    }
+    std::cout << "  --version  Print the version and exit." << std::endl;
+    return 0;
+}
+
+// Blocked in all threads, so that the main thread can wait for them.
+sigset_t blockStopSignals()
+{
+    sigset_t signals;
+    sigemptyset(&signals);
+    sigaddset(&signals, SIGTERM);
+    sigaddset(&signals, SIGINT);
+    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+    // A peer that closes early must not end the process.
+    std::signal(SIGPIPE, SIG_IGN);
+    return signals;
+}
+
+boost::leaf::result<int> serve(const std::string &file)
+{
+    const sigset_t signals = blockStopSignals();
+    BOOST_LEAF_AUTO(settings, Settings::createFromFile(file));
+    BOOST_LEAF_AUTO(log, JsonLogSink::create(settings.telemetry.logFile, settings.vm.id));
+    BOOST_LEAF_AUTO(daemon, Daemon::create(settings));
+    int received = 0;
+    sigwait(&signals, &received);
+    daemon->shutDown();
+    return 0;
+}
+
+} // namespace
+
+int main(int argumentCount, char **arguments)
+{
+    absl::SetProgramUsageMessage("Proxy for upstreams that fail partially.\nUsage: hyssophalld --settings FILE | --check FILE | --version | --help");
+    absl::FlagsUsageConfig usage;
+    usage.version_string = [] { return std::string("hyssophalld " HYSSOPHALL_VERSION "\n"); };
+    absl::SetFlagsUsageConfig(usage);
+    if (asksForHelp(argumentCount, arguments)) {
+        return printHelp();
+    }
+    const std::vector<char *> rest = absl::ParseCommandLine(argumentCount, arguments);
+    const std::string checked = absl::GetFlag(FLAGS_check);
+    const std::string served = absl::GetFlag(FLAGS_settings);
+    if (rest.size() > 1 || checked.empty() == served.empty()) {
+        std::cerr << absl::ProgramUsageMessage() << std::endl;
+        return usageStatus;
+    }
+    return boost::leaf::try_handle_all(
+        [&checked, &served] { return checked.empty() ? serve(served) : check(checked); }, reportSetting, reportEndpoint, reportFile, reportPart, reportUnknown);
+}
--- a/tests/unit/process/proxy/requestpathtest.cpp
+++ b/tests/unit/process/proxy/requestpathtest.cpp
@@ -139,6 +139,8 @@
     const CallerAnswer answer = mocked.handle("POST", "/write", withClaim);
     CATCH_CHECK(answer.http.body == "done");
     CATCH_CHECK(mocked.sender.calls.size() == 4);
+    CATCH_CHECK(!mocked.sender.calls.at(1).newConnection);
+    CATCH_CHECK(mocked.sender.calls.at(2).newConnection);
     CATCH_REQUIRE(mocked.claims.finished.size() == 1);
     CATCH_CHECK(mocked.claims.finished.at(0).body() == "done");
     CATCH_CHECK(mocked.claims.finished.at(0).content_type() == "text/plain");
