Daemon: Compose the fleet, the control log and the administration API

Cause: the parts stood side by side, and no process served a request.

Change: FleetParts creates and connects membership, leases, limits, claims, health, control log, fleet port and administration API. RosterSettlement tells the control log when the last roster change is in force.

--- a/libraries/process/control/controlproposals.cpp
+++ b/libraries/process/control/controlproposals.cpp
@@ -15,7 +15,8 @@
 
 bool isRosterChange(const ControlMessages::CatalogueChange &change)
 {
-    return change.change().has_admit_member() || change.change().kind_case() == CatalogueMessages::Change::kRemoveMember;
+    return change.change().has_admit_member() || change.change().has_admit_first_members()
+        || change.change().kind_case() == CatalogueMessages::Change::kRemoveMember;
 }
 
 ControlMessages::ProposeReply undecided(ControlMessages::ProposeReply::Result result)
--- a/libraries/version/catalogue.cpp
+++ b/libraries/version/catalogue.cpp
@@ -118,6 +118,8 @@
         return this->admitMember(change.admit_member());
     case CatalogueMessages::Change::kRemoveMember:
         return this->removeMember(change.remove_member());
+    case CatalogueMessages::Change::kAdmitFirstMembers:
+        return this->admitFirstMembers(change.admit_first_members());
     case CatalogueMessages::Change::KIND_NOT_SET:
         break;
     }
@@ -235,6 +237,17 @@
     return {};
 }
 
+Catalogue::Result Catalogue::admitFirstMembers(const CatalogueMessages::MemberList &first)
+{
+    if (!this->members->members().empty()) {
+        return leaf::new_error(InvalidChange{"admit_first_members", "a roster without members"});
+    }
+    CatalogueMessages::Snapshot snapshot;
+    *snapshot.mutable_members() = first.members();
+    snapshot.set_roster_version(this->members->version() + 1);
+    return this->loadMembers(snapshot);
+}
+
 Catalogue::Result Catalogue::removeMember(const std::string &id)
 {
     if (this->members->find(id) == nullptr) {
--- a/libraries/version/catalogue.h
+++ b/libraries/version/catalogue.h
@@ -65,6 +65,7 @@
     Result withdrawKey(const std::string &id);
     Result admitMember(const CatalogueMessages::Member &member);
     Result removeMember(const std::string &id);
+    Result admitFirstMembers(const CatalogueMessages::MemberList &first);
     Result loadMembers(const CatalogueMessages::Snapshot &snapshot);
 
     Result checkReferences(const CatalogueMessages::Route &route) const;
--- a/libraries/version/cataloguejson.cpp
+++ b/libraries/version/cataloguejson.cpp
@@ -108,7 +108,9 @@
     if (field.is_repeated()) {
         json list = json::array();
         for (int index = 0; index < reflection.FieldSize(message, &field); ++index) {
-            list.push_back(reflection.GetRepeatedString(message, &field, index));
+            const bool isEntry = field.cpp_type() == FieldDescriptor::CPPTYPE_MESSAGE;
+            list.push_back(
+                isEntry ? entryToJson(reflection.GetRepeatedMessage(message, &field, index)) : json(reflection.GetRepeatedString(message, &field, index)));
         }
         return list;
     }
@@ -176,8 +178,22 @@
     return {};
 }
 
+leaf::result<void> entriesFromJson(const json &value, const std::string &path, Message &message, const FieldDescriptor &field)
+{
+    if (!value.is_array()) {
+        return leaf::new_error(InvalidChange{path, "a list of objects"});
+    }
+    for (const json &item : value) {
+        BOOST_LEAF_CHECK(entryFromJson(item, path, *message.GetReflection()->AddMessage(&message, &field)));
+    }
+    return {};
+}
+
 leaf::result<void> listFromJson(const json &value, const std::string &path, Message &message, const FieldDescriptor &field)
 {
+    if (field.cpp_type() == FieldDescriptor::CPPTYPE_MESSAGE) {
+        return entriesFromJson(value, path, message, field);
+    }
     if (!value.is_array() || !std::all_of(value.begin(), value.end(), [](const json &item) { return item.is_string(); })) {
         return leaf::new_error(InvalidChange{path, "a list of strings"});
     }
--- a/services/hyssophalld/daemon.cpp
+++ b/services/hyssophalld/daemon.cpp
@@ -59,7 +59,10 @@
     if (!telemetry) {
         return telemetry.error();
     }
-    BOOST_LEAF_ASSIGN(this->parts, createServingParts(this->settings, *this->store));
+    FleetParts::Hooks hooks;
+    hooks.metricsText = [this] { return this->metrics->text(); };
+    hooks.isAcceptingCallers = [this] { return !this->stopping; };
+    BOOST_LEAF_ASSIGN(this->parts, FleetParts::create(this->settings, *this->store, hooks));
     this->client = std::make_unique<UpstreamClient>(clientOptions(this->settings));
     this->path = std::make_unique<RequestPath>(this->requestPathParts(), pathOptions(this->settings));
     this->addGauges();
@@ -92,11 +95,11 @@
         observers.push_back(this->spans.get());
     }
     return {[this] { return std::make_shared<CatalogueSnapshot>(this->store->current()); },
-        *this->parts.lease,
-        *this->parts.rateLimiter,
-        *this->parts.claims,
-        *this->parts.capacity,
-        *this->parts.health,
+        this->parts->servingLease(),
+        this->parts->rateLimiter(),
+        this->parts->claims(),
+        this->parts->capacity(),
+        this->parts->health(),
         *this->client,
         std::chrono::steady_clock::now,
         systemRandom,
@@ -117,16 +120,6 @@
     });
 }
 
-bool Daemon::isReady() const
-{
-    return !this->stopping && this->parts.lease != nullptr && this->parts.lease->isHeld();
-}
-
-std::string Daemon::metricsText()
-{
-    return this->metrics->text();
-}
-
 bool Daemon::shutDown()
 {
     ShutdownSequence::Steps steps;
@@ -140,7 +133,7 @@
         this->callers->stopAccepting();
     };
     steps.waitUntilIdle = [this](std::chrono::milliseconds limit) { return this->callers->waitUntilIdle(limit); };
-    steps.leaveFleet = [this] { this->parts.leaveFleet(); };
+    steps.leaveFleet = [this] { this->parts->leave(); };
     LOG(INFO) << "Shutting down with " << this->callers->requestsInFlight() << " requests in flight";
     const bool finished = ShutdownSequence(this->settings.shutdown, steps).run();
     LOG(INFO) << (finished ? "All requests are finished" : "The drain limit passed with requests in flight");
--- a/services/hyssophalld/daemon.h
+++ b/services/hyssophalld/daemon.h
@@ -1,11 +1,11 @@
 #pragma once
 
 #include "connection/upstreamclient.h"
+#include "fleetparts.h"
 #include "process/proxy/callerendpoint.h"
 #include "process/proxy/requestpath.h"
 #include "process/telemetry/requestmetrics.h"
 #include "process/telemetry/spanwriter.h"
-#include "servingparts.h"
 
 #include <atomic>
 #include <memory>
@@ -17,18 +17,12 @@
 class Daemon
 {
 public:
-    /// Starts to serve. Errors: MissingPart, TelemetryFileFailure, EndpointFailure.
+    /// Starts to serve. Errors: those of FleetParts::create(), TelemetryFileFailure, EndpointFailure.
     static boost::leaf::result<std::unique_ptr<Daemon>> create(const Settings &settings);
 
     /// Ends what create() began, in the opposite order; requests in flight are cut off without shutDown().
     ~Daemon() = default;
 
-    /// What /ready reports.
-    bool isReady() const;
-
-    /// What /metrics reports.
-    std::string metricsText();
-
     /// The steps from SIGTERM to the exit. Returns true when no request was interrupted.
     bool shutDown();
 
@@ -47,8 +41,8 @@
     std::unique_ptr<RequestMetrics> metrics;
     std::unique_ptr<SpanWriter> spans;
     std::unique_ptr<CatalogueStore> store;
-    ServingParts parts;
     std::unique_ptr<UpstreamClient> client;
+    std::unique_ptr<FleetParts> parts;
     std::unique_ptr<RequestPath> path;
     std::unique_ptr<CallerEndpoint> callers;
 };
--- /dev/null
+++ b/services/hyssophalld/fleetparts.cpp
@@ -0,0 +1,295 @@
+#include "fleetparts.h"
+
+#include <boost/leaf/handle_errors.hpp>
+#include <glog/logging.h>
+
+#include <algorithm>
+#include <random>
+#include <utility>
+
+namespace Hyssophall {
+
+namespace {
+
+constexpr std::chrono::seconds announceTimeout{1};
+constexpr std::chrono::seconds bootstrapTimeout{10};
+constexpr double smallestInitialLimit = 4;
+// Slots are shared with the other VMs, but not all of them are busy at once.
+constexpr double initialLimitOverShare = 2;
+
+std::uint64_t systemRandom()
+{
+    thread_local std::mt19937_64 generator{(static_cast<std::uint64_t>(std::random_device()()) << 32U) | std::random_device()()};
+    return generator();
+}
+
+SteadyTime steadyNow()
+{
+    return std::chrono::steady_clock::now();
+}
+
+void reportCopyFailure(const CatalogueFileError &)
+{
+    LOG(WARNING) << "The catalogue's copy on disk can't be used; the catalogue comes from other VMs";
+}
+
+} // namespace
+
+boost::leaf::result<std::unique_ptr<FleetParts>> FleetParts::create(const Settings &settings, CatalogueStore &store, Hooks hooks)
+{
+    std::unique_ptr<FleetParts> parts(new FleetParts(settings, store, std::move(hooks)));
+    boost::leaf::result<void> started = parts->start();
+    if (!started) {
+        return started.error();
+    }
+    return parts;
+}
+
+FleetParts::FleetParts(const Settings &settings, CatalogueStore &store, Hooks hooks)
+    : settings(settings)
+    , store(store)
+    , hooks(std::move(hooks))
+    , incarnation(systemRandom() | 1U)
+{
+}
+
+FleetParts::~FleetParts()
+{
+    this->administration.reset();
+    if (this->server != nullptr) {
+        this->server->stop();
+    }
+    if (this->client != nullptr) {
+        this->client->stop();
+    }
+}
+
+boost::leaf::result<void> FleetParts::start()
+{
+    if (!this->settings.vm.dataFolder.empty()) {
+        this->keeper = std::make_unique<CatalogueKeeper>(this->settings.vm.dataFolder, this->store, reportCopyFailure);
+    }
+    this->client = std::make_unique<FleetClient>(this->settings.fleet.secret);
+    this->createMembership();
+    this->createQuorums();
+    this->createHealth();
+    boost::leaf::result<void> control = this->createControl();
+    if (!control) {
+        return control.error();
+    }
+    boost::leaf::result<void> servers = this->createServers();
+    if (!servers) {
+        return servers.error();
+    }
+    this->fleet->start();
+    this->quorums->start();
+    this->healthNode->start();
+    return {};
+}
+
+void FleetParts::createMembership()
+{
+    FleetNode::Options options;
+    options.core.self = {this->settings.vm.id, this->settings.listen.fleet.address(), this->incarnation};
+    options.core.peers = this->settings.fleet.peers;
+    options.gossipInterval = this->settings.fleet.gossipInterval;
+    this->fleet = std::make_unique<FleetNode>(options, *this->client, CatalogueSource::of(this->store));
+    this->fleet->installHandlers(this->handlers);
+    this->settlement = RosterSettlement::create(this->store, this->fleet->members(), steadyNow, 2 * this->settings.fleet.servingLease);
+}
+
+void FleetParts::createQuorums()
+{
+    const CatalogueSource source = CatalogueSource::of(this->store);
+    const FleetContext context{this->settings.vm.id, this->incarnation, steadyNow, systemRandom, source.roster, source.version, this->client.get()};
+    QuorumNode::Options options;
+    options.shardLease = this->settings.fleet.shardLease;
+    options.servingLease = this->settings.fleet.servingLease;
+    options.claimStore.retention = this->settings.claims.retention;
+    options.claimStore.maximumOutcomeBytes = this->settings.claims.maximumBodyBytes;
+    options.claims.retention = this->settings.claims.retention;
+    options.claims.maximumBodyBytes = this->settings.claims.maximumBodyBytes;
+    options.limits.longestWait = this->settings.limits.rateWait;
+    const TeamLimitSource limits = [this](const std::string &team) -> std::optional<TeamLimit> {
+        const std::shared_ptr<const CatalogueMessages::Team> entry = this->store.current()->findTeam(team);
+        return entry == nullptr ? std::nullopt : std::optional<TeamLimit>(TeamLimit{entry->rate(), entry->burst()});
+    };
+    this->quorums = std::make_unique<QuorumNode>(context, options, this->fleet->members(), limits);
+    this->quorums->setHandlers(this->handlers);
+}
+
+void FleetParts::createHealth()
+{
+    HealthMonitor::Options monitorOptions{
+        this->settings.vm.failureDomain, steadyNow, systemRandom, [this](std::uint64_t fingerprint, const std::string &instance) {
+            this->healthNode->reportCrash(fingerprint, instance);
+        }};
+    this->monitor = std::make_unique<HealthMonitor>(monitorOptions, this->fleet->records());
+    this->fleet->records().addPoisonListener([this](std::uint64_t fingerprint, SteadyTime until) {
+        this->monitor->markPoison(fingerprint, std::chrono::duration_cast<std::chrono::milliseconds>(until - steadyNow()));
+    });
+    HealthNode::Options options;
+    options.memberId = this->settings.vm.id;
+    options.clock = steadyNow;
+    options.random = systemRandom;
+    options.floorOf = [this](const std::string &service) { return this->floorOf(service); };
+    options.publish = [this](const FleetMessages::Record &record) { this->fleet->publish(record); };
+    this->healthNode
+        = std::make_unique<HealthNode>(options, *this->monitor, this->fleet->records(), this->quorums->shardLeases(), this->fleet->members(), *this->client);
+    this->handlers.reportOutcomes = [this](const FleetMessages::ReportOutcomesRequest &request) { return this->healthNode->takeOutcomes(request); };
+    this->handlers.reportCrash = [this](const FleetMessages::ReportCrashRequest &request) { return this->healthNode->takeCrash(request); };
+    FairCapacity::Options capacityOptions;
+    capacityOptions.clock = steadyNow;
+    capacityOptions.initialLimit = [this](const std::string &service) { return this->initialLimitOf(service); };
+    this->fairCapacity = std::make_unique<FairCapacity>(capacityOptions);
+}
+
+boost::leaf::result<void> FleetParts::createControl()
+{
+    if (this->settings.vm.role != Role::Control) {
+        this->proposer = RemoteChangeProposer::create(this->settings);
+        return {};
+    }
+    CatalogueStateMachine::Hooks machineHooks;
+    machineHooks.changed = [this](const CatalogueMessages::VersionedChange &change) {
+        if (!this->store.advance({change})) {
+            LOG(ERROR) << "Catalogue version " << change.version() << " was committed and can't be applied";
+        }
+    };
+    machineHooks.replaced = [this](const CatalogueMessages::Snapshot &snapshot) {
+        if (!this->store.replace(snapshot)) {
+            LOG(ERROR) << "The catalogue's snapshot at version " << snapshot.version() << " can't be used";
+        }
+    };
+    this->machine = std::make_unique<CatalogueStateMachine>(machineHooks);
+    ControlGroup::Hooks groupHooks;
+    groupHooks.isRosterSettled = [this] { return this->settlement->isSettled(); };
+    groupHooks.random = systemRandom;
+    BOOST_LEAF_AUTO(created, ControlGroup::create(this->settings, *this->machine, groupHooks));
+    this->group = created.get();
+    this->proposer = std::move(created);
+    return {};
+}
+
+boost::leaf::result<void> FleetParts::createServers()
+{
+    FleetServer::Options options;
+    options.address = this->settings.listen.fleet.address();
+    options.secret = this->settings.fleet.secret;
+    if (this->group != nullptr) {
+        options.otherServices.push_back(&this->group->service());
+    }
+    BOOST_LEAF_ASSIGN(this->server, FleetServer::create(options, this->handlers));
+    Administration::Configuration configuration;
+    configuration.vm = {this->settings.vm.id, this->settings.listen.fleet.address(), this->settings.vm.failureDomain, this->incarnation};
+    configuration.operators = this->settings.operators;
+    configuration.servingLeaseExpiry = 2 * this->settings.fleet.servingLease;
+    this->api = std::make_unique<Administration::AdministrationApi>(this->administrationHooks(), configuration);
+    BOOST_LEAF_ASSIGN(this->administration,
+        Administration::AdministrationServer::create(*this->api, this->settings.listen.administration, this->settings.listen.maximumConnections));
+    return {};
+}
+
+Administration::Hooks FleetParts::administrationHooks()
+{
+    Administration::Hooks result;
+    result.store = &this->store;
+    result.proposer = this->proposer.get();
+    result.members = &this->fleet->members();
+    result.instances = &this->fleet->records();
+    result.clock = steadyNow;
+    result.metricsText = this->hooks.metricsText;
+    result.readiness = [this] { return this->readiness(); };
+    result.announce = [this](const FleetMessages::AnnounceRequest &request) { return this->fleet->announce(request, steadyNow() + announceTimeout); };
+    result.bootstrap = [this](const ControlMessages::GroupConfiguration &configuration) { return this->bootstrap(configuration); };
+    return result;
+}
+
+Administration::BootstrapResult FleetParts::bootstrap(const ControlMessages::GroupConfiguration &configuration)
+{
+    if (this->group == nullptr) {
+        return Administration::BootstrapResult::NotControl;
+    }
+    std::vector<std::string> addresses;
+    for (const ControlMessages::Replica &replica : configuration.replicas()) {
+        addresses.push_back(replica.address());
+    }
+    if (addresses.empty()) {
+        addresses = this->settings.control.replicas;
+    }
+    return boost::leaf::try_handle_all(
+        [this, &addresses]() -> boost::leaf::result<Administration::BootstrapResult> {
+            boost::leaf::result<void> done = this->group->bootstrap(addresses, steadyNow() + bootstrapTimeout);
+            if (!done) {
+                return done.error();
+            }
+            return Administration::BootstrapResult::Done;
+        },
+        [](const BootstrapRefused &refused) {
+            LOG(WARNING) << "Bootstrap refused at " << refused.address;
+            return refused.reason == BootstrapRefused::Reason::NotEmpty ? Administration::BootstrapResult::AlreadyBootstrapped
+                                                                        : Administration::BootstrapResult::Failed;
+        },
+        [] { return Administration::BootstrapResult::Failed; });
+}
+
+double FleetParts::initialLimitOf(const std::string &service)
+{
+    double slots = 0;
+    for (const KnownInstance &known : *this->fleet->records().instances(service)) {
+        slots += known.instance.slots();
+    }
+    const double vms = static_cast<double>(std::max<std::size_t>(1, this->fleet->members().liveMembers().size()));
+    return std::max(smallestInitialLimit, initialLimitOverShare * slots / vms);
+}
+
+CapacityFloor FleetParts::floorOf(const std::string &service) const
+{
+    const std::shared_ptr<const CatalogueMessages::Service> entry = this->store.current()->findService(service);
+    // Without an entry nothing is known of the floor, so nothing may be ejected.
+    return entry == nullptr ? CapacityFloor{1000, 0} : CapacityFloor{entry->floor_per_mille(), entry->floor_count()};
+}
+
+ServingLease &FleetParts::servingLease()
+{
+    return this->quorums->servingLease();
+}
+
+RateLimiter &FleetParts::rateLimiter()
+{
+    return this->quorums->rateLimiter();
+}
+
+ClaimCoordinator &FleetParts::claims()
+{
+    return this->quorums->claimCoordinator();
+}
+
+CapacityQueue &FleetParts::capacity()
+{
+    return *this->fairCapacity;
+}
+
+InstanceHealth &FleetParts::health()
+{
+    return *this->monitor;
+}
+
+Administration::Readiness FleetParts::readiness()
+{
+    if (!this->hooks.isAcceptingCallers()) {
+        return {false, "shutting_down"};
+    }
+    if (!this->quorums->servingLease().isHeld()) {
+        return {false, "vm_isolated"};
+    }
+    return {true, ""};
+}
+
+void FleetParts::leave()
+{
+    this->quorums->stop();
+    this->fleet->leave();
+}
+
+} // namespace Hyssophall
--- /dev/null
+++ b/services/hyssophalld/fleetparts.h
@@ -0,0 +1,96 @@
+#pragma once
+
+#include "process/administration/administrationapi.h"
+#include "process/administration/administrationserver.h"
+#include "process/cataloguekeeper.h"
+#include "process/cataloguestore.h"
+#include "process/control/cataloguestatemachine.h"
+#include "process/control/controlgroup.h"
+#include "process/fleet/fleetclient.h"
+#include "process/fleet/fleetnode.h"
+#include "process/fleet/fleetserver.h"
+#include "process/fleet/quorumnode.h"
+#include "process/health/healthmonitor.h"
+#include "process/health/healthnode.h"
+#include "process/limits/faircapacity.h"
+#include "process/settings/settings.h"
+#include "rostersettlement.h"
+
+#include <boost/leaf/result.hpp>
+
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace Hyssophall {
+
+/// This VM's part in the fleet: membership, catalogue, leases, limits, claims, health, and on a control VM the control log.
+class FleetParts
+{
+public:
+    struct Hooks {
+        std::function<std::string()> metricsText;
+        /// Whether callers may be sent here as far as the process is concerned; the serving lease counts besides.
+        std::function<bool()> isAcceptingCallers;
+    };
+
+    /// Opens the fleet and administration ports and starts all threads. @p store outlives the parts.
+    /// Errors: StorageFault, FleetPortUnavailable, Administration::ServerNotStarted.
+    static boost::leaf::result<std::unique_ptr<FleetParts>> create(const Settings &settings, CatalogueStore &store, Hooks hooks);
+
+    /// Stops what create() started, in the opposite order.
+    ~FleetParts();
+
+    FleetParts(const FleetParts &) = delete;
+    FleetParts &operator=(const FleetParts &) = delete;
+
+    ServingLease &servingLease();
+    RateLimiter &rateLimiter();
+    ClaimCoordinator &claims();
+    CapacityQueue &capacity();
+    InstanceHealth &health();
+
+    /// What /ready reports.
+    Administration::Readiness readiness();
+
+    /// Returns tokens and leases and leaves gossip.
+    void leave();
+
+private:
+    FleetParts(const Settings &settings, CatalogueStore &store, Hooks hooks);
+
+    boost::leaf::result<void> start();
+    void createMembership();
+    void createQuorums();
+    void createHealth();
+    boost::leaf::result<void> createControl();
+    boost::leaf::result<void> createServers();
+    Administration::Hooks administrationHooks();
+    Administration::BootstrapResult bootstrap(const ControlMessages::GroupConfiguration &configuration);
+    double initialLimitOf(const std::string &service);
+    CapacityFloor floorOf(const std::string &service) const;
+
+    // In the order of creation: later members use earlier ones.
+    const Settings settings;
+    CatalogueStore &store;
+    const Hooks hooks;
+    const std::uint64_t incarnation;
+    std::unique_ptr<CatalogueKeeper> keeper;
+    std::unique_ptr<FleetClient> client;
+    std::unique_ptr<FleetNode> fleet;
+    std::shared_ptr<RosterSettlement> settlement;
+    std::unique_ptr<QuorumNode> quorums;
+    std::unique_ptr<HealthMonitor> monitor;
+    std::unique_ptr<HealthNode> healthNode;
+    std::unique_ptr<FairCapacity> fairCapacity;
+    std::unique_ptr<CatalogueStateMachine> machine;
+    /// Null on an entry VM.
+    ControlGroup *group = nullptr;
+    std::unique_ptr<ChangeProposer> proposer;
+    FleetHandlers handlers;
+    std::unique_ptr<FleetServer> server;
+    std::unique_ptr<Administration::AdministrationApi> api;
+    std::unique_ptr<Administration::AdministrationServer> administration;
+};
+
+} // namespace Hyssophall
--- a/services/hyssophalld/main.cpp
+++ b/services/hyssophalld/main.cpp
@@ -42,9 +42,22 @@
     return failureStatus;
 }
 
-int reportPart(const MissingPart &part)
+int reportFleetPort(const FleetPortUnavailable &failure)
 {
-    std::cerr << "This build has no part for: " << part.name << std::endl;
+    std::cerr << failure.address << " can't be opened for the fleet" << std::endl;
+    return failureStatus;
+}
+
+int reportAdministrationPort(const Administration::ServerNotStarted &failure)
+{
+    std::cerr << failure.endpoint.address() << " can't be opened for administration" << std::endl;
+    return failureStatus;
+}
+
+int reportStorage(const StorageFault &fault)
+{
+    const bool isCorrupted = fault.kind == StorageFault::Kind::Corrupted;
+    std::cerr << fault.file << (isCorrupted ? " is corrupted" : " can't be read or written") << std::endl;
     return failureStatus;
 }
 
@@ -123,6 +136,12 @@
         std::cerr << absl::ProgramUsageMessage() << std::endl;
         return usageStatus;
     }
-    return boost::leaf::try_handle_all(
-        [&checked, &served] { return checked.empty() ? serve(served) : check(checked); }, reportSetting, reportEndpoint, reportFile, reportPart, reportUnknown);
+    return boost::leaf::try_handle_all([&checked, &served] { return checked.empty() ? serve(served) : check(checked); },
+        reportSetting,
+        reportEndpoint,
+        reportFile,
+        reportFleetPort,
+        reportAdministrationPort,
+        reportStorage,
+        reportUnknown);
 }
--- a/tools/harness/childprocess.cpp
+++ b/tools/harness/childprocess.cpp
@@ -20,7 +20,8 @@
 
 }
 
-boost::leaf::result<std::unique_ptr<ChildProcess>> ChildProcess::create(const std::string &program, const std::vector<std::string> &arguments, const std::string &outputFile)
+boost::leaf::result<std::unique_ptr<ChildProcess>> ChildProcess::create(
+    const std::string &program, const std::vector<std::string> &arguments, const std::string &outputFile)
 {
     std::vector<std::string> words{program};
     words.insert(words.end(), arguments.begin(), arguments.end());
@@ -125,4 +126,4 @@
     return resident * static_cast<std::size_t>(sysconf(_SC_PAGESIZE));
 }
 
-}
+} // namespace Hyssophall::Harness
--- a/tools/harness/childprocess.h
+++ b/tools/harness/childprocess.h
@@ -21,7 +21,8 @@
 {
 public:
     /// Starts a program with its output going to @p outputFile. Errors: ProgramNotStarted.
-    static boost::leaf::result<std::unique_ptr<ChildProcess>> create(const std::string &program, const std::vector<std::string> &arguments, const std::string &outputFile);
+    static boost::leaf::result<std::unique_ptr<ChildProcess>> create(
+        const std::string &program, const std::vector<std::string> &arguments, const std::string &outputFile);
     ~ChildProcess();
 
     ChildProcess(const ChildProcess &) = delete;
@@ -53,4 +54,4 @@
     std::optional<int> exitCode;
 };
 
-}
+} // namespace Hyssophall::Harness
--- a/tools/harness/httprequest.cpp
+++ b/tools/harness/httprequest.cpp
@@ -30,7 +30,7 @@
     return size * count;
 }
 
-}
+} // namespace
 
 std::string HttpAnswer::header(const std::string &name) const
 {
@@ -67,4 +67,4 @@
     return answer;
 }
 
-}
+} // namespace Hyssophall::Harness
--- a/tools/harness/httprequest.h
+++ b/tools/harness/httprequest.h
@@ -29,4 +29,4 @@
 /// Sends a request once. Never retries.
 HttpAnswer send(const HttpRequest &request);
 
-}
+} // namespace Hyssophall::Harness
--- a/tools/harness/ports.cpp
+++ b/tools/harness/ports.cpp
@@ -25,7 +25,7 @@
     return bound;
 }
 
-}
+} // namespace
 
 std::uint16_t findFreePort()
 {
@@ -40,4 +40,4 @@
     return static_cast<std::uint16_t>(port);
 }
 
-}
+} // namespace Hyssophall::Harness
--- a/tools/harness/ports.h
+++ b/tools/harness/ports.h
@@ -8,4 +8,4 @@
 /// Below the kernel's ephemeral range, so that an outgoing connection can't take it.
 std::uint16_t findFreePort();
 
-}
+} // namespace Hyssophall::Harness
--- a/tools/harness/testfleet.h
+++ b/tools/harness/testfleet.h
@@ -89,7 +89,12 @@
     /// Waits until a VM knows this many ready instances of a service.
     bool waitInstances(const std::string &service, std::size_t count, std::chrono::milliseconds timeout = std::chrono::seconds(15));
 
-    HttpAnswer call(std::size_t vm, const std::string &method, const std::string &path, const std::string &key, const std::string &body = "", const std::map<std::string, std::string> &headers = {});
+    HttpAnswer call(std::size_t vm,
+        const std::string &method,
+        const std::string &path,
+        const std::string &key,
+        const std::string &body = "",
+        const std::map<std::string, std::string> &headers = {});
 
     /// The emulator's record of runs.
     nlohmann::json record(const Upstream &upstream);
@@ -103,7 +108,7 @@
 private:
     void writeSettings(Vm &vm, int index);
     std::string addressesOf(const std::function<bool(const Vm &)> &include, const std::function<std::string(const Vm &)> &address) const;
-    std::string startProgram(const std::string &name) const;
+    std::string programFile(const std::string &name) const;
 
     const Options options;
     std::string workFolder;
@@ -113,4 +118,4 @@
     int commandCount = 0;
 };
 
-}
+} // namespace Hyssophall::Harness
--- a/tools/hyssophallctl/cataloguecommands.cpp
+++ b/tools/hyssophallctl/cataloguecommands.cpp
@@ -3,6 +3,7 @@
 #include "entryarguments.h"
 #include "process/keyhash.h"
 
+#include <absl/strings/str_split.h>
 #include <boost/leaf/handle_errors.hpp>
 
 #include <algorithm>
@@ -21,6 +22,11 @@
 const std::set<std::string> putKinds = {"put_service", "put_route", "put_team"};
 const std::set<std::string> removeKinds = {"remove_service", "remove_route", "remove_team"};
 
+std::vector<std::string> addressesIn(const std::string &list)
+{
+    return absl::StrSplit(list, ',', absl::SkipEmpty());
+}
+
 void showAccepted(const json &body)
 {
     std::cout << "accepted: version " << body["version"];
@@ -129,15 +135,19 @@
         return Session::refuse("member admit takes --from or fields, not both");
     }
     return this->session.run([&]() -> leaf::result<ExitCode> {
-        const AdministrationClient vmClient = this->session.client().withAddress(this->session.options().from);
-        BOOST_LEAF_AUTO(reply, vmClient.send("GET", "/v1/vm", ""));
-        if (reply.status != 200) {
-            return this->session.conclude(reply, showAccepted);
+        json members = json::array();
+        for (const std::string &address : addressesIn(this->session.options().from)) {
+            BOOST_LEAF_AUTO(reply, this->session.client().withAddress(address).send("GET", "/v1/vm", ""));
+            if (reply.status != 200) {
+                return this->session.conclude(reply, showAccepted);
+            }
+            reply.body["admitted_incarnation"] = reply.body["incarnation"];
+            reply.body.erase("incarnation");
+            members.push_back(reply.body);
         }
-        json member = reply.body;
-        member["admitted_incarnation"] = member["incarnation"];
-        member.erase("incarnation");
-        return this->propose({{"admit_member", member}}, showAccepted, json::object());
+        // One VM joins a fleet; several together form a new one.
+        const json change = members.size() == 1 ? json{{"admit_member", members.front()}} : json{{"admit_first_members", {{"members", members}}}};
+        return this->propose(change, showAccepted, json::object());
     });
 }
 
--- a/tools/hyssophallctl/main.cpp
+++ b/tools/hyssophallctl/main.cpp
@@ -42,6 +42,7 @@
   key create ID TEAM           prints the key once
   key withdraw ID
   member admit --from=ADDRESS | NAME=VALUE... | JSON
+  member admit --from=ADDRESS,ADDRESS,...    forms a new fleet at once
   member remove ID
   member list
   control bootstrap|status
