Control: Test the commit rule, first answers and the remote proposer

Cause: a leader that commits entries of earlier terms, and group changes that overlap, passed the random tests. The gRPC test has a peer that accepts connections and stays silent.

--- a/tests/unit/process/control/controlgrouptest.cpp
+++ b/tests/unit/process/control/controlgrouptest.cpp
@@ -42,6 +42,21 @@
     return ntohs(address.sin_port);
 }
 
+/// Accepts connections and never answers, like a VM that is cut off.
+int listenSilently(unsigned short port)
+{
+    const int descriptor = socket(AF_INET, SOCK_STREAM, 0);
+    const int reuse = 1;
+    setsockopt(descriptor, SOL_SOCKET, SO_REUSEADDR, &reuse, sizeof(reuse));
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(port);
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    CATCH_REQUIRE(bind(descriptor, reinterpret_cast<sockaddr *>(&address), sizeof(address)) == 0);
+    CATCH_REQUIRE(listen(descriptor, 16) == 0);
+    return descriptor;
+}
+
 /// A control VM with a real server and disk on loopback.
 struct ControlVm {
     explicit ControlVm(const std::string &id)
@@ -129,7 +144,10 @@
         std::this_thread::yield();
     }
     vms[1]->stop();
+    // The lost VM's connections open and then stay silent, which must hold up neither the other peer nor the proposer.
+    const int silent = listenSilently(vms[1]->settings.listen.fleet.port);
     CATCH_REQUIRE(remote->propose(change("four", 3), soon()).value().version() == 4);
+    close(silent);
 }
 
 CATCH_TEST_CASE("A roster change is refused until the previous one is in force everywhere", "[control-log]")
--- a/tests/unit/process/control/raftreplicatest.cpp
+++ b/tests/unit/process/control/raftreplicatest.cpp
@@ -294,9 +294,73 @@
         [&group] { return group.leader() < 3 && group.nodes[group.leader()].replica->putReplica(group.replicaOf(2)) == RaftReplica::GroupChange::Appended; }));
     CATCH_REQUIRE(group.runUntil([&group] { return isVoter(group, 2); }));
     decide(group, "a", 3);
+    const std::size_t leader = group.leader();
+    const std::size_t next = (leader + 1) % 3;
+    CATCH_REQUIRE(group.nodes[leader].replica->removeReplica(group.nodes[next].id) == RaftReplica::GroupChange::Appended);
+    CATCH_REQUIRE(group.nodes[leader].replica->removeReplica(group.nodes[(leader + 2) % 3].id) == RaftReplica::GroupChange::Busy);
+    CATCH_REQUIRE(group.runUntil(
+        [&group, leader, next] { return group.nodes[leader].replica->putReplica(group.replicaOf(next)) == RaftReplica::GroupChange::Appended; }));
+    CATCH_REQUIRE(group.runUntil([&group, next] { return isVoter(group, next); }));
     CATCH_REQUIRE(
         group.runUntil([&group] { return group.leader() == 0 && group.nodes[0].replica->removeReplica("vm-0") == RaftReplica::GroupChange::Appended; }));
     CATCH_REQUIRE(group.runUntil([&group] { return group.leader() < 3 && group.leader() != 0; }));
     decide(group, "b", 3);
     CATCH_REQUIRE(group.faults == std::vector<std::string>());
 }
+
+CATCH_TEST_CASE("An entry of an earlier term is committed only with one of the leader's term", "[control-log][config-in-force]")
+{
+    // Guards against a commit that a later leader overwrites (Ongaro, figure 3.7).
+    SimulatedGroup group(3, 29);
+    StoredReplica stored;
+    stored.diskIncarnation = 1;
+    stored.term = 3;
+    for (std::uint64_t index = 1; index <= 2; ++index) {
+        stored.entries.emplace_back();
+        stored.entries.back().set_term(index);
+        stored.entries.back().set_index(index);
+    }
+    for (const char *id : {"a", "b", "c"}) {
+        ControlMessages::Replica &replica = *stored.entries[0].mutable_configuration()->add_replicas();
+        replica.set_id(id);
+        replica.set_disk_incarnation(1);
+    }
+    const ControlMessages::Replica peer = stored.entries[0].configuration().replicas(1);
+    SteadyTime now(std::chrono::hours(1));
+    std::optional<RaftReplica::Request> sent;
+    RaftReplica::Options options;
+    options.id = "a";
+    RaftReplica replica(options,
+        {[&now] { return now; }, [] { return 0; }, [&sent](const ControlMessages::Replica &, const RaftReplica::Request &request) { sent = request; }},
+        *group.nodes[0].storage,
+        stored);
+    ControlMessages::VoteReply vote;
+    vote.set_granted(true);
+    vote.set_voter_disk_incarnation(1);
+    ControlMessages::RecallPositionReply recall;
+    recall.set_replica_disk_incarnation(1);
+    for (int tick = 0; tick < 1000 && replica.role() != RaftReplica::Role::Leader; ++tick) {
+        now += milliseconds(20);
+        replica.tick();
+        if (sent && std::holds_alternative<ControlMessages::VoteRequest>(*sent)) {
+            // Winning the pre-vote sends the requests of the real vote from within accept().
+            const RaftReplica::Request request = *sent;
+            replica.accept(peer, request, now, vote);
+        } else if (sent) {
+            replica.accept(peer, *sent, now, recall);
+        }
+    }
+    CATCH_REQUIRE(replica.role() == RaftReplica::Role::Leader);
+    ControlMessages::AppendReply acknowledgement;
+    acknowledgement.set_term(replica.term());
+    acknowledgement.set_success(true);
+    acknowledgement.set_replica_disk_incarnation(1);
+    acknowledgement.set_match_index(2);
+    ControlMessages::AppendRequest request;
+    request.set_term(replica.term());
+    replica.accept(peer, request, now, acknowledgement);
+    CATCH_REQUIRE(replica.committedIndex() == 0);
+    acknowledgement.set_match_index(3);
+    replica.accept(peer, request, now, acknowledgement);
+    CATCH_REQUIRE(replica.committedIndex() == 3);
+}
--- /dev/null
+++ b/tests/unit/process/control/remotechangeproposertest.cpp
@@ -0,0 +1,72 @@
+#include "process/control/remotechangeproposer.h"
+
+#include <boost/leaf/handle_errors.hpp>
+#include <catch2/catch.hpp>
+
+#include <utility>
+
+using namespace Hyssophall;
+
+namespace {
+
+using Result = boost::leaf::result<ControlMessages::ProposeReply>;
+using Attempt = std::function<Result(const std::string &)>;
+
+/// Runs a proposal against two replicas, with a clock that moves only by pauses, and returns the outcome's version or the reason as text.
+std::string proposeTo(const Attempt &attempt)
+{
+    SteadyTime now;
+    RemoteChangeProposer proposer({[] {
+                                       return std::vector<std::string>{"a", "b"};
+                                   },
+        [&attempt](const std::string &address, const ControlMessages::ProposeRequest &, std::chrono::milliseconds) { return attempt(address); },
+        [](const std::string &, std::chrono::milliseconds) { return std::nullopt; },
+        [&now] { return now; },
+        [&now](std::chrono::milliseconds pause) { now += pause; }});
+    return boost::leaf::try_handle_all(
+        [&proposer]() -> boost::leaf::result<std::string> {
+            BOOST_LEAF_AUTO(outcome, proposer.propose(ControlMessages::CatalogueChange(), SteadyTime(std::chrono::seconds(1))));
+            return std::to_string(outcome.version());
+        },
+        [](const ControlUnavailable &unavailable) { return std::string(unavailable.reason == ControlUnavailable::Reason::Unknown ? "unknown" : "no quorum"); },
+        [] { return std::string("untyped"); });
+}
+
+Result failing(ControlUnavailable::Reason reason)
+{
+    return boost::leaf::new_error(ControlUnavailable{reason});
+}
+
+ControlMessages::ProposeReply replyOf(ControlMessages::ProposeReply::Result result)
+{
+    ControlMessages::ProposeReply reply;
+    reply.set_result(result);
+    return reply;
+}
+
+} // namespace
+
+CATCH_TEST_CASE("A change that may have reached the group is never reported as not accepted", "[control-log]")
+{
+    // Guards against an operator who repeats an accepted change under another id.
+    CATCH_REQUIRE(proposeTo([](const std::string &) { return failing(ControlUnavailable::Reason::NoQuorum); }) == "no quorum");
+    CATCH_REQUIRE(proposeTo([](const std::string &) { return replyOf(ControlMessages::ProposeReply::RESULT_NOT_LEADER); }) == "no quorum");
+    bool first = true;
+    CATCH_REQUIRE(proposeTo([&first](const std::string &) {
+        return failing(std::exchange(first, false) ? ControlUnavailable::Reason::Unknown : ControlUnavailable::Reason::NoQuorum);
+    }) == "unknown");
+}
+
+CATCH_TEST_CASE("A proposer follows the leader, also to an address that it wasn't told", "[control-log]")
+{
+    // Guards against operators who must know which replica leads.
+    CATCH_REQUIRE(proposeTo([](const std::string &address) {
+        ControlMessages::ProposeReply reply = replyOf(ControlMessages::ProposeReply::RESULT_NOT_LEADER);
+        reply.set_leader_address("c");
+        if (address == "c") {
+            reply.set_result(ControlMessages::ProposeReply::RESULT_DECIDED);
+            reply.mutable_outcome()->set_version(7);
+        }
+        return reply;
+    }) == "7");
+}
