--- a/libraries/version/catalogue.cpp
+++ b/libraries/version/catalogue.cpp
@@ -16,25 +16,42 @@
 
 constexpr const char *unknownName = "the name of an existing entry";
 
-std::string serviceUse(const std::string &name)
+/// Adds or replaces an entry, whose uses stay.
+template<typename Message>
+void putCounted(detail::CountedTable<Message> &table, const Message &message)
 {
-    return "service:" + name;
+    const std::shared_ptr<const detail::Counted<Message>> former = table.find(message.name());
+    table.put(std::make_shared<const detail::Counted<Message>>(detail::Counted<Message>{message, former == nullptr ? 0 : former->uses}));
 }
 
-std::string teamUse(const std::string &name)
+/// The entry exists, because references are checked before they are counted.
+template<typename Message>
+void changeUses(detail::CountedTable<Message> &table, const std::string &name, int difference)
 {
-    return "team:" + name;
+    detail::Counted<Message> changed = *table.find(name);
+    changed.uses += static_cast<std::size_t>(difference);
+    table.put(std::make_shared<const detail::Counted<Message>>(std::move(changed)));
 }
 
-void changeUse(detail::UseTable &uses, const std::string &name, int difference)
+template<typename Message>
+leaf::result<void> removeCounted(detail::CountedTable<Message> &table, const std::string &name, const char *field, const char *unused)
 {
-    const std::shared_ptr<const detail::UseCount> present = uses.find(name);
-    const std::size_t count = (present == nullptr ? 0 : present->count) + static_cast<std::size_t>(difference);
-    if (count == 0) {
-        uses.remove(name);
-    } else {
-        uses.put(std::make_shared<const detail::UseCount>(detail::UseCount{name, count}));
+    const std::shared_ptr<const detail::Counted<Message>> present = table.find(name);
+    if (present == nullptr) {
+        return leaf::new_error(InvalidChange{field, unknownName});
+    }
+    if (present->uses > 0) {
+        return leaf::new_error(InvalidChange{field, unused});
     }
+    table.remove(name);
+    return {};
+}
+
+template<typename Message>
+std::shared_ptr<const Message> findCounted(const detail::CountedTable<Message> &table, std::string_view name)
+{
+    const std::shared_ptr<const detail::Counted<Message>> present = table.find(name);
+    return present == nullptr ? nullptr : std::shared_ptr<const Message>(present, &present->message);
 }
 
 template<typename Message>
@@ -127,19 +144,13 @@
 Catalogue::Result Catalogue::putService(const CatalogueMessages::Service &service)
 {
     BOOST_LEAF_CHECK(checkAlone(service));
-    this->services.put(std::make_shared<const CatalogueMessages::Service>(service));
+    putCounted(this->services, service);
     return {};
 }
 
 Catalogue::Result Catalogue::removeService(const std::string &name)
 {
-    if (this->uses.find(serviceUse(name)) != nullptr) {
-        return leaf::new_error(InvalidChange{"remove_service", "a service that no route names"});
-    }
-    if (!this->services.remove(name)) {
-        return leaf::new_error(InvalidChange{"remove_service", unknownName});
-    }
-    return {};
+    return removeCounted(this->services, name, "remove_service", "a service that no route names");
 }
 
 Catalogue::Result Catalogue::putRoute(const CatalogueMessages::Route &route)
@@ -172,19 +183,13 @@
 Catalogue::Result Catalogue::putTeam(const CatalogueMessages::Team &team)
 {
     BOOST_LEAF_CHECK(checkAlone(team));
-    this->teams.put(std::make_shared<const CatalogueMessages::Team>(team));
+    putCounted(this->teams, team);
     return {};
 }
 
 Catalogue::Result Catalogue::removeTeam(const std::string &name)
 {
-    if (this->uses.find(teamUse(name)) != nullptr) {
-        return leaf::new_error(InvalidChange{"remove_team", "a team that no route and no key names"});
-    }
-    if (!this->teams.remove(name)) {
-        return leaf::new_error(InvalidChange{"remove_team", unknownName});
-    }
-    return {};
+    return removeCounted(this->teams, name, "remove_team", "a team that no route and no key names");
 }
 
 Catalogue::Result Catalogue::putKey(const CatalogueMessages::Key &key)
@@ -199,12 +204,12 @@
     }
     if (const std::shared_ptr<const CatalogueMessages::Key> former = this->keys.find(key.id())) {
         this->keyHashes.remove(former->hash());
-        changeUse(this->uses, teamUse(former->team()), -1);
+        changeUses(this->teams, former->team(), -1);
     }
     const std::shared_ptr<const CatalogueMessages::Key> entry = std::make_shared<const CatalogueMessages::Key>(key);
     this->keys.put(entry);
     this->keyHashes.put(entry);
-    changeUse(this->uses, teamUse(key.team()), 1);
+    changeUses(this->teams, key.team(), 1);
     return {};
 }
 
@@ -215,7 +220,7 @@
         return leaf::new_error(InvalidChange{"withdraw_key", "the id of an existing key"});
     }
     this->keyHashes.remove(former->hash());
-    changeUse(this->uses, teamUse(former->team()), -1);
+    changeUses(this->teams, former->team(), -1);
     this->keys.remove(id);
     return {};
 }
@@ -281,9 +286,9 @@
 
 void Catalogue::countUses(const CatalogueMessages::Route &route, int difference)
 {
-    changeUse(this->uses, serviceUse(route.service()), difference);
+    changeUses(this->services, route.service(), difference);
     for (const std::string &team : route.teams()) {
-        changeUse(this->uses, teamUse(team), difference);
+        changeUses(this->teams, team, difference);
     }
 }
 
@@ -292,14 +297,14 @@
     CatalogueMessages::Snapshot snapshot;
     snapshot.set_version(this->versionNumber);
     snapshot.set_roster_version(this->members->version());
-    for (const std::shared_ptr<const CatalogueMessages::Service> &service : this->services.sorted()) {
-        *snapshot.add_services() = *service;
+    for (const detail::ServiceTable::Entry &service : this->services.sorted()) {
+        *snapshot.add_services() = service->message;
     }
     for (const std::shared_ptr<const CatalogueMessages::Route> &route : this->routes.sorted()) {
         *snapshot.add_routes() = *route;
     }
-    for (const std::shared_ptr<const CatalogueMessages::Team> &team : this->teams.sorted()) {
-        *snapshot.add_teams() = *team;
+    for (const detail::TeamTable::Entry &team : this->teams.sorted()) {
+        *snapshot.add_teams() = team->message;
     }
     for (const std::shared_ptr<const CatalogueMessages::Key> &key : this->keys.sorted()) {
         *snapshot.add_keys() = *key;
@@ -327,12 +332,12 @@
 
 std::shared_ptr<const CatalogueMessages::Team> Catalogue::findTeam(std::string_view name) const
 {
-    return this->teams.find(name);
+    return findCounted(this->teams, name);
 }
 
 std::shared_ptr<const CatalogueMessages::Service> Catalogue::findService(std::string_view name) const
 {
-    return this->services.find(name);
+    return findCounted(this->services, name);
 }
 
 std::shared_ptr<const CatalogueMessages::Key> Catalogue::findKey(const KeyHash &hash) const
--- a/libraries/version/catalogue.h
+++ b/libraries/version/catalogue.h
@@ -77,7 +77,6 @@
     detail::TeamTable teams;
     detail::KeyTable keys;
     detail::KeyHashTable keyHashes;
-    detail::UseTable uses;
 };
 
 } // namespace Hyssophall
--- a/libraries/version/cataloguetables.h
+++ b/libraries/version/cataloguetables.h
@@ -26,11 +26,11 @@
     std::vector<std::shared_ptr<const hyssophall::catalogue::v1::Route>> routes;
 };
 
-/// How many entries refer to one service or team, so that removing it needs no search.
-struct UseCount {
-    /// "service:name" or "team:name".
-    std::string name;
-    std::size_t count = 0;
+/// A service or team with the number of entries that name it, so that removing it needs no search.
+template<typename Message>
+struct Counted {
+    Message message;
+    std::size_t uses = 0;
 };
 
 struct PlainComparison {
@@ -48,6 +48,14 @@
     }
 };
 
+template<typename Message>
+struct CountedPolicy : PlainComparison {
+    static std::string_view key(const Counted<Message> &value)
+    {
+        return value.message.name();
+    }
+};
+
 struct PrefixPolicy : PlainComparison {
     static std::string_view key(const RoutesOfPrefix &value)
     {
@@ -75,20 +83,15 @@
     }
 };
 
-struct UsePolicy : PlainComparison {
-    static std::string_view key(const UseCount &value)
-    {
-        return value.name;
-    }
-};
+template<typename Message>
+using CountedTable = PersistentTable<Counted<Message>, CountedPolicy<Message>>;
 
-using ServiceTable = PersistentTable<hyssophall::catalogue::v1::Service, NamePolicy<hyssophall::catalogue::v1::Service>>;
+using ServiceTable = CountedTable<hyssophall::catalogue::v1::Service>;
 using RouteTable = PersistentTable<hyssophall::catalogue::v1::Route, NamePolicy<hyssophall::catalogue::v1::Route>>;
 using PrefixTable = PersistentTable<RoutesOfPrefix, PrefixPolicy>;
-using TeamTable = PersistentTable<hyssophall::catalogue::v1::Team, NamePolicy<hyssophall::catalogue::v1::Team>>;
+using TeamTable = CountedTable<hyssophall::catalogue::v1::Team>;
 using KeyTable = PersistentTable<hyssophall::catalogue::v1::Key, KeyIdPolicy>;
 using KeyHashTable = PersistentTable<hyssophall::catalogue::v1::Key, KeyHashPolicy>;
-using UseTable = PersistentTable<UseCount, UsePolicy>;
 
 } // namespace detail
 
--- a/libraries/version/persistenttable.h
+++ b/libraries/version/persistenttable.h
@@ -146,6 +146,10 @@
             node->entries[static_cast<std::size_t>(position - node->entries.cbegin())] = std::move(entry);
             return false;
         }
+        if (node->entries.size() == node->entries.capacity()) {
+            // Doubling would leave a quarter of all buckets' memory unused.
+            node->entries.reserve(node->entries.size() + 2);
+        }
         node->entries.push_back(std::move(entry));
         if (node->entries.size() > maximumBucketSize && depth < maximumDepth) {
             split(*node, depth);
