Quorum: Test claims and fleet-wide limits in the simulated fleet

Cause: Claims and limits had no tests. Copies of committees made a restarted member's recovery of 1,024 groups slow.

Change: Test racing VMs, lost VMs, restarted voters, cuts and stops for claims; overload with failing owners, uneven load and an exact bucket for limits. Committees of claim groups are shared in place of copied. A loan's rounding error no longer holds back a whole token.

--- a/libraries/process/fleet/claimgroups.cpp
+++ b/libraries/process/fleet/claimgroups.cpp
@@ -22,7 +22,7 @@
     return value % claimGroupCount;
 }
 
-Committee ClaimGroups::committeeOf(const Roster &roster, std::uint32_t group)
+std::shared_ptr<const Committee> ClaimGroups::committeeOf(const Roster &roster, std::uint32_t group)
 {
     std::lock_guard<std::mutex> lock(this->mutex);
     if (!this->known || this->rosterVersion != roster.version() || this->rosterSize != roster.members().size()) {
@@ -32,11 +32,11 @@
         this->rosterVersion = roster.version();
         this->rosterSize = roster.members().size();
     }
-    std::unique_ptr<Committee> &committee = this->committees[group % claimGroupCount];
+    std::shared_ptr<const Committee> &committee = this->committees[group % claimGroupCount];
     if (committee == nullptr) {
-        committee = std::make_unique<Committee>(Committee::of(roster, "claims:" + std::to_string(group)));
+        committee = std::make_shared<const Committee>(Committee::of(roster, "claims:" + std::to_string(group)));
     }
-    return *committee;
+    return committee;
 }
 
 } // namespace Hyssophall
--- a/libraries/process/fleet/claimgroups.h
+++ b/libraries/process/fleet/claimgroups.h
@@ -27,14 +27,14 @@
 {
 public:
     /// Groups keep a claim's committee to one look-up: choosing it anew hashes the whole roster.
-    Committee committeeOf(const Roster &roster, std::uint32_t group);
+    std::shared_ptr<const Committee> committeeOf(const Roster &roster, std::uint32_t group);
 
 private:
     std::mutex mutex;
     bool known = false;
     std::uint64_t rosterVersion = 0;
     std::size_t rosterSize = 0;
-    std::vector<std::unique_ptr<Committee>> committees;
+    std::vector<std::shared_ptr<const Committee>> committees;
 };
 
 } // namespace Hyssophall
--- a/libraries/process/fleet/claimmember.cpp
+++ b/libraries/process/fleet/claimmember.cpp
@@ -51,7 +51,7 @@
     this->followRoster(*roster, now);
     const std::string &member = request.member();
     FleetMessages::RecoverClaimsReply reply = this->store.page(
-        request, [this, &roster, &member](std::uint32_t group) { return this->groups->committeeOf(*roster, group).contains(member); }, now);
+        request, [this, &roster, &member](std::uint32_t group) { return this->groups->committeeOf(*roster, group)->contains(member); }, now);
     reply.set_complete_source(this->memoryComplete);
     return reply;
 }
@@ -86,7 +86,7 @@
     }
     std::set<std::uint32_t> present;
     for (std::uint32_t group = 0; group < claimGroupCount; ++group) {
-        if (this->groups->committeeOf(roster, group).contains(this->context.self)) {
+        if (this->groups->committeeOf(roster, group)->contains(this->context.self)) {
             present.insert(group);
         }
     }
@@ -116,13 +116,13 @@
 void ClaimMember::finishGroups(const Roster &roster, SteadyTime now)
 {
     for (auto current = this->missing.begin(); current != this->missing.end();) {
-        const Committee committee = this->groups->committeeOf(roster, current->first);
-        const std::size_t sources = static_cast<std::size_t>(std::count_if(committee.members().begin(),
-            committee.members().end(),
+        const std::shared_ptr<const Committee> committee = this->groups->committeeOf(roster, current->first);
+        const std::size_t sources = static_cast<std::size_t>(std::count_if(committee->members().begin(),
+            committee->members().end(),
             [current](const CatalogueMessages::Member &member) { return current->second.sources.contains(member.id()); }));
         // Outside of the committee, the memory of a group isn't kept up; on its return the group recovers again.
         const bool over
-            = !committee.contains(this->context.self) || sources >= neededSources(committee) || now >= current->second.since + this->options.retention;
+            = !committee->contains(this->context.self) || sources >= neededSources(*committee) || now >= current->second.since + this->options.retention;
         current = over ? this->missing.erase(current) : std::next(current);
     }
     if (this->started && this->missing.empty()) {
@@ -135,8 +135,8 @@
 {
     std::map<std::string, std::set<std::uint32_t>> wanted;
     for (const std::pair<const std::uint32_t, Missing> &group : this->missing) {
-        const Committee committee = this->groups->committeeOf(roster, group.first);
-        for (const CatalogueMessages::Member &member : committee.members()) {
+        const std::shared_ptr<const Committee> committee = this->groups->committeeOf(roster, group.first);
+        for (const CatalogueMessages::Member &member : committee->members()) {
             if (member.id() != this->context.self && !group.second.sources.contains(member.id())) {
                 wanted[member.id()].insert(group.first);
             }
--- a/libraries/process/fleet/quorumclaimcoordinator.cpp
+++ b/libraries/process/fleet/quorumclaimcoordinator.cpp
@@ -67,12 +67,12 @@
     ClaimResult result;
     for (int attempt = 1; this->context.clock() < deadline; ++attempt) {
         const std::shared_ptr<const Roster> roster = this->context.roster();
-        const Committee committee = this->groups->committeeOf(*roster, claimGroupOf(request.record().key_hash()));
+        const std::shared_ptr<const Committee> committee = this->groups->committeeOf(*roster, claimGroupOf(request.record().key_hash()));
         request.set_roster_version(roster->version());
         request.mutable_record()->set_attempt(
             this->context.self + "/" + std::to_string(this->context.incarnation) + "/" + std::to_string(this->attempts.fetch_add(1)));
         bool ambiguous = false;
-        result = this->attempt(request, committee, std::min(deadline, this->context.clock() + this->options.attemptLimit), ambiguous);
+        result = this->attempt(request, *committee, std::min(deadline, this->context.clock() + this->options.attemptLimit), ambiguous);
         const bool repeat = result.kind == ClaimResult::Kind::Unavailable || (ambiguous && attempt < this->options.ambiguousAttempts);
         if (!repeat) {
             return result;
@@ -144,9 +144,9 @@
         request.mutable_outcome()->clear_body();
         request.mutable_outcome()->set_body_omitted(true);
     }
-    const Committee committee = this->groups->committeeOf(*this->context.roster(), claimGroupOf(request.key_hash()));
-    const std::shared_ptr<ClaimRound> round = std::make_shared<ClaimRound>(committee.members().size(), committee.quorum(), 0);
-    for (const CatalogueMessages::Member &member : committee.members()) {
+    const std::shared_ptr<const Committee> committee = this->groups->committeeOf(*this->context.roster(), claimGroupOf(request.key_hash()));
+    const std::shared_ptr<ClaimRound> round = std::make_shared<ClaimRound>(committee->members().size(), committee->quorum(), 0);
+    for (const CatalogueMessages::Member &member : committee->members()) {
         if (member.id() == this->context.self) {
             this->local->finishClaim(request);
             round->takeAcknowledgement();
@@ -163,7 +163,7 @@
 void QuorumClaimCoordinator::release(const std::string &team, const std::string &idempotencyKey, const std::string &attempt)
 {
     const std::string keyHash = claimKeyHash(team, idempotencyKey);
-    this->releaseAt(this->groups->committeeOf(*this->context.roster(), claimGroupOf(keyHash)), keyHash, attempt);
+    this->releaseAt(*this->groups->committeeOf(*this->context.roster(), claimGroupOf(keyHash)), keyHash, attempt);
 }
 
 void QuorumClaimCoordinator::releaseAt(const Committee &committee, const std::string &keyHash, const std::string &attempt)
--- a/libraries/process/limits/tokenbucketowner.cpp
+++ b/libraries/process/limits/tokenbucketowner.cpp
@@ -13,6 +13,9 @@
 
 constexpr double longestWaitSeconds = 60;
 
+/// Sums of many small amounts may end this far below a whole token. What is lent too early is missing from the bucket, so errors don't add up.
+constexpr double roundingError = 1e-9;
+
 /// A wait in whole milliseconds, rounded up: asking earlier would find nothing.
 std::uint32_t waitFor(double tokens, double rate)
 {
@@ -121,10 +124,9 @@
     const double wanted = amount(demand.wanted());
     const double total = this->totalDemand(bucket, member, wanted, now);
     double lent = 0;
-    if (wanted > 0 && bucket.tokens >= 1) {
-        // Rounding errors of the fill must not cost a whole token of a share.
-        const double share = total > bucket.tokens ? std::floor(bucket.tokens * wanted / total + 1e-9) : wanted;
-        lent = std::min({wanted, std::max(1.0, share), std::floor(bucket.tokens)});
+    if (wanted > 0 && bucket.tokens + roundingError >= 1) {
+        const double share = total > bucket.tokens ? std::floor(bucket.tokens * wanted / total + roundingError) : wanted;
+        lent = std::min({wanted, std::max(1.0, share), std::floor(bucket.tokens + roundingError)});
     }
     bucket.tokens -= lent;
     loan.set_lent(lent);
--- a/tests/unit/process/fleet/simulatedfleet.cpp
+++ b/tests/unit/process/fleet/simulatedfleet.cpp
@@ -1,13 +1,13 @@
 #include "simulatedfleet.h"
 
+#include "simulatedtransport.h"
+
 #include <algorithm>
 
 namespace Hyssophall::Tests {
 
 namespace {
 
-thread_local CooperativeTask *currentTask = nullptr;
-
 std::string idOf(std::size_t index)
 {
     return "vm-" + std::to_string(index);
@@ -15,48 +15,6 @@
 
 } // namespace
 
-CooperativeTask::CooperativeTask(std::function<void()> body)
-    : thread([this, body = std::move(body)] {
-        currentTask = this;
-        std::unique_lock<std::mutex> lock(this->mutex);
-        this->changed.wait(lock, [this] { return this->bodyRuns; });
-        lock.unlock();
-        body();
-        lock.lock();
-        this->ended = true;
-        this->bodyRuns = false;
-        this->changed.notify_all();
-    })
-{
-}
-
-CooperativeTask::~CooperativeTask()
-{
-    while (this->resume()) { }
-    this->thread.join();
-}
-
-void CooperativeTask::handOver(bool toBody)
-{
-    std::unique_lock<std::mutex> lock(this->mutex);
-    this->bodyRuns = toBody;
-    this->changed.notify_all();
-    this->changed.wait(lock, [this, toBody] { return this->bodyRuns != toBody; });
-}
-
-bool CooperativeTask::resume()
-{
-    if (!this->ended) {
-        this->handOver(true);
-    }
-    return !this->ended;
-}
-
-void CooperativeTask::pauseCurrent()
-{
-    currentTask->handOver(false);
-}
-
 class SimulatedFleet::View : public MemberView
 {
 public:
@@ -88,111 +46,8 @@
     std::deque<std::function<void()>> deferred;
     View view;
     FleetHandlers handlers;
-    std::unique_ptr<Transport> transport;
-    std::unique_ptr<QuorumNode> node;
-};
-
-/// Delivers calls after a random delay of 0.2 to 3 ms each way; a call over a cut link has no answer until its timeout.
-class SimulatedFleet::Transport : public FleetTransport
-{
-public:
-    Transport(SimulatedFleet &fleet, std::size_t self, std::uint64_t incarnation)
-        : fleet(fleet)
-        , self(self)
-        , incarnation(incarnation)
-    {
-    }
-
-    template<typename Request, typename Reply>
-    void call(const std::string &address,
-        const Request &request,
-        Milliseconds timeout,
-        Completion<Reply> done,
-        std::function<Reply(const Request &)> FleetHandlers::*handler)
-    {
-        const std::size_t target = std::stoul(address.substr(3));
-        const std::shared_ptr<bool> answered = std::make_shared<bool>(false);
-        // Events outlive the transport of a VM that restarts.
-        SimulatedFleet &fleet = this->fleet;
-        const std::size_t self = this->self;
-        const auto complete = [&fleet, self, incarnation = this->incarnation, answered](const std::function<void()> &action) {
-            fleet.deliver(self, incarnation, [answered, action] {
-                if (!*answered) {
-                    *answered = true;
-                    action();
-                }
-            });
-        };
-        fleet.at(timeout, [complete, done] { complete([done] { done(boost::leaf::new_error(FleetCallFailure{FleetCallFailure::Reason::Unreachable})); }); });
-        if (!fleet.isOpen(self, target)) {
-            return;
-        }
-        const std::uint64_t targetIncarnation = fleet.vms[target]->incarnation;
-        fleet.later([&fleet, self, target, targetIncarnation, request, handler, complete, done] {
-            fleet.deliver(target, targetIncarnation, [&fleet, self, target, request, handler, complete, done] {
-                const Reply reply = (fleet.vms[target]->handlers.*handler)(request);
-                if (fleet.isOpen(target, self)) {
-                    fleet.later([complete, done, reply] { complete([done, reply] { done(reply); }); });
-                }
-            });
-        });
-    }
-
-    void grantLeases(const std::string &address,
-        const FleetMessages::GrantLeasesRequest &request,
-        Milliseconds timeout,
-        Completion<FleetMessages::GrantLeasesReply> done) override
-    {
-        this->call(address, request, timeout, std::move(done), &FleetHandlers::grantLeases);
-    }
-    void claim(
-        const std::string &address, const FleetMessages::ClaimRequest &request, Milliseconds timeout, Completion<FleetMessages::ClaimReply> done) override
-    {
-        this->call(address, request, timeout, std::move(done), &FleetHandlers::claim);
-    }
-    void finishClaim(const std::string &address,
-        const FleetMessages::FinishClaimRequest &request,
-        Milliseconds timeout,
-        Completion<FleetMessages::FinishClaimReply> done) override
-    {
-        this->call(address, request, timeout, std::move(done), &FleetHandlers::finishClaim);
-    }
-    void recoverClaims(const std::string &address,
-        const FleetMessages::RecoverClaimsRequest &request,
-        Milliseconds timeout,
-        Completion<FleetMessages::RecoverClaimsReply> done) override
-    {
-        this->call(address, request, timeout, std::move(done), &FleetHandlers::recoverClaims);
-    }
-    void borrowTokens(const std::string &address,
-        const FleetMessages::BorrowTokensRequest &request,
-        Milliseconds timeout,
-        Completion<FleetMessages::BorrowTokensReply> done) override
-    {
-        this->call(address, request, timeout, std::move(done), &FleetHandlers::borrowTokens);
-    }
-    void exchange(const std::string &, const FleetMessages::ExchangeMessage &, Milliseconds, Completion<FleetMessages::ExchangeMessage>) override
-    {
-    }
-    void fetchCatalogue(
-        const std::string &, const FleetMessages::FetchCatalogueRequest &, Milliseconds, Completion<FleetMessages::FetchCatalogueReply>) override
-    {
-    }
-    void reportOutcomes(
-        const std::string &, const FleetMessages::ReportOutcomesRequest &, Milliseconds, Completion<FleetMessages::ReportOutcomesReply>) override
-    {
-    }
-    void reportCrash(const std::string &, const FleetMessages::ReportCrashRequest &, Milliseconds, Completion<FleetMessages::ReportCrashReply>) override
-    {
-    }
-    void announce(const std::string &, const FleetMessages::AnnounceRequest &, Milliseconds, Completion<FleetMessages::AnnounceReply>) override
-    {
-    }
-
-private:
-    SimulatedFleet &fleet;
-    std::size_t self;
-    std::uint64_t incarnation;
+    std::shared_ptr<SimulatedTransport> transport;
+    std::shared_ptr<QuorumNode> node;
 };
 
 SimulatedFleet::SimulatedFleet(std::size_t count, std::size_t domains, std::uint64_t seed, QuorumNode::Options options)
@@ -240,7 +95,7 @@
     Vm &vm = *this->vms[index];
     vm.alive = true;
     vm.incarnation = incarnation;
-    vm.transport = std::make_unique<Transport>(*this, index, incarnation);
+    vm.transport = std::make_shared<SimulatedTransport>(*this, index, incarnation);
     FleetContext context;
     context.self = idOf(index);
     context.incarnation = incarnation;
@@ -249,7 +104,7 @@
     context.roster = [&vm] { return vm.roster; };
     context.catalogueVersion = [&vm] { return vm.catalogueVersion; };
     context.transport = vm.transport.get();
-    vm.node = std::make_unique<QuorumNode>(context, this->options, vm.view, [this](const std::string &team) -> std::optional<TeamLimit> {
+    vm.node = std::make_shared<QuorumNode>(context, this->options, vm.view, [this](const std::string &team) -> std::optional<TeamLimit> {
         const auto found = this->teams.find(team);
         return found == this->teams.end() ? std::nullopt : std::optional<TeamLimit>(found->second);
     });
@@ -308,17 +163,19 @@
 void SimulatedFleet::runFor(Milliseconds duration)
 {
     const std::chrono::nanoseconds end = this->now + duration;
-    std::chrono::nanoseconds nextViews = this->now;
     while (!this->events.empty() && this->events.begin()->first <= end) {
         const auto event = this->events.begin();
         this->now = event->first;
         const std::function<void()> action = std::move(event->second);
         this->events.erase(event);
         action();
-        std::erase_if(this->tasks, [](const std::unique_ptr<CooperativeTask> &task) { return !task->resume(); });
-        if (this->now >= nextViews) {
+        if (this->now >= this->nextTasks) {
+            this->nextTasks = this->now + Milliseconds(1);
+            std::erase_if(this->tasks, [](const std::unique_ptr<CooperativeTask> &task) { return !task->resume(); });
+        }
+        if (this->now >= this->nextViews) {
             this->updateViews();
-            nextViews = this->now + Milliseconds(100);
+            this->nextViews = this->now + Milliseconds(100);
         }
     }
     this->now = end;
@@ -412,6 +269,11 @@
     return this->vms[index]->alive;
 }
 
+std::uint64_t SimulatedFleet::incarnationOf(std::size_t index) const
+{
+    return this->vms[index]->incarnation;
+}
+
 std::size_t SimulatedFleet::size() const
 {
     return this->vms.size();
@@ -422,6 +284,14 @@
     return *this->vms[index]->node;
 }
 
+std::shared_ptr<QuorumNode> SimulatedFleet::sharedNode(std::size_t index)
+{
+    // Keeps the transport as long as the node.
+    const std::shared_ptr<SimulatedTransport> transport = this->vms[index]->transport;
+    const std::shared_ptr<QuorumNode> node = this->vms[index]->node;
+    return std::shared_ptr<QuorumNode>(node.get(), [transport, node](QuorumNode *) {});
+}
+
 SteadyTime SimulatedFleet::localTime(std::size_t index) const
 {
     const Vm &vm = *this->vms[index];
@@ -444,6 +314,11 @@
     return holders;
 }
 
+FleetHandlers &SimulatedFleet::handlersOf(std::size_t index)
+{
+    return this->vms[index]->handlers;
+}
+
 std::mt19937_64 &SimulatedFleet::random()
 {
     return this->generator;
--- a/tests/unit/process/fleet/simulatedfleet.h
+++ b/tests/unit/process/fleet/simulatedfleet.h
@@ -1,43 +1,23 @@
 #pragma once
 
+#include "cooperativetask.h"
 #include "process/fleet/quorumnode.h"
 
-#include <condition_variable>
 #include <cstdint>
 #include <deque>
 #include <functional>
 #include <map>
 #include <memory>
-#include <mutex>
 #include <random>
 #include <set>
 #include <string>
-#include <thread>
 #include <vector>
 
 namespace Hyssophall::Tests {
 
-using Milliseconds = std::chrono::milliseconds;
-
-/// Runs blocking code on a thread of its own, but only one thread runs at any time, so that a run depends on its seed alone.
-class CooperativeTask
-{
-public:
-    explicit CooperativeTask(std::function<void()> body);
-    ~CooperativeTask();
-    /// Lets the body run until it waits or ends. Returns false after its end.
-    bool resume();
-    /// Called by the body: lets the simulation go on.
-    static void pauseCurrent();
+class SimulatedTransport;
 
-private:
-    void handOver(bool toBody);
-    std::mutex mutex;
-    std::condition_variable changed;
-    bool bodyRuns = false;
-    bool ended = false;
-    std::thread thread;
-};
+using Milliseconds = std::chrono::milliseconds;
 
 /// Many VMs with simulated time, network and clocks in one process. Cuts are one-way, and a stopped VM takes its messages when it goes on.
 class SimulatedFleet
@@ -63,17 +43,20 @@
 
     bool isRunning(std::size_t index) const;
     bool isAlive(std::size_t index) const;
+    std::uint64_t incarnationOf(std::size_t index) const;
     std::size_t size() const;
     QuorumNode &node(std::size_t index);
+    std::shared_ptr<QuorumNode> sharedNode(std::size_t index);
     SteadyTime localTime(std::size_t index) const;
     std::chrono::nanoseconds elapsed() const;
     /// Number of VMs that hold the lease of a shard by their own clocks.
     std::size_t holdersOf(std::uint32_t shard, std::uint64_t &epoch);
+    FleetHandlers &handlersOf(std::size_t index);
     std::mt19937_64 &random();
     std::map<std::string, TeamLimit> teams;
 
 private:
-    class Transport;
+    friend class SimulatedTransport;
     class View;
     struct Vm;
     void create(std::size_t index, std::uint64_t incarnation);
@@ -92,6 +75,8 @@
     std::set<std::pair<std::size_t, std::size_t>> cuts;
     std::vector<std::unique_ptr<Vm>> vms;
     std::vector<std::unique_ptr<CooperativeTask>> tasks;
+    std::chrono::nanoseconds nextTasks{0};
+    std::chrono::nanoseconds nextViews{0};
 };
 
 } // namespace Hyssophall::Tests
