--- a/tests/unit/process/fleet/simulatednode.h
+++ b/tests/unit/process/fleet/simulatednode.h
@@ -2,7 +2,7 @@
 
 #include "process/fleet/fleetcore.h"
 #include "simulatedcatalogue.h"
-#include "simulatedtransport.h"
+#include "simulatedgossiptransport.h"
 
 #include <string>
 #include <vector>
--- a/tests/unit/process/fleet/simulatedtransport.h
+++ b/tests/unit/process/fleet/simulatedtransport.h
@@ -1,95 +1,110 @@
 #pragma once
 
-#include "simulatednetwork.h"
+#include "simulatedfleet.h"
 
-#include <algorithm>
+namespace Hyssophall::Tests {
 
-namespace Hyssophall {
-
-class SimulatedTransport final : public FleetTransport
+/// Delivers calls after a random delay of 0.2 to 3 ms each way; a call over a cut link has no answer until its timeout.
+class SimulatedTransport : public FleetTransport
 {
 public:
-    SimulatedTransport(SimulatedNetwork &network, SimulatedNetwork::Endpoint *endpoint)
-        : network(network)
-        , endpoint(endpoint)
+    SimulatedTransport(SimulatedFleet &fleet, std::size_t self, std::uint64_t incarnation)
+        : fleet(fleet)
+        , self(self)
+        , incarnation(incarnation)
     {
     }
 
-    void exchange(const std::string &address,
-        const FleetMessages::ExchangeMessage &request,
-        std::chrono::milliseconds timeout,
-        Completion<FleetMessages::ExchangeMessage> done) override
+    template<typename Request, typename Reply>
+    void call(const std::string &address,
+        const Request &request,
+        Milliseconds timeout,
+        Completion<Reply> done,
+        std::function<Reply(const Request &)> FleetHandlers::*handler)
     {
-        this->count(request);
-        this->network.call<FleetMessages::ExchangeMessage, FleetMessages::ExchangeMessage>(
-            this->endpoint,
-            address,
-            request,
-            timeout,
-            [this, done](boost::leaf::result<FleetMessages::ExchangeMessage> reply) {
-                if (reply) {
-                    this->count(*reply);
+        const std::size_t target = std::stoul(address.substr(3));
+        const std::shared_ptr<bool> answered = std::make_shared<bool>(false);
+        // Events outlive the transport of a VM that restarts.
+        SimulatedFleet &fleet = this->fleet;
+        const std::size_t self = this->self;
+        const auto complete = [&fleet, self, incarnation = this->incarnation, answered](const std::function<void()> &action) {
+            fleet.deliver(self, incarnation, [answered, action] {
+                if (!*answered) {
+                    *answered = true;
+                    action();
+                }
+            });
+        };
+        fleet.at(timeout, [complete, done] { complete([done] { done(boost::leaf::new_error(FleetCallFailure{FleetCallFailure::Reason::Unreachable})); }); });
+        if (!fleet.isOpen(self, target)) {
+            return;
+        }
+        const std::uint64_t targetIncarnation = fleet.incarnationOf(target);
+        fleet.later([&fleet, self, target, targetIncarnation, request, handler, complete, done] {
+            fleet.deliver(target, targetIncarnation, [&fleet, self, target, request, handler, complete, done] {
+                const Reply reply = (fleet.handlersOf(target).*handler)(request);
+                if (fleet.isOpen(target, self)) {
+                    fleet.later([complete, done, reply] { complete([done, reply] { done(reply); }); });
                 }
-                done(std::move(reply));
-            },
-            &FleetHandlers::exchange);
+            });
+        });
     }
 
-    void fetchCatalogue(const std::string &address,
-        const FleetMessages::FetchCatalogueRequest &request,
-        std::chrono::milliseconds timeout,
-        Completion<FleetMessages::FetchCatalogueReply> done) override
+    void grantLeases(const std::string &address,
+        const FleetMessages::GrantLeasesRequest &request,
+        Milliseconds timeout,
+        Completion<FleetMessages::GrantLeasesReply> done) override
     {
-        this->network.call(this->endpoint, address, request, timeout, std::move(done), &FleetHandlers::fetchCatalogue);
+        this->call(address, request, timeout, std::move(done), &FleetHandlers::grantLeases);
     }
-
-    void announce(const std::string &address,
-        const FleetMessages::AnnounceRequest &request,
-        std::chrono::milliseconds timeout,
-        Completion<FleetMessages::AnnounceReply> done) override
+    void claim(
+        const std::string &address, const FleetMessages::ClaimRequest &request, Milliseconds timeout, Completion<FleetMessages::ClaimReply> done) override
     {
-        this->network.call(this->endpoint, address, request, timeout, std::move(done), &FleetHandlers::announce);
+        this->call(address, request, timeout, std::move(done), &FleetHandlers::claim);
     }
-
-    // The core makes no other calls.
-    void grantLeases(
-        const std::string &, const FleetMessages::GrantLeasesRequest &, std::chrono::milliseconds, Completion<FleetMessages::GrantLeasesReply>) override
+    void finishClaim(const std::string &address,
+        const FleetMessages::FinishClaimRequest &request,
+        Milliseconds timeout,
+        Completion<FleetMessages::FinishClaimReply> done) override
     {
+        this->call(address, request, timeout, std::move(done), &FleetHandlers::finishClaim);
     }
-    void claim(const std::string &, const FleetMessages::ClaimRequest &, std::chrono::milliseconds, Completion<FleetMessages::ClaimReply>) override
+    void recoverClaims(const std::string &address,
+        const FleetMessages::RecoverClaimsRequest &request,
+        Milliseconds timeout,
+        Completion<FleetMessages::RecoverClaimsReply> done) override
     {
+        this->call(address, request, timeout, std::move(done), &FleetHandlers::recoverClaims);
     }
-    void finishClaim(
-        const std::string &, const FleetMessages::FinishClaimRequest &, std::chrono::milliseconds, Completion<FleetMessages::FinishClaimReply>) override
+    void borrowTokens(const std::string &address,
+        const FleetMessages::BorrowTokensRequest &request,
+        Milliseconds timeout,
+        Completion<FleetMessages::BorrowTokensReply> done) override
     {
+        this->call(address, request, timeout, std::move(done), &FleetHandlers::borrowTokens);
     }
-    void recoverClaims(
-        const std::string &, const FleetMessages::RecoverClaimsRequest &, std::chrono::milliseconds, Completion<FleetMessages::RecoverClaimsReply>) override
+    void exchange(const std::string &, const FleetMessages::ExchangeMessage &, Milliseconds, Completion<FleetMessages::ExchangeMessage>) override
     {
     }
-    void borrowTokens(
-        const std::string &, const FleetMessages::BorrowTokensRequest &, std::chrono::milliseconds, Completion<FleetMessages::BorrowTokensReply>) override
+    void fetchCatalogue(
+        const std::string &, const FleetMessages::FetchCatalogueRequest &, Milliseconds, Completion<FleetMessages::FetchCatalogueReply>) override
     {
     }
     void reportOutcomes(
-        const std::string &, const FleetMessages::ReportOutcomesRequest &, std::chrono::milliseconds, Completion<FleetMessages::ReportOutcomesReply>) override
+        const std::string &, const FleetMessages::ReportOutcomesRequest &, Milliseconds, Completion<FleetMessages::ReportOutcomesReply>) override
     {
     }
-    void reportCrash(
-        const std::string &, const FleetMessages::ReportCrashRequest &, std::chrono::milliseconds, Completion<FleetMessages::ReportCrashReply>) override
+    void reportCrash(const std::string &, const FleetMessages::ReportCrashRequest &, Milliseconds, Completion<FleetMessages::ReportCrashReply>) override
     {
     }
-
-private:
-    void count(const FleetMessages::ExchangeMessage &message)
+    void announce(const std::string &, const FleetMessages::AnnounceRequest &, Milliseconds, Completion<FleetMessages::AnnounceReply>) override
     {
-        const std::uint64_t size = message.ByteSizeLong();
-        this->network.exchangedBytes += size;
-        this->network.largestExchange = std::max(this->network.largestExchange, size);
     }
 
-    SimulatedNetwork &network;
-    SimulatedNetwork::Endpoint *endpoint;
+private:
+    SimulatedFleet &fleet;
+    std::size_t self;
+    std::uint64_t incarnation;
 };
 
-} // namespace Hyssophall
+} // namespace Hyssophall::Tests
