Control: Compact earlier and sync the parent of a new data folder

A new folder is durable only once its parent is synced. An empty request removed no replica and was answered as accepted.

--- a/libraries/process/control/controlgroup.h
+++ b/libraries/process/control/controlgroup.h
@@ -45,8 +45,8 @@
         RandomSource random;
     };
 
-    /// Entries after which the log is replaced by a snapshot.
-    static constexpr std::uint64_t compactionInterval = 1000;
+    /// Entries after which the log is replaced by a snapshot. A restart applies up to so many again, and each copies a table of the catalogue.
+    static constexpr std::uint64_t compactionInterval = 200;
 
     /// Opens the data folder and starts the threads. @p catalogue is used by the applying thread alone. Errors: StorageFault.
     static boost::leaf::result<std::unique_ptr<ControlGroup>> create(const Settings &settings, CatalogueMachine &catalogue, Hooks hooks);
--- a/libraries/process/control/posixdisk.cpp
+++ b/libraries/process/control/posixdisk.cpp
@@ -136,6 +136,12 @@
 
 boost::leaf::result<void> PosixDisk::syncFolder()
 {
+    if (!this->parentSynced) {
+        // A new folder is durable only once its parent is synced too.
+        const std::string parent = std::filesystem::path(this->folder).parent_path().string();
+        BOOST_LEAF_CHECK(this->syncPath(parent.empty() ? "." : parent, O_RDONLY | O_DIRECTORY, parent));
+        this->parentSynced = true;
+    }
     return this->syncPath(this->folder, O_RDONLY | O_DIRECTORY, this->folder);
 }
 
--- a/libraries/process/control/posixdisk.h
+++ b/libraries/process/control/posixdisk.h
@@ -4,7 +4,7 @@
 
 namespace Hyssophall {
 
-/// The files of a folder. The folder is created on the first use.
+/// The files of a folder, which the constructor creates in an existing or new parent.
 class PosixDisk : public Disk
 {
 public:
@@ -25,6 +25,7 @@
     boost::leaf::result<void> syncPath(const std::string &target, int flags, const std::string &name);
 
     const std::string folder;
+    bool parentSynced = false;
 };
 
 } // namespace Hyssophall
--- a/libraries/process/control/raftleader.cpp
+++ b/libraries/process/control/raftleader.cpp
@@ -237,6 +237,9 @@
 
 RaftReplica::GroupChange RaftReplica::removeReplica(const std::string &replicaId)
 {
+    if (replicaId.empty()) {
+        return GroupChange::Invalid;
+    }
     if (this->isLeading() && ReplicaGroup::find(this->replicaLog.configuration(), replicaId) == nullptr) {
         return GroupChange::Unchanged;
     }
--- a/tests/unit/process/control/logstoragetest.cpp
+++ b/tests/unit/process/control/logstoragetest.cpp
@@ -6,6 +6,7 @@
 #include <catch2/catch.hpp>
 
 #include <filesystem>
+#include <unistd.h>
 
 using namespace Hyssophall;
 
@@ -72,7 +73,7 @@
 
 CATCH_TEST_CASE("Files on a real disk give back what was stored", "[control-log]")
 {
-    const std::string folder = (std::filesystem::temp_directory_path() / "hyssophall-logstorage-test").string();
+    const std::string folder = (std::filesystem::temp_directory_path() / ("hyssophall-logstorage-test-" + std::to_string(getpid()))).string();
     std::filesystem::remove_all(folder);
     PosixDisk disk(folder);
     {
