--- a/libraries/process/limits/borrowingratelimiter.cpp
+++ b/libraries/process/limits/borrowingratelimiter.cpp
@@ -3,14 +3,15 @@
 #include <xxhash.h>
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace Hyssophall {
 
 namespace {
 
-/// Between rounds in which idle tokens are returned.
-constexpr std::chrono::milliseconds idleRound{50};
+/// Between visits of all teams, which top up tokens ahead of callers and return idle ones.
+constexpr std::chrono::milliseconds scanInterval{50};
 
 } // namespace
 
@@ -63,7 +64,7 @@
         needsBorrower = tokens.shouldWake();
     }
     if (needsBorrower) {
-        this->wake();
+        this->wakeFor({team});
     }
     return taken;
 }
@@ -105,43 +106,88 @@
 SteadyTime BorrowingRateLimiter::step()
 {
     const SteadyTime now = this->context.clock();
-    SteadyTime next = now + std::chrono::seconds(1);
+    {
+        std::lock_guard<std::mutex> lock(this->wakeMutex);
+        for (const std::string &team : this->dueTeams) {
+            this->pending[team] = now;
+        }
+        this->dueTeams.clear();
+    }
     Batches batches;
-    for (Stripe &stripe : this->stripes) {
-        this->collect(stripe, now, next, batches);
+    // Only teams that need tokens are visited at once; visiting all of them each time would hold up their callers.
+    if (now >= this->nextScan) {
+        this->nextScan = now + scanInterval;
+        this->scan(now, batches);
+    } else {
+        this->visitPending(now, batches);
     }
-    for (const std::pair<const std::string, FleetMessages::BorrowTokensRequest> &batch : batches) {
-        this->send(batch.first, batch.second, now);
+    this->sendAll(batches, now);
+    SteadyTime next = this->nextScan;
+    for (const std::pair<const std::string, SteadyTime> &team : this->pending) {
+        next = std::min(next, team.second);
     }
-    return next;
+    return std::max(next, now + std::chrono::milliseconds(1));
 }
 
-void BorrowingRateLimiter::collect(Stripe &stripe, SteadyTime now, SteadyTime &next, Batches &batches)
+void BorrowingRateLimiter::scan(SteadyTime now, Batches &batches)
 {
-    std::lock_guard<std::mutex> lock(stripe.mutex);
-    for (auto current = stripe.teams.begin(); current != stripe.teams.end();) {
-        TeamTokens &tokens = *current->second;
-        if (tokens.isIdle(now)) {
-            current = stripe.teams.erase(current);
-            continue;
-        }
-        const std::string owner = this->owners(shardOf("team:" + current->first));
-        FleetMessages::BorrowTokensRequest &batch = batches[owner];
-        bool free = static_cast<std::size_t>(batch.demands_size()) < this->options.maximumDemandsPerCall;
-        {
-            std::lock_guard<std::mutex> ownerLock(this->ownerMutex);
-            free = free && !this->busyOwners.contains(owner);
+    this->pending.clear();
+    for (Stripe &stripe : this->stripes) {
+        std::lock_guard<std::mutex> lock(stripe.mutex);
+        for (auto current = stripe.teams.begin(); current != stripe.teams.end();) {
+            const std::optional<SteadyTime> again = this->visit(current->first, *current->second, now, batches);
+            if (again) {
+                this->pending[current->first] = *again;
+            }
+            current = current->second->isIdle(now) ? stripe.teams.erase(current) : std::next(current);
         }
-        const std::optional<TeamTokens::Ask> ask = free ? tokens.ask(now) : std::nullopt;
-        if (ask) {
-            FleetMessages::TokenDemand &demand = *batch.add_demands();
-            demand.set_team(current->first);
-            demand.set_wanted(ask->wanted);
-            demand.set_returned(ask->returned);
+    }
+}
+
+void BorrowingRateLimiter::visitPending(SteadyTime now, Batches &batches)
+{
+    for (auto current = this->pending.begin(); current != this->pending.end();) {
+        Stripe &stripe = this->stripeOf(current->first);
+        std::lock_guard<std::mutex> lock(stripe.mutex);
+        const auto found = stripe.teams.find(current->first);
+        const std::optional<SteadyTime> again = found == stripe.teams.end() ? std::nullopt : this->visit(found->first, *found->second, now, batches);
+        if (again) {
+            current->second = *again;
         }
-        // A free owner is asked at the team's time; a busy one wakes the borrower with its answer.
-        next = std::min(next, tokens.hasWaiters() && free && !ask ? std::max(tokens.nextAsk(), now + std::chrono::milliseconds(1)) : now + idleRound);
-        ++current;
+        current = again ? std::next(current) : this->pending.erase(current);
+    }
+}
+
+std::optional<SteadyTime> BorrowingRateLimiter::visit(const std::string &team, TeamTokens &tokens, SteadyTime now, Batches &batches)
+{
+    if (!tokens.isDue(now)) {
+        return tokens.hasWaiters() ? std::optional<SteadyTime>(tokens.nextAsk()) : std::nullopt;
+    }
+    const std::string owner = this->owners(shardOf("team:" + team));
+    FleetMessages::BorrowTokensRequest &batch = batches[owner];
+    bool busy = static_cast<std::size_t>(batch.demands_size()) >= this->options.maximumDemandsPerCall;
+    {
+        std::lock_guard<std::mutex> lock(this->ownerMutex);
+        busy = busy || this->busyOwners.contains(owner);
+    }
+    if (busy) {
+        // The answer of the owner wakes the borrower.
+        return now + scanInterval;
+    }
+    const std::optional<TeamTokens::Ask> ask = tokens.ask(now);
+    if (ask) {
+        FleetMessages::TokenDemand &demand = *batch.add_demands();
+        demand.set_team(team);
+        demand.set_wanted(ask->wanted);
+        demand.set_returned(ask->returned);
+    }
+    return std::nullopt;
+}
+
+void BorrowingRateLimiter::sendAll(const Batches &batches, SteadyTime asked)
+{
+    for (const std::pair<const std::string, FleetMessages::BorrowTokensRequest> &batch : batches) {
+        this->send(batch.first, batch.second, asked);
     }
 }
 
@@ -183,6 +229,7 @@
 void BorrowingRateLimiter::takeReply(
     const std::string &owner, const FleetMessages::BorrowTokensRequest &request, const FleetMessages::BorrowTokensReply *reply, SteadyTime asked)
 {
+    std::vector<std::string> waiting;
     const bool usable = reply != nullptr && reply->loans_size() == request.demands_size();
     for (int index = 0; index < request.demands_size(); ++index) {
         const std::string &team = request.demands(index).team();
@@ -195,25 +242,22 @@
         } else {
             tokens.takeFailure(now);
         }
+        if (tokens.hasWaiters()) {
+            waiting.push_back(team);
+        }
     }
     {
         std::lock_guard<std::mutex> lock(this->ownerMutex);
         this->busyOwners.erase(owner);
     }
-    this->wake();
+    this->wakeFor(waiting);
 }
 
 void BorrowingRateLimiter::returnAll()
 {
     Batches batches;
-    const SteadyTime now = this->context.clock() + this->options.tokens.idleTime;
-    SteadyTime next = now;
-    for (Stripe &stripe : this->stripes) {
-        this->collect(stripe, now, next, batches);
-    }
-    for (const std::pair<const std::string, FleetMessages::BorrowTokensRequest> &batch : batches) {
-        this->send(batch.first, batch.second, now);
-    }
+    this->scan(this->context.clock() + this->options.tokens.idleTime, batches);
+    this->sendAll(batches, this->context.clock());
 }
 
 void BorrowingRateLimiter::waitUntil(SteadyTime time)
@@ -223,6 +267,15 @@
     this->wanted = false;
 }
 
+void BorrowingRateLimiter::wakeFor(const std::vector<std::string> &teams)
+{
+    {
+        std::lock_guard<std::mutex> lock(this->wakeMutex);
+        this->dueTeams.insert(this->dueTeams.end(), teams.begin(), teams.end());
+    }
+    this->wake();
+}
+
 void BorrowingRateLimiter::wake()
 {
     {
--- a/libraries/process/limits/borrowingratelimiter.h
+++ b/libraries/process/limits/borrowingratelimiter.h
@@ -14,6 +14,7 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <set>
 #include <string>
 #include <string_view>
@@ -79,7 +80,11 @@
     BorrowingRateLimiter(FleetContext context, Options options, OwnerSource owners, LocalOwner localOwner);
     Stripe &stripeOf(std::string_view team);
     TeamTokens &tokensOf(Stripe &stripe, const std::string &team, SteadyTime now);
-    void collect(Stripe &stripe, SteadyTime now, SteadyTime &next, Batches &batches);
+    void scan(SteadyTime now, Batches &batches);
+    std::optional<SteadyTime> visit(const std::string &team, TeamTokens &tokens, SteadyTime now, Batches &batches);
+    void visitPending(SteadyTime now, Batches &batches);
+    void sendAll(const Batches &batches, SteadyTime asked);
+    void wakeFor(const std::vector<std::string> &teams);
     void send(const std::string &owner, const FleetMessages::BorrowTokensRequest &request, SteadyTime asked);
     void takeReply(
         const std::string &owner, const FleetMessages::BorrowTokensRequest &request, const FleetMessages::BorrowTokensReply *reply, SteadyTime asked);
@@ -94,6 +99,11 @@
     std::mutex wakeMutex;
     std::condition_variable wakeUp;
     bool wanted = false;
+    /// Teams that the borrower should visit at once.
+    std::vector<std::string> dueTeams;
+    /// Teams whose callers wait for a request that can't be sent yet, with the time of the next visit. Used by the borrower alone.
+    std::map<std::string, SteadyTime> pending;
+    SteadyTime nextScan;
     std::atomic<std::uint64_t> calls = 0;
 };
 
--- a/libraries/process/limits/teamtokens.cpp
+++ b/libraries/process/limits/teamtokens.cpp
@@ -86,31 +86,42 @@
 
 std::size_t TeamTokens::target() const
 {
-    // Rounded down: a team with less than one call in a batch borrows only for callers that wait, so that no token lies at a VM that doesn't need it.
-    return std::max(this->waiters.size(), static_cast<std::size_t>(this->demand));
+    // A team with few calls here borrows only for callers that wait, so that no token lies at a VM that doesn't need it.
+    return std::max(this->waiters.size(), static_cast<std::size_t>(this->demand + 0.5));
 }
 
-std::optional<TeamTokens::Ask> TeamTokens::ask(SteadyTime now)
+TeamTokens::Ask TeamTokens::plan(SteadyTime now) const
 {
-    this->updateDemand(now);
-    this->woken = false;
-    if (this->asking) {
-        return std::nullopt;
-    }
     Ask ask;
     const std::size_t target = this->target();
+    if (this->asking) {
+        return ask;
+    }
     if (this->waiters.empty() && now >= this->lastUse + this->options.idleTime) {
         ask.returned = static_cast<double>(this->tokens);
-        this->tokens = 0;
     } else if (this->tokens > 2 * target + 2) {
         ask.returned = static_cast<double>(this->tokens - target);
-        this->tokens = target;
     } else if ((!this->waiters.empty() || this->tokens < target / 2 + target % 2) && now >= this->earliestAsk) {
         ask.wanted = static_cast<double>(target - std::min(target, this->tokens));
     }
+    return ask;
+}
+
+bool TeamTokens::isDue(SteadyTime now)
+{
+    this->updateDemand(now);
+    this->woken = false;
+    const Ask ask = this->plan(now);
+    return ask.wanted > 0 || ask.returned > 0;
+}
+
+std::optional<TeamTokens::Ask> TeamTokens::ask(SteadyTime now)
+{
+    const Ask ask = this->plan(now);
     if (ask.returned == 0 && ask.wanted == 0) {
         return std::nullopt;
     }
+    this->tokens -= static_cast<std::size_t>(ask.returned);
     this->asking = true;
     return ask;
 }
--- a/libraries/process/limits/teamtokens.h
+++ b/libraries/process/limits/teamtokens.h
@@ -54,6 +54,9 @@
     /// True once when the borrower should look at the team before its next regular round.
     bool shouldWake();
 
+    /// Whether ask() has something to ask. Called in each visit of the borrower.
+    bool isDue(SteadyTime now);
+
     /// What to ask of the owner now, or nothing. Returned tokens are gone from here in any case.
     std::optional<Ask> ask(SteadyTime now);
 
@@ -71,6 +74,7 @@
     bool isIdle(SteadyTime now) const;
 
 private:
+    Ask plan(SteadyTime now) const;
     void serveWaiters();
     void updateDemand(SteadyTime now);
     std::size_t target() const;
