Quorum: Test forgotten votes where a single voter decides

Cause: With the voter's silence or the recovery of claims switched off, the existing tests still passed: a lone restart leaves quorums of six in nine meeting elsewhere.

Change: Add fleets of three VMs in which the restarted voter alone decides, and let rivals for a shard appear without a suspicion time.

Conclusion: The new tests fail with either rule switched off and pass with both.

--- a/tests/unit/process/fleet/claimtest.cpp
+++ b/tests/unit/process/fleet/claimtest.cpp
@@ -219,6 +219,23 @@
     CATCH_REQUIRE((*granted)->kind == ClaimResult::Kind::Granted);
 }
 
+CATCH_TEST_CASE("A key doesn't run again when its VM is lost and the only other voter restarts", "[claim][at-most-once]")
+{
+    SimulatedFleet fleet(3, 3, 55);
+    Requests requests(fleet);
+    fleet.runFor(Milliseconds(300));
+    // A quorum of VM 0 and VM 1 grants.
+    fleet.cut(0, 2, true);
+    requests.start(0, "k");
+    fleet.runFor(Milliseconds(200));
+    fleet.kill(0);
+    fleet.restart(1);
+    const std::shared_ptr<std::optional<ClaimResult>> resent = requests.start(2, "k");
+    fleet.runFor(Milliseconds(3000));
+    CATCH_REQUIRE((*resent)->kind == ClaimResult::Kind::Unavailable);
+    CATCH_REQUIRE(requests.runs["k"] == 1);
+}
+
 CATCH_TEST_CASE("A full store refuses new claims and forgets none", "[claim][at-most-once]")
 {
     ClaimStore::Options options;
--- a/tests/unit/process/fleet/leasetest.cpp
+++ b/tests/unit/process/fleet/leasetest.cpp
@@ -64,7 +64,9 @@
 CATCH_TEST_CASE("A shard never has two holders under cuts, stops, restarts and clocks of different rates", "[lease][fleet-limit][ejection-floor]")
 {
     for (const std::uint64_t seed : {1, 2, 3, 4}) {
-        SimulatedFleet fleet(seed % 2 == 0 ? 5 : 11, 3, seed);
+        SimulatedFleet fleet(seed == 1 ? 11 : 2 + seed, 3, seed);
+        // Rivals appear at once, so that only the leases keep them apart.
+        fleet.suspicion = Milliseconds(0);
         LeaseCheck check;
         for (int round = 0; round < 3000; ++round) {
             fleet.runFor(Milliseconds(20));
@@ -79,6 +81,27 @@
     }
 }
 
+CATCH_TEST_CASE("A voter that restarts doesn't help a second holder while the first holds by its forgotten vote", "[lease][fleet-limit]")
+{
+    for (const std::uint64_t seed : {61, 62, 63}) {
+        SimulatedFleet fleet(3, 3, seed);
+        fleet.suspicion = Milliseconds(0);
+        // VM 0 and VM 2 each see the other as dead, and VM 1 decides between them alone.
+        fleet.cut(0, 2, true);
+        fleet.cut(2, 0, true);
+        LeaseCheck check;
+        for (int round = 0; round < 800; ++round) {
+            fleet.runFor(Milliseconds(20));
+            check.check(fleet, false);
+            if (round % 200 == 150) {
+                fleet.restart(1);
+            }
+        }
+        CATCH_REQUIRE(check.twoHolders == 0);
+        CATCH_REQUIRE(check.held > 10000);
+    }
+}
+
 CATCH_TEST_CASE("Shards move to successors with greater epochs when VMs fail one after the other", "[lease][fleet-limit]")
 {
     SimulatedFleet fleet(9, 3, 7);
--- a/tests/unit/process/fleet/simulatedfleet.cpp
+++ b/tests/unit/process/fleet/simulatedfleet.cpp
@@ -190,7 +190,7 @@
             if (other == viewer || (this->isRunning(other) && this->isOpen(viewer, other) && this->isOpen(other, viewer))) {
                 view.lastSeen[other] = this->now;
             }
-            if (view.lastSeen.contains(other) && this->now - view.lastSeen[other] < std::chrono::seconds(3)) {
+            if (view.lastSeen.contains(other) && this->now - view.lastSeen[other] <= this->suspicion) {
                 view.live.insert(idOf(other));
             }
         }
--- a/tests/unit/process/fleet/simulatedfleet.h
+++ b/tests/unit/process/fleet/simulatedfleet.h
@@ -54,6 +54,8 @@
     FleetHandlers &handlersOf(std::size_t index);
     std::mt19937_64 &random();
     std::map<std::string, TeamLimit> teams;
+    /// How long a VM that isn't reached still counts as alive.
+    Milliseconds suspicion{3000};
 
 private:
     friend class SimulatedTransport;
