--- a/tools/harness/httprequest.cpp
+++ b/tools/harness/httprequest.cpp
@@ -67,4 +67,12 @@
     return answer;
 }
 
+HttpAnswer get(const std::string &url, const std::map<std::string, std::string> &headers)
+{
+    HttpRequest request;
+    request.url = url;
+    request.headers = headers;
+    return send(request);
+}
+
 } // namespace Hyssophall::Harness
--- a/tools/harness/httprequest.h
+++ b/tools/harness/httprequest.h
@@ -29,4 +29,6 @@
 /// Sends a request once. Never retries.
 HttpAnswer send(const HttpRequest &request);
 
+HttpAnswer get(const std::string &url, const std::map<std::string, std::string> &headers = {});
+
 } // namespace Hyssophall::Harness
--- a/tools/harness/testfleet.cpp
+++ b/tools/harness/testfleet.cpp
@@ -102,7 +102,7 @@
             return false;
         }
     }
-    const auto answers = [this](const Vm &vm) { return send({"GET", "http://" + vm.administrationAddress + "/healthz", {}, "", std::chrono::seconds(1)}).status == 200; };
+    const auto answers = [this](const Vm &vm) { return get("http://" + vm.administrationAddress + "/healthz").status == 200; };
     const bool allAnswer = waitUntil(startTimeout, [this, &answers] { return std::all_of(this->allVms.begin(), this->allVms.end(), answers); });
     if (!allAnswer || this->command({"control", "bootstrap"}).exitCode != 0) {
         return false;
@@ -110,8 +110,9 @@
     const auto isAny = [](const Vm &) { return true; };
     const std::string everyone = this->addressesOf(isAny, [](const Vm &vm) { return vm.administrationAddress; });
     const auto admits = [this, &everyone] { return this->command({"member", "admit", "--from=" + everyone}).exitCode == 0; };
-    const auto isReady = [](const Vm &vm) { return send({"GET", "http://" + vm.administrationAddress + "/ready", {}, "", std::chrono::seconds(1)}).status == 200; };
-    return waitUntil(startTimeout, admits) && waitUntil(startTimeout, [this, &isReady] { return std::all_of(this->allVms.begin(), this->allVms.end(), isReady); });
+    const auto isReady = [](const Vm &vm) { return get("http://" + vm.administrationAddress + "/ready").status == 200; };
+    return waitUntil(startTimeout, admits)
+        && waitUntil(startTimeout, [this, &isReady] { return std::all_of(this->allVms.begin(), this->allVms.end(), isReady); });
 }
 
 bool TestFleet::startVm(std::size_t index)
@@ -141,14 +142,13 @@
 
 bool TestFleet::putService(const std::string &name, unsigned int floorPerMille, unsigned int floorCount)
 {
-    return this
-               ->command({"change",
-                   "put-service",
-                   "name=" + name,
-                   "owner=tests",
-                   "announce_token=" + announceToken,
-                   "floor_per_mille=" + std::to_string(floorPerMille),
-                   "floor_count=" + std::to_string(floorCount)})
+    return this->command({"change",
+                             "put-service",
+                             "name=" + name,
+                             "owner=tests",
+                             "announce_token=" + announceToken,
+                             "floor_per_mille=" + std::to_string(floorPerMille),
+                             "floor_count=" + std::to_string(floorCount)})
                .exitCode
         == 0;
 }
@@ -156,19 +156,20 @@
 bool TestFleet::putRoute(const std::string &name, const std::string &prefix, const std::string &service, bool idempotent)
 {
     const std::string routeClass = idempotent ? "idempotent" : "non_idempotent";
-    return this->command({"change", "put-route", "name=" + name, "owner=tests", "path_prefix=" + prefix, "service=" + service, "route_class=" + routeClass}).exitCode == 0;
+    return this->command({"change", "put-route", "name=" + name, "owner=tests", "path_prefix=" + prefix, "service=" + service, "route_class=" + routeClass})
+               .exitCode
+        == 0;
 }
 
 bool TestFleet::putTeam(const std::string &name, double rate, double burst, double weight)
 {
-    return this
-               ->command({"change",
-                   "put-team",
-                   "name=" + name,
-                   "owner=tests",
-                   "rate=" + std::to_string(rate),
-                   "burst=" + std::to_string(burst),
-                   "weight=" + std::to_string(weight)})
+    return this->command({"change",
+                             "put-team",
+                             "name=" + name,
+                             "owner=tests",
+                             "rate=" + std::to_string(rate),
+                             "burst=" + std::to_string(burst),
+                             "weight=" + std::to_string(weight)})
                .exitCode
         == 0;
 }
@@ -214,20 +215,26 @@
 {
     return waitUntil(timeout, [this, &service, count] {
         return std::all_of(this->allVms.begin(), this->allVms.end(), [this, &service, count](const Vm &vm) {
-            const HttpAnswer answer = send({"GET", "http://" + vm.administrationAddress + "/v1/instances/" + service, {{"Authorization", "Bearer " + this->operatorKey}}});
+            const HttpAnswer answer
+                = get("http://" + vm.administrationAddress + "/v1/instances/" + service, {{"Authorization", "Bearer " + this->operatorKey}});
             const nlohmann::json body = nlohmann::json::parse(answer.body, nullptr, false);
             if (!body.is_object()) {
                 return false;
             }
             const nlohmann::json &instances = body.contains("instances") ? body["instances"] : body;
-            return static_cast<std::size_t>(std::count_if(instances.begin(), instances.end(), [](const nlohmann::json &instance) { return instance.dump().find("ready") != std::string::npos; }))
-                == count;
+            return static_cast<std::size_t>(std::count_if(instances.begin(), instances.end(), [](const nlohmann::json &instance) {
+                return instance.dump().find("ready") != std::string::npos;
+            })) == count;
         });
     });
 }
 
-HttpAnswer TestFleet::call(
-    std::size_t vm, const std::string &method, const std::string &path, const std::string &key, const std::string &body, const std::map<std::string, std::string> &headers)
+HttpAnswer TestFleet::call(std::size_t vm,
+    const std::string &method,
+    const std::string &path,
+    const std::string &key,
+    const std::string &body,
+    const std::map<std::string, std::string> &headers)
 {
     HttpRequest request;
     request.method = method;
@@ -242,12 +249,16 @@
 
 nlohmann::json TestFleet::record(const Upstream &upstream)
 {
-    return nlohmann::json::parse(send({"GET", "http://" + loopback + std::to_string(upstream.port) + "/_emulator/record"}).body, nullptr, false);
+    return nlohmann::json::parse(get("http://" + loopback + std::to_string(upstream.port) + "/_emulator/record").body, nullptr, false);
 }
 
 void TestFleet::setFaults(const Upstream &upstream, const nlohmann::json &faults)
 {
-    send({"PUT", "http://" + loopback + std::to_string(upstream.port) + "/_emulator/faults", {}, faults.dump()});
+    HttpRequest request;
+    request.method = "PUT";
+    request.url = "http://" + loopback + std::to_string(upstream.port) + "/_emulator/faults";
+    request.body = faults.dump();
+    send(request);
 }
 
 std::vector<TestFleet::Vm> &TestFleet::vms()
@@ -275,7 +286,8 @@
     const auto isControl = [](const Vm &candidate) { return candidate.isControl; };
     const std::string controlFleet = this->addressesOf(isControl, [](const Vm &candidate) { return candidate.fleetAddress; });
     std::ofstream file(vm.settingsFile);
-    file << "[vm]\nid = " << vm.id << "\nfailure_domain = domain-" << index % this->options.failureDomains << "\nrole = " << (vm.isControl ? "control" : "entry") << "\n";
+    file << "[vm]\nid = " << vm.id << "\nfailure_domain = domain-" << index % this->options.failureDomains
+         << "\nrole = " << (vm.isControl ? "control" : "entry") << "\n";
     if (vm.isControl) {
         std::filesystem::create_directory(vm.dataFolder);
         file << "data_folder = " << vm.dataFolder << "\n";
