Upstream emulator: Send the lease under its field's name

Cause: the announcement named its lease lease_ms, so every VM refused it. Change: lease_milliseconds.

--- a/tools/upstream/announcer.cpp
+++ b/tools/upstream/announcer.cpp
@@ -83,7 +83,7 @@
         {"slots", this->options.slots},
         {"connections", this->options.connections},
         {"state", leavingNow ? "leaving" : "ready"},
-        {"lease_ms", this->options.lease.count()},
+        {"lease_milliseconds", this->options.lease.count()},
     };
     const std::string body = announcement.dump();
     const std::string authorization = "Authorization: Bearer " + this->options.token;
