Demo: Count answers against the time that the load took

Cause: the load tool went on after its duration when answers were slow, so the demo compared 8 s of a team's rate with 3 s (169 answers, 67 allowed). Change: the load ends on time. Conclusion: the limit was right, the count was not.

--- a/tools/load/loadrun.cpp
+++ b/tools/load/loadrun.cpp
@@ -77,7 +77,9 @@
         const std::chrono::duration<double> offset(static_cast<double>(turn) / this->options.rate);
         due = start + std::chrono::duration_cast<std::chrono::steady_clock::duration>(offset);
     }
-    return due < start + this->options.duration;
+    // Slow answers make the connections lag behind the rate; the run still ends on time.
+    const SteadyTime end = start + this->options.duration;
+    return due < end && std::chrono::steady_clock::now() < end;
 }
 
 void LoadRun::sendUntilDone(int connection, SteadyTime start)
