--- a/libraries/process/fleet/membership.cpp
+++ b/libraries/process/fleet/membership.cpp
@@ -11,10 +11,10 @@
 
 namespace {
 
-/// Each message has the heartbeats of half of the members where they fit. A VM gets 16 messages a second, so the chance that
-/// none in the suspicion time has a given member is below 1 in 10^9.
+/// Each message has the heartbeats of a third of the members where they fit. A VM gets 16 messages a second, so the chance that
+/// none in 4 s, after which a member is dead, has a given member is below 1 in 10^11.
 constexpr std::size_t smallestRun = 32;
-constexpr std::size_t runDivisor = 2;
+constexpr std::size_t runDivisor = 3;
 /// Encoded size of an entry of HeartbeatDigest: heartbeat up to 3 in the first 6 days, tag 1, lag 1.
 constexpr std::size_t positionedBytes = 5;
 constexpr std::size_t hashBytes = 4;
@@ -177,7 +177,11 @@
     std::lock_guard<std::mutex> lock(this->mutex);
     this->mergeState(message.sender(), now);
     for (const FleetMessages::MemberState &state : message.members()) {
-        this->mergeState(state, now);
+        const KnownMembers::iterator found = this->known.find(state.id());
+        if (this->mergeState(state, now) && found != this->known.end()) {
+            // A peer that has this state already needs one send fewer.
+            ++found->second.stateSends;
+        }
     }
     if (message.roster_version() != this->version) {
         this->lastRosterDifference = now;
@@ -192,35 +196,42 @@
     }
 }
 
-void Membership::mergeState(const FleetMessages::MemberState &state, SteadyTime now)
+bool Membership::mergeState(const FleetMessages::MemberState &state, SteadyTime now)
 {
     if (this->isSelf(state.id())) {
         if (state.incarnation() != this->ownState.incarnation()) {
             this->continueAbove(state.heartbeat());
         }
-        return;
+        return false;
     }
     const KnownMembers::iterator found = this->known.find(state.id());
     if (found == this->known.end()) {
-        return;
+        return false;
     }
     Known &member = found->second;
+    const bool same = member.state.incarnation() == state.incarnation() && member.state.leaving() == state.leaving();
     const bool completes = member.state.incarnation() == 0 && member.incarnationTag == tagOf(state.incarnation());
-    if (state.heartbeat() <= member.state.heartbeat() && !completes) {
-        return;
-    }
-    if (state.heartbeat() > member.state.heartbeat()) {
+    const bool isFresher = state.heartbeat() > member.state.heartbeat();
+    if (isFresher) {
+        member.state = state;
         member.fresh = now;
+    } else if (completes) {
+        member.state.set_incarnation(state.incarnation());
+        member.state.set_leaving(state.leaving());
     }
-    if (member.state.incarnation() != state.incarnation() || member.state.leaving() != state.leaving()) {
-        member.stateSends = 0;
+    if (isFresher || completes) {
+        member.incarnationTag = tagOf(state.incarnation());
+        if (!same) {
+            this->passOnState(member);
+        }
     }
-    const std::uint64_t heartbeat = std::max(state.heartbeat(), member.state.heartbeat());
-    const std::uint64_t version = std::max(state.catalogue_version(), member.state.catalogue_version());
-    member.state = state;
-    member.state.set_heartbeat(heartbeat);
-    member.state.set_catalogue_version(completes ? version : state.catalogue_version());
-    member.incarnationTag = tagOf(state.incarnation());
+    return same;
+}
+
+void Membership::passOnState(Known &member)
+{
+    member.stateSends = 0;
+    this->changedStates.insert(member.state.id());
 }
 
 Membership::Known *Membership::memberOf(const FleetMessages::ExchangeMessage &message, int index)
@@ -277,11 +288,13 @@
 {
     std::lock_guard<std::mutex> lock(this->mutex);
     const unsigned repetition = repetitionFor(this->known.size());
+    std::erase_if(this->changedStates, [this, repetition](const std::string &id) {
+        const KnownMembers::const_iterator found = this->known.find(id);
+        return found == this->known.end() || found->second.state.incarnation() == 0 || found->second.stateSends >= repetition;
+    });
     std::vector<Known *> changed;
-    for (KnownMembers::value_type &entry : this->known) {
-        if (entry.second.state.incarnation() != 0 && entry.second.stateSends < repetition) {
-            changed.push_back(&entry.second);
-        }
+    for (const std::string &id : this->changedStates) {
+        changed.push_back(&this->known.find(id)->second);
     }
     std::stable_sort(changed.begin(), changed.end(), [](const Known *left, const Known *right) { return left->stateSends < right->stateSends; });
     std::size_t used = 0;
--- a/libraries/process/fleet/membership.h
+++ b/libraries/process/fleet/membership.h
@@ -9,6 +9,7 @@
 #include <map>
 #include <mutex>
 #include <optional>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -89,7 +90,9 @@
 
     Liveness livenessOf(const Known &member, SteadyTime now) const;
     bool isSelf(const std::string &id) const;
-    void mergeState(const FleetMessages::MemberState &state, SteadyTime now);
+    /// Returns whether the state was as known.
+    bool mergeState(const FleetMessages::MemberState &state, SteadyTime now);
+    void passOnState(Known &member);
     void mergeHeartbeats(const FleetMessages::ExchangeMessage &message, SteadyTime now);
     Known *memberOf(const FleetMessages::ExchangeMessage &message, int index);
     void mergeHeartbeat(Known &member, std::uint64_t heartbeat, std::uint8_t tag, std::uint64_t version, SteadyTime now);
@@ -104,6 +107,8 @@
     KnownMembers known;
     /// In the order of the roster.
     std::vector<Known *> ordered;
+    /// Members whose states are still passed on.
+    std::set<std::string, std::less<>> changedStates;
     /// When another roster version than this VM's was last in force somewhere.
     SteadyTime lastRosterDifference;
     /// Members by the hash that HeartbeatDigest uses; null where two members share a hash.
