Fleet: Order changed member states by their sends

Cause: after the start of 500 VMs at once, each message searched all member states that were still passed on, and each state was sent 36 times although heartbeats tell of new incarnations too.

Change: changed states are kept in the order of their sends; only those of leaving members are sent 4 log2(N) times, others log2(N) times.

--- a/libraries/process/fleet/membership.cpp
+++ b/libraries/process/fleet/membership.cpp
@@ -111,6 +111,7 @@
         next.emplace(member.id(), std::move(entry));
     }
     this->known = std::move(next);
+    std::erase_if(this->changedStates, [this](const std::pair<unsigned, std::string> &state) { return !this->known.contains(state.second); });
     this->byHash.clear();
     this->ordered.clear();
     for (KnownMembers::value_type &entry : this->known) {
@@ -180,7 +181,7 @@
         const KnownMembers::iterator found = this->known.find(state.id());
         if (this->mergeState(state, now) && found != this->known.end()) {
             // A peer that has this state already needs one send fewer.
-            ++found->second.stateSends;
+            this->countStateSend(found->second);
         }
     }
     if (message.roster_version() != this->version) {
@@ -230,8 +231,27 @@
 
 void Membership::passOnState(Known &member)
 {
+    this->changedStates.erase({member.stateSends, member.state.id()});
     member.stateSends = 0;
-    this->changedStates.insert(member.state.id());
+    this->changedStates.emplace(0, member.state.id());
+}
+
+unsigned Membership::stateRepetition(const Known &member) const
+{
+    // Heartbeats and round trips tell of a new incarnation too; only a leaving member is told by its state alone.
+    const unsigned repetition = repetitionFor(this->known.size());
+    return member.state.leaving() ? repetition : repetition / 4;
+}
+
+void Membership::countStateSend(Known &member)
+{
+    if (this->changedStates.erase({member.stateSends, member.state.id()}) == 0) {
+        return;
+    }
+    ++member.stateSends;
+    if (member.stateSends < this->stateRepetition(member)) {
+        this->changedStates.emplace(member.stateSends, member.state.id());
+    }
 }
 
 Membership::Known *Membership::memberOf(const FleetMessages::ExchangeMessage &message, int index)
@@ -287,25 +307,24 @@
 std::size_t Membership::addStates(FleetMessages::ExchangeMessage &message, std::size_t budget)
 {
     std::lock_guard<std::mutex> lock(this->mutex);
-    const unsigned repetition = repetitionFor(this->known.size());
-    std::erase_if(this->changedStates, [this, repetition](const std::string &id) {
-        const KnownMembers::const_iterator found = this->known.find(id);
-        return found == this->known.end() || found->second.state.incarnation() == 0 || found->second.stateSends >= repetition;
-    });
-    std::vector<Known *> changed;
-    for (const std::string &id : this->changedStates) {
-        changed.push_back(&this->known.find(id)->second);
-    }
-    std::stable_sort(changed.begin(), changed.end(), [](const Known *left, const Known *right) { return left->stateSends < right->stateSends; });
+    std::vector<Known *> added;
     std::size_t used = 0;
-    for (Known *member : changed) {
-        const std::size_t size = member->state.ByteSizeLong() + 2;
+    for (const auto &[sends, id] : this->changedStates) {
+        const KnownMembers::iterator found = this->known.find(id);
+        // A member that was restarted since has an unknown incarnation until its state comes.
+        if (found == this->known.end() || found->second.state.incarnation() == 0) {
+            continue;
+        }
+        const std::size_t size = found->second.state.ByteSizeLong() + 2;
         if (used + size > budget) {
             break;
         }
         used += size;
-        ++member->stateSends;
-        *message.add_members() = member->state;
+        added.push_back(&found->second);
+        *message.add_members() = found->second.state;
+    }
+    for (Known *member : added) {
+        this->countStateSend(*member);
     }
     return used;
 }
--- a/libraries/process/fleet/membership.h
+++ b/libraries/process/fleet/membership.h
@@ -12,6 +12,7 @@
 #include <set>
 #include <string>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 namespace Hyssophall {
@@ -93,6 +94,8 @@
     /// Returns whether the state was as known.
     bool mergeState(const FleetMessages::MemberState &state, SteadyTime now);
     void passOnState(Known &member);
+    void countStateSend(Known &member);
+    unsigned stateRepetition(const Known &member) const;
     void mergeHeartbeats(const FleetMessages::ExchangeMessage &message, SteadyTime now);
     Known *memberOf(const FleetMessages::ExchangeMessage &message, int index);
     void mergeHeartbeat(Known &member, std::uint64_t heartbeat, std::uint8_t tag, std::uint64_t version, SteadyTime now);
@@ -107,8 +110,8 @@
     KnownMembers known;
     /// In the order of the roster.
     std::vector<Known *> ordered;
-    /// Members whose states are still passed on.
-    std::set<std::string, std::less<>> changedStates;
+    /// Members whose states are still passed on, with the sends so far.
+    std::set<std::pair<unsigned, std::string>> changedStates;
     /// When another roster version than this VM's was last in force somewhere.
     SteadyTime lastRosterDifference;
     /// Members by the hash that HeartbeatDigest uses; null where two members share a hash.
