--- a/libraries/process/fleet/membership.cpp
+++ b/libraries/process/fleet/membership.cpp
@@ -11,10 +11,10 @@
 
 namespace {
 
-/// Each message has the heartbeats of half of the members where they fit. A VM gets 16 messages a second, so the chance that
-/// none in the suspicion time has a given member is below 1 in 10^9.
+/// Each message has the heartbeats of a third of the members where they fit. A VM gets 16 messages a second, so the chance that
+/// none in 4 s, after which a member is dead, has a given member is below 1 in 10^11.
 constexpr std::size_t smallestRun = 32;
-constexpr std::size_t runDivisor = 2;
+constexpr std::size_t runDivisor = 3;
 /// Encoded size of an entry of HeartbeatDigest: heartbeat up to 3 in the first 6 days, tag 1, lag 1.
 constexpr std::size_t positionedBytes = 5;
 constexpr std::size_t hashBytes = 4;
@@ -111,6 +111,7 @@
         next.emplace(member.id(), std::move(entry));
     }
     this->known = std::move(next);
+    std::erase_if(this->changedStates, [this](const std::pair<unsigned, std::string> &state) { return !this->known.contains(state.second); });
     this->byHash.clear();
     this->ordered.clear();
     for (KnownMembers::value_type &entry : this->known) {
@@ -177,7 +178,11 @@
     std::lock_guard<std::mutex> lock(this->mutex);
     this->mergeState(message.sender(), now);
     for (const FleetMessages::MemberState &state : message.members()) {
-        this->mergeState(state, now);
+        const KnownMembers::iterator found = this->known.find(state.id());
+        if (this->mergeState(state, now) && found != this->known.end()) {
+            // A peer that has this state already needs one send fewer.
+            this->countStateSend(found->second);
+        }
     }
     if (message.roster_version() != this->version) {
         this->lastRosterDifference = now;
@@ -192,35 +197,61 @@
     }
 }
 
-void Membership::mergeState(const FleetMessages::MemberState &state, SteadyTime now)
+bool Membership::mergeState(const FleetMessages::MemberState &state, SteadyTime now)
 {
     if (this->isSelf(state.id())) {
         if (state.incarnation() != this->ownState.incarnation()) {
             this->continueAbove(state.heartbeat());
         }
-        return;
+        return false;
     }
     const KnownMembers::iterator found = this->known.find(state.id());
     if (found == this->known.end()) {
-        return;
+        return false;
     }
     Known &member = found->second;
+    const bool same = member.state.incarnation() == state.incarnation() && member.state.leaving() == state.leaving();
     const bool completes = member.state.incarnation() == 0 && member.incarnationTag == tagOf(state.incarnation());
-    if (state.heartbeat() <= member.state.heartbeat() && !completes) {
-        return;
-    }
-    if (state.heartbeat() > member.state.heartbeat()) {
+    const bool isFresher = state.heartbeat() > member.state.heartbeat();
+    if (isFresher) {
+        member.state = state;
         member.fresh = now;
+    } else if (completes) {
+        member.state.set_incarnation(state.incarnation());
+        member.state.set_leaving(state.leaving());
     }
-    if (member.state.incarnation() != state.incarnation() || member.state.leaving() != state.leaving()) {
-        member.stateSends = 0;
+    if (isFresher || completes) {
+        member.incarnationTag = tagOf(state.incarnation());
+        if (!same) {
+            this->passOnState(member);
+        }
+    }
+    return same;
+}
+
+void Membership::passOnState(Known &member)
+{
+    this->changedStates.erase({member.stateSends, member.state.id()});
+    member.stateSends = 0;
+    this->changedStates.emplace(0, member.state.id());
+}
+
+unsigned Membership::stateRepetition(const Known &member) const
+{
+    // Heartbeats and round trips tell of a new incarnation too; only a leaving member is told by its state alone.
+    const unsigned repetition = repetitionFor(this->known.size());
+    return member.state.leaving() ? repetition : repetition / 4;
+}
+
+void Membership::countStateSend(Known &member)
+{
+    if (this->changedStates.erase({member.stateSends, member.state.id()}) == 0) {
+        return;
+    }
+    ++member.stateSends;
+    if (member.stateSends < this->stateRepetition(member)) {
+        this->changedStates.emplace(member.stateSends, member.state.id());
     }
-    const std::uint64_t heartbeat = std::max(state.heartbeat(), member.state.heartbeat());
-    const std::uint64_t version = std::max(state.catalogue_version(), member.state.catalogue_version());
-    member.state = state;
-    member.state.set_heartbeat(heartbeat);
-    member.state.set_catalogue_version(completes ? version : state.catalogue_version());
-    member.incarnationTag = tagOf(state.incarnation());
 }
 
 Membership::Known *Membership::memberOf(const FleetMessages::ExchangeMessage &message, int index)
@@ -276,23 +307,24 @@
 std::size_t Membership::addStates(FleetMessages::ExchangeMessage &message, std::size_t budget)
 {
     std::lock_guard<std::mutex> lock(this->mutex);
-    const unsigned repetition = repetitionFor(this->known.size());
-    std::vector<Known *> changed;
-    for (KnownMembers::value_type &entry : this->known) {
-        if (entry.second.state.incarnation() != 0 && entry.second.stateSends < repetition) {
-            changed.push_back(&entry.second);
-        }
-    }
-    std::stable_sort(changed.begin(), changed.end(), [](const Known *left, const Known *right) { return left->stateSends < right->stateSends; });
+    std::vector<Known *> added;
     std::size_t used = 0;
-    for (Known *member : changed) {
-        const std::size_t size = member->state.ByteSizeLong() + 2;
+    for (const auto &[sends, id] : this->changedStates) {
+        const KnownMembers::iterator found = this->known.find(id);
+        // A member that was restarted since has an unknown incarnation until its state comes.
+        if (found == this->known.end() || found->second.state.incarnation() == 0) {
+            continue;
+        }
+        const std::size_t size = found->second.state.ByteSizeLong() + 2;
         if (used + size > budget) {
             break;
         }
         used += size;
-        ++member->stateSends;
-        *message.add_members() = member->state;
+        added.push_back(&found->second);
+        *message.add_members() = found->second.state;
+    }
+    for (Known *member : added) {
+        this->countStateSend(*member);
     }
     return used;
 }
