--- a/bench/gossip/main.cpp
+++ b/bench/gossip/main.cpp
@@ -1,4 +1,4 @@
-#include "../../tests/unit/process/fleet/simulatedfleet.h"
+#include "../../tests/unit/process/fleet/simulatedgossip.h"
 
 #include <chrono>
 #include <cstdio>
