Poison: Stop a request that fells instances before it reaches a third

Cause: an idempotent request that crashed its instance was retried twice at once, and each VM that got a resend before the record arrived did the same. In the integration test one to five of five instances were lost.

Change: a lost connection is reported to the fingerprint's owner before the request is tried again (100 ms at most), a request that lost two connections isn't retried, and poison records, ejections, leaving instances and new catalogues start a round of gossip at once. Ruled out: no retry after a lost connection, which fails each read that was in flight when an instance was killed.

--- a/libraries/process/fleet/fleetnode.cpp
+++ b/libraries/process/fleet/fleetnode.cpp
@@ -45,6 +45,7 @@
               [this](Task task) { this->answers.tryPush(std::move(task)); },
               [this](Task task) { this->catalogues.tryPush(std::move(task)); }})
 {
+    this->addUrgentListeners();
 }
 
 FleetNode::~FleetNode()
@@ -80,6 +81,28 @@
     return this->core.publish(record);
 }
 
+void FleetNode::addUrgentListeners()
+{
+    RecordStore &store = this->core.records();
+    store.addPoisonListener([this](std::uint64_t, SteadyTime) { this->hurry(); });
+    store.addEjectionListener([this](const FleetMessages::Ejection &, SteadyTime) { this->hurry(); });
+    store.addInstanceListener([this](const FleetMessages::Instance &instance) {
+        if (instance.state() == FleetMessages::INSTANCE_STATE_LEAVING) {
+            this->hurry();
+        }
+    });
+}
+
+void FleetNode::hurry()
+{
+    const SteadyTime now = std::chrono::steady_clock::now();
+    SteadyTime last = this->lastHurry;
+    if (now - last < shortestInterval || !this->lastHurry.compare_exchange_strong(last, now)) {
+        return;
+    }
+    this->answers.tryPush([this] { this->core.gossipTick(); });
+}
+
 void FleetNode::start()
 {
     this->gossipThread = std::thread([this] { this->runGossip(); });
--- a/libraries/process/fleet/fleetnode.h
+++ b/libraries/process/fleet/fleetnode.h
@@ -42,6 +42,10 @@
 
     void start();
 
+    /// Starts a round of gossip at once, for news that shouldn't wait. Rounds asked for within 25 ms of each other are one.
+    /// New poison requests, ejections and leaving instances do so by themselves on each VM that they reach.
+    void hurry();
+
     /// Says to other members that this VM is leaving, and gives them time to pass it on. Blocks for two rounds of gossip.
     void leave();
 
@@ -49,16 +53,21 @@
     void stop();
 
 private:
+    /// Two exchanges each 25 ms at most, so that news of a busy fleet can't make gossip cost more than ten times its share.
+    static constexpr std::chrono::milliseconds shortestInterval{25};
+
     using Task = std::function<void()>;
     using Ring = BoundedRing<Task>;
 
     static void runTasks(Ring &ring, SteadyTime until);
+    void addUrgentListeners();
     void runGossip();
     void runRegistrar();
     void runCatalogue();
 
     const std::chrono::milliseconds gossipInterval;
     std::atomic<bool> stopping{false};
+    std::atomic<SteadyTime> lastHurry{SteadyTime()};
     /// Answers to exchanges, from the transport's threads to the gossip thread.
     Ring answers;
     /// Ticks of the registrar, from the gossip thread: without gossip, no lease may run out.
--- a/libraries/process/health/healthmonitor.h
+++ b/libraries/process/health/healthmonitor.h
@@ -24,7 +24,7 @@
         std::string failureDomain;
         SteadyClock clock;
         RandomSource random;
-        /// Tells the owner of a fingerprint that an instance was lost while it ran the request. Must not block.
+        /// Tells the owner of a fingerprint that an instance was lost while it ran the request, and waits shortly for its answer.
         std::function<void(std::uint64_t fingerprint, const std::string &instance)> reportCrash;
     };
 
--- a/libraries/process/health/healthnode.cpp
+++ b/libraries/process/health/healthnode.cpp
@@ -1,6 +1,8 @@
 #include "process/health/healthnode.h"
 
 #include <algorithm>
+#include <future>
+#include <memory>
 #include <utility>
 
 namespace Hyssophall {
@@ -10,6 +12,8 @@
 constexpr std::chrono::milliseconds tickInterval{250};
 constexpr std::chrono::milliseconds calmReportInterval{1000};
 constexpr std::chrono::milliseconds callTimeout{500};
+// The request that lost its connection waits for this call.
+constexpr std::chrono::milliseconds crashTimeout{100};
 // Reports a second that one arbiter takes. In a large fleet each VM reports more rarely, so that the arbiter's load stays bounded.
 constexpr double suspiciousReportsPerSecond = 200;
 constexpr double calmReportsPerSecond = 20;
@@ -109,12 +113,16 @@
         this->takeCrash(request);
         return;
     }
+    const std::shared_ptr<std::promise<void>> answered = std::make_shared<std::promise<void>>();
+    const std::future<void> answer = answered->get_future();
     this->transport.reportCrash(
-        this->members.addressOf(owner), request, callTimeout, [this, fingerprint](boost::leaf::result<FleetMessages::ReportCrashReply> reply) {
+        this->members.addressOf(owner), request, crashTimeout, [this, fingerprint, answered](boost::leaf::result<FleetMessages::ReportCrashReply> reply) {
             if (reply && reply->poison()) {
                 this->monitor.markPoison(fingerprint, CrashRegistry::memory);
             }
+            answered->set_value();
         });
+    answer.wait_for(crashTimeout);
 }
 
 std::string HealthNode::shardNameOf(std::uint64_t fingerprint)
--- a/libraries/process/health/healthnode.h
+++ b/libraries/process/health/healthnode.h
@@ -56,7 +56,7 @@
     FleetMessages::ReportOutcomesReply takeOutcomes(const FleetMessages::ReportOutcomesRequest &request);
     FleetMessages::ReportCrashReply takeCrash(const FleetMessages::ReportCrashRequest &request);
 
-    /// Sends a crash to the owner of the fingerprint; the hook of HealthMonitor::Options.
+    /// Sends a crash to the owner of the fingerprint and waits for its answer, 100 ms at most; the hook of HealthMonitor::Options.
     void reportCrash(std::uint64_t fingerprint, const std::string &instance);
 
 private:
--- a/libraries/process/health/instancehealth.h
+++ b/libraries/process/health/instancehealth.h
@@ -26,7 +26,7 @@
     Neutral,
 };
 
-/// Interface to the choice of instances and their judgement by outcomes. Thread-safe, non-blocking.
+/// Interface to the choice of instances and their judgement by outcomes. Thread-safe.
 class InstanceHealth
 {
 public:
@@ -35,7 +35,8 @@
     /// Chooses an instance for a try, avoiding those in @p tried; nothing when none is left. Counts it as in flight.
     virtual std::optional<hyssophall::fleet::v1::Instance> choose(const std::string &service, bool idempotent, const std::set<std::string> &tried) = 0;
 
-    /// Ends the try that choose() began. @p fingerprint is the request's.
+    /// Ends the try that choose() began. @p fingerprint is the request's. After a lost connection this waits for the owner of the fingerprint,
+    /// 100 ms at most, so that a poison request is known as such before it is tried again.
     virtual void finish(const hyssophall::fleet::v1::Instance &instance, TryOutcome outcome, std::chrono::microseconds latency, std::uint64_t fingerprint) = 0;
 
     /// True for a request that has felled instances; it must not be sent.
--- a/libraries/process/proxy/upstreamtries.cpp
+++ b/libraries/process/proxy/upstreamtries.cpp
@@ -10,6 +10,8 @@
 
 namespace {
 
+constexpr int lostConnectionsPerRequest = 2;
+
 HttpAnswer forwardedAnswer(const HttpAnswer &answer, const CallerRequest &request)
 {
     HttpAnswer forwarded = answer;
@@ -86,11 +88,19 @@
         refusal.outcome = sum.mayHaveRun ? RequestOutcome::Unknown : RequestOutcome::NotRun;
         sum.answer = refusalAnswer(refusal);
     }
+    state.lostConnections += verdict.outcome() == TryOutcome::ConnectionLost ? 1 : 0;
     const SteadyTime now = this->clock();
-    state.goesOn = verdict.mayRetry(context.isIdempotent(), state.retries) && now < context.deadline && this->budget.tryTake(now);
+    state.goesOn
+        = verdict.mayRetry(context.isIdempotent(), state.retries) && !this->mayBePoison(context, state) && now < context.deadline && this->budget.tryTake(now);
     ++state.retries;
 }
 
+bool UpstreamTries::mayBePoison(const RequestContext &context, const State &state) const
+{
+    // A request that lost two instances may have felled both; a third one isn't risked, whatever its route says.
+    return state.lostConnections >= lostConnectionsPerRequest || this->health.isPoison(context.fingerprint);
+}
+
 UpstreamCall UpstreamTries::createCall(
     const RequestContext &context, const hyssophall::fleet::v1::Instance &instance, const RequestRecord &record, const std::string &spanId, State &state) const
 {
--- a/libraries/process/proxy/upstreamtries.h
+++ b/libraries/process/proxy/upstreamtries.h
@@ -33,6 +33,8 @@
     struct State {
         std::set<std::string> tried;
         int retries = 0;
+        /// Tries whose connection was lost after sending.
+        int lostConnections = 0;
         TriesResult result;
         /// Why the last try was withheld.
         std::optional<Refusal> withheld;
@@ -42,6 +44,7 @@
 
     void tryOnce(const RequestContext &context, const hyssophall::fleet::v1::Instance &instance, RequestRecord &record, State &state);
     void judge(const RequestContext &context, const UpstreamResult &result, const TryVerdict &verdict, State &state);
+    bool mayBePoison(const RequestContext &context, const State &state) const;
     UpstreamCall createCall(const RequestContext &context,
         const hyssophall::fleet::v1::Instance &instance,
         const RequestRecord &record,
--- a/services/hyssophalld/fleetparts.cpp
+++ b/services/hyssophalld/fleetparts.cpp
@@ -95,6 +95,8 @@
     options.gossipInterval = this->settings.fleet.gossipInterval;
     this->fleet = std::make_unique<FleetNode>(options, *this->client, CatalogueSource::of(this->store));
     this->fleet->installHandlers(this->handlers);
+    // A withdrawn key should stop within a second, not after the next regular rounds.
+    this->store.addListener([this](const std::shared_ptr<const Catalogue> &) { this->fleet->hurry(); });
     this->settlement = RosterSettlement::create(this->store, this->fleet->members(), steadyNow, 2 * this->settings.fleet.servingLease);
 }
 
