Fleet: Use one credential class for all services

Cause: two classes of the name FleetCredential stood in the same namespace with different members, so the linker could pick one's destructor for the other. One of them also compared two empty hashes as equal when GnuTLS failed to hash.

An unsettled roster is answered as 503 roster_unsettled, not as unknown.

--- a/libraries/process/administration/answers.cpp
+++ b/libraries/process/administration/answers.cpp
@@ -57,6 +57,8 @@
     }
     case ControlMessages::ChangeOutcome::RESULT_INVALID:
         return invalidAnswer(InvalidChange{outcome.field(), outcome.expected()});
+    case ControlMessages::ChangeOutcome::RESULT_ROSTER_UNSETTLED:
+        return errorAnswer(503, "roster_unsettled", "the last change of the roster isn't in force on all VMs yet; repeat the change in a few seconds");
     default:
         return unavailableAnswer(ControlUnavailable{ControlUnavailable::Reason::Unknown});
     }
--- a/libraries/process/control/controlclient.cpp
+++ b/libraries/process/control/controlclient.cpp
@@ -1,7 +1,7 @@
 #include "process/control/controlclient.h"
 
 #include "control.grpc.pb.h"
-#include "process/control/fleetcredential.h"
+#include "process/fleet/fleetcredential.h"
 
 #include <algorithm>
 #include <grpcpp/grpcpp.h>
@@ -41,7 +41,7 @@
     void prepare(grpc::ClientContext &context, std::chrono::milliseconds timeout) const
     {
         context.set_deadline(std::chrono::system_clock::now() + timeout);
-        context.AddMetadata(FleetCredential::metadataKey, this->fleetSecret);
+        context.AddMetadata(FleetCredential::metadataName, this->fleetSecret);
     }
 
     grpc::Status send(grpc::ClientContext &context, const ControlMessages::VoteRequest &request, RaftReplica::Reply &reply)
--- a/libraries/process/control/controlservice.cpp
+++ b/libraries/process/control/controlservice.cpp
@@ -1,7 +1,7 @@
 #include "process/control/controlservice.h"
 
 #include "control.grpc.pb.h"
-#include "process/control/fleetcredential.h"
+#include "process/fleet/fleetcredential.h"
 
 #include <algorithm>
 #include <atomic>
@@ -79,8 +79,8 @@
 
     bool isAdmitted(const grpc::ServerContext &context) const
     {
-        const auto shown = context.client_metadata().find(FleetCredential::metadataKey);
-        return shown != context.client_metadata().end() && this->credential.admits(std::string_view(shown->second.data(), shown->second.size()));
+        const auto shown = context.client_metadata().find(FleetCredential::metadataName);
+        return shown != context.client_metadata().end() && this->credential.matches(std::string_view(shown->second.data(), shown->second.size()));
     }
 
     template<typename PeerRequest, typename PeerReply>
--- a/libraries/process/fleet/claimgroups.cpp
+++ b/libraries/process/fleet/claimgroups.cpp
@@ -1,6 +1,6 @@
 #include "process/fleet/claimgroups.h"
 
-#include <gnutls/crypto.h>
+#include "process/keyhash.h"
 
 namespace Hyssophall {
 
@@ -8,9 +8,7 @@
 {
     std::string text = std::to_string(team.size()) + ":";
     text.append(team).append(idempotencyKey);
-    std::string hash(32, '\0');
-    gnutls_hash_fast(GNUTLS_DIG_SHA256, text.data(), text.size(), hash.data());
-    return hash;
+    return hashBytes(hashKey(text));
 }
 
 std::uint32_t claimGroupOf(std::string_view keyHash)
--- a/libraries/process/fleet/fleetcredential.h
+++ b/libraries/process/fleet/fleetcredential.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include <array>
-#include <cstdint>
+#include "process/keyhash.h"
+
 #include <string>
 #include <string_view>
 
@@ -16,11 +16,12 @@
 
     explicit FleetCredential(std::string_view secret);
 
-    /// Compares in constant time; the hash hides the length of the secret too.
+    /// Compares in constant time; the hash hides the length of the secret too. An empty secret admits nobody.
     bool matches(std::string_view presented) const;
 
 private:
-    std::array<std::uint8_t, 32> hash;
+    KeyHash hash;
+    bool isEmpty;
 };
 
 } // namespace Hyssophall
