Daemon: Log fleet events and survive a corrupted control log

Cause: an operator couldn't see ejections, poison requests or instances in the logs, and a control VM with a corrupted log stopped serving callers although they don't depend on it.

--- a/services/hyssophalld/daemon.cpp
+++ b/services/hyssophalld/daemon.cpp
@@ -108,6 +108,7 @@
 
 void Daemon::addGauges()
 {
+    this->parts->addGauges(*this->metrics);
     this->metrics->addGauge(
         "hyssophall_upstream_pools", "Upstream instances with pooled connections.", [this] { return static_cast<double>(this->client->poolCount()); });
     this->metrics->addGauge("hyssophall_requests_in_flight", "Requests of callers in flight.", [this] {
--- a/services/hyssophalld/fleetparts.cpp
+++ b/services/hyssophalld/fleetparts.cpp
@@ -1,5 +1,7 @@
 #include "fleetparts.h"
 
+#include "eventlog.h"
+
 #include <boost/leaf/handle_errors.hpp>
 #include <glog/logging.h>
 
@@ -97,6 +99,7 @@
     this->fleet->installHandlers(this->handlers);
     // A withdrawn key should stop within a second, not after the next regular rounds.
     this->store.addListener([this](const std::shared_ptr<const Catalogue> &) { this->fleet->hurry(); });
+    logFleetEvents(this->store, this->fleet->records());
     this->settlement = RosterSettlement::create(this->store, this->fleet->members(), steadyNow, 2 * this->settings.fleet.servingLease);
 }
 
@@ -167,10 +170,23 @@
     ControlGroup::Hooks groupHooks;
     groupHooks.isRosterSettled = [this] { return this->settlement->isSettled(); };
     groupHooks.random = systemRandom;
-    BOOST_LEAF_AUTO(created, ControlGroup::create(this->settings, *this->machine, groupHooks));
-    this->group = created.get();
-    this->proposer = std::move(created);
-    return {};
+    return boost::leaf::try_handle_some(
+        [this, &groupHooks]() -> boost::leaf::result<void> {
+            BOOST_LEAF_AUTO(created, ControlGroup::create(this->settings, *this->machine, groupHooks));
+            this->group = created.get();
+            this->proposer = std::move(created);
+            return {};
+        },
+        [this](const StorageFault &fault) -> boost::leaf::result<void> {
+            if (fault.kind != StorageFault::Kind::Corrupted) {
+                return boost::leaf::new_error(fault);
+            }
+            // Callers don't depend on this replica, so the VM serves on; the replica stays out until an operator replaces it.
+            LOG(ERROR) << "The control log in " << this->settings.vm.dataFolder << " is corrupted at " << fault.file
+                       << "; this VM doesn't vote until its replica is replaced";
+            this->proposer = RemoteChangeProposer::create(this->settings);
+            return {};
+        });
 }
 
 boost::leaf::result<void> FleetParts::createServers()
@@ -288,6 +304,22 @@
     return {true, ""};
 }
 
+void FleetParts::addGauges(RequestMetrics &metrics)
+{
+    metrics.addGauge("hyssophall_serving_lease_held", "1 while this VM may serve requests that need a key.", [this] {
+        return this->quorums->servingLease().isHeld() ? 1.0 : 0.0;
+    });
+    metrics.addGauge("hyssophall_live_members", "Members of the roster that seem alive from this VM.", [this] {
+        return static_cast<double>(this->fleet->members().liveMembers().size());
+    });
+    metrics.addGauge("hyssophall_roster_members", "Members of the roster in force.", [this] {
+        return static_cast<double>(this->store.current()->roster().members().size());
+    });
+    metrics.addGauge("hyssophall_recovering_claim_groups", "Groups of idempotency keys that this VM doesn't vote on yet.", [this] {
+        return static_cast<double>(this->quorums->recoveringClaimGroups());
+    });
+}
+
 void FleetParts::leave()
 {
     this->quorums->stop();
--- a/services/hyssophalld/fleetparts.h
+++ b/services/hyssophalld/fleetparts.h
@@ -14,6 +14,7 @@
 #include "process/health/healthnode.h"
 #include "process/limits/faircapacity.h"
 #include "process/settings/settings.h"
+#include "process/telemetry/requestmetrics.h"
 #include "rostersettlement.h"
 
 #include <boost/leaf/result.hpp>
@@ -53,6 +54,9 @@
     /// What /ready reports.
     Administration::Readiness readiness();
 
+    /// Adds gauges of this VM's part in the fleet. The metrics must not be read after the parts are gone.
+    void addGauges(RequestMetrics &metrics);
+
     /// Returns tokens and leases and leaves gossip.
     void leave();
 
