Proxy: Answer reads when all idle connections went silent at once

Cause: with 4 VMs and 2 instances behind fault proxies whose open connections went silent, 58 of 320 reads were refused: each needed a retry at the same moment and the budget covers 3 and a tenth of the requests.

Change: a retry after a silent connection needs no budget, since the first time-out retires all idle connections to the instance, and it may go to the same instance over a new connection. The fault proxy no longer reads past its buffer when a limit is set below what a connection has moved, and resets connections at the answer.

--- a/libraries/process/proxy/upstreamtries.cpp
+++ b/libraries/process/proxy/upstreamtries.cpp
@@ -69,10 +69,10 @@
     tried.reusedConnection = result.reusedConnection;
     record.upstreamDuration += result.latency;
     record.tries.push_back(std::move(tried));
-    this->judge(context, result, verdict, state);
+    this->judge(context, record, result, verdict, state);
 }
 
-void UpstreamTries::judge(const RequestContext &context, const UpstreamResult &result, const TryVerdict &verdict, State &state)
+void UpstreamTries::judge(const RequestContext &context, const RequestRecord &record, const UpstreamResult &result, const TryVerdict &verdict, State &state)
 {
     TriesResult &sum = state.result;
     sum.mayHaveRun = sum.mayHaveRun || !verdict.isProvenNotRun();
@@ -87,7 +87,13 @@
         sum.answer = refusalAnswer(refusal);
     }
     const SteadyTime now = this->clock();
-    state.goesOn = verdict.mayRetry(context.isIdempotent(), state.retries) && now < context.deadline && this->budget.tryTake(now);
+    // All idle connections can go silent at once. The first time-out retires them all, so these retries are bounded by the
+    // size of the pools and need no budget, and a new connection to the same instance is as good as another instance.
+    const bool silent = result.failure && result.failure->silentConnection;
+    if (silent) {
+        state.tried.erase(record.tries.back().instance);
+    }
+    state.goesOn = verdict.mayRetry(context.isIdempotent(), state.retries) && now < context.deadline && (silent || this->budget.tryTake(now));
     ++state.retries;
 }
 
--- a/libraries/process/proxy/upstreamtries.h
+++ b/libraries/process/proxy/upstreamtries.h
@@ -41,7 +41,7 @@
     };
 
     void tryOnce(const RequestContext &context, const hyssophall::fleet::v1::Instance &instance, RequestRecord &record, State &state);
-    void judge(const RequestContext &context, const UpstreamResult &result, const TryVerdict &verdict, State &state);
+    void judge(const RequestContext &context, const RequestRecord &record, const UpstreamResult &result, const TryVerdict &verdict, State &state);
     UpstreamCall createCall(const RequestContext &context,
         const hyssophall::fleet::v1::Instance &instance,
         const RequestRecord &record,
--- a/tests/integration/requestpathtest.cpp
+++ b/tests/integration/requestpathtest.cpp
@@ -12,32 +12,6 @@
 using Harness::HttpAnswer;
 using Tests::FleetFixture;
 
-namespace {
-
-std::uint64_t totalRuns(FleetFixture &fixture, const std::string &service)
-{
-    std::uint64_t total = 0;
-    for (const std::unique_ptr<Harness::TestFleet::Upstream> &upstream : fixture.fleet.upstreams()) {
-        if (upstream->id.starts_with(service) && !upstream->process->waitForExit(0ms)) {
-            total += fixture.fleet.record(*upstream)["total"].get<std::uint64_t>();
-        }
-    }
-    return total;
-}
-
-std::uint64_t runsOf(FleetFixture &fixture, const std::string &runKey)
-{
-    std::uint64_t total = 0;
-    for (const std::unique_ptr<Harness::TestFleet::Upstream> &upstream : fixture.fleet.upstreams()) {
-        if (!upstream->process->waitForExit(0ms)) {
-            total += fixture.fleet.record(*upstream)["runs"].value(runKey, std::uint64_t{0});
-        }
-    }
-    return total;
-}
-
-} // namespace
-
 CATCH_TEST_CASE("A request travels from the caller over each VM to an announced upstream and back", "[integration][whole-path][key-isolation]")
 {
     FleetFixture fixture(2);
@@ -93,7 +67,7 @@
     CATCH_REQUIRE(fixture.fleet.waitInForce());
     // Tokens that were lent under the larger burst before.
     std::this_thread::sleep_for(2s);
-    const std::uint64_t before = totalRuns(fixture, "reads");
+    const std::uint64_t before = fixture.totalRuns("reads");
     std::atomic<bool> stop{false};
     std::atomic<int> served{0};
     std::atomic<int> untrue{0};
@@ -116,8 +90,8 @@
     }
     const double seconds = std::chrono::duration<double>(std::chrono::steady_clock::now() - begin).count();
     CATCH_INFO(served << " served in " << seconds << " s");
-    CATCH_REQUIRE(totalRuns(fixture, "reads") - before <= rate * seconds + burst);
-    CATCH_REQUIRE(static_cast<std::uint64_t>(served) == totalRuns(fixture, "reads") - before);
+    CATCH_REQUIRE(fixture.totalRuns("reads") - before <= rate * seconds + burst);
+    CATCH_REQUIRE(static_cast<std::uint64_t>(served) == fixture.totalRuns("reads") - before);
     CATCH_REQUIRE(untrue == 0);
     // A limit that gives away nothing would hold, too; at least nine tenths of the rate have to come.
     CATCH_REQUIRE(served >= 0.9 * rate * seconds);
@@ -148,7 +122,7 @@
         const HttpAnswer replayed = fixture.fleet.call(1, "POST", "/orders/new", fixture.redKey, "order " + std::to_string(order), {{"Idempotency-Key", name}});
         CATCH_INFO(name << ": " << replayed.status << " " << replayed.body);
         CATCH_REQUIRE(replayed.status == 200);
-        CATCH_REQUIRE(runsOf(fixture, name) == 1);
+        CATCH_REQUIRE(fixture.runsOf(name) == 1);
     }
     CATCH_REQUIRE(unexpected == 0);
     const HttpAnswer reused = fixture.fleet.call(0, "POST", "/orders/new", fixture.redKey, "another order", {{"Idempotency-Key", "same-0"}});
@@ -163,7 +137,7 @@
         fixture.fleet.setFaults(*upstream, {{"mode", "hang"}, {"delay_ms", 1500}});
     }
     std::thread caller([&] { fixture.fleet.call(4, "POST", "/orders/new", fixture.redKey, "one", {{"Idempotency-Key", "killed"}}); });
-    CATCH_REQUIRE(Harness::waitUntil(5s, [&] { return runsOf(fixture, "killed") == 1; }));
+    CATCH_REQUIRE(Harness::waitUntil(5s, [&] { return fixture.runsOf("killed") == 1; }));
     fixture.fleet.vms()[4].process->kill();
     caller.join();
     for (const std::unique_ptr<Harness::TestFleet::Upstream> &upstream : fixture.fleet.upstreams()) {
@@ -175,7 +149,7 @@
         CATCH_REQUIRE(resent.header("hyssophall-refusal") == "claim_in_progress");
         CATCH_REQUIRE(resent.header("hyssophall-outcome") == "unknown");
     }
-    CATCH_REQUIRE(runsOf(fixture, "killed") == 1);
+    CATCH_REQUIRE(fixture.runsOf("killed") == 1);
 }
 
 CATCH_TEST_CASE("A leaving upstream gets no new work after a few seconds", "[integration][leaving-upstream]")
@@ -209,7 +183,7 @@
             whole += fixture.fleet.call(4, caller % 2 == 0 ? "GET" : "POST", caller % 2 == 0 ? "/reads/a" : "/orders/a", fixture.redKey).status == 200 ? 1 : 0;
         });
     }
-    CATCH_REQUIRE(Harness::waitUntil(5s, [&] { return totalRuns(fixture, "reads") + totalRuns(fixture, "orders") >= 4 + 2; }));
+    CATCH_REQUIRE(Harness::waitUntil(5s, [&] { return fixture.totalRuns("reads") + fixture.totalRuns("orders") >= 4 + 2; }));
     Harness::TestFleet::Vm &vm = fixture.fleet.vms()[4];
     vm.process->terminate();
     CATCH_REQUIRE(Harness::waitUntil(2s, [&vm] { return Harness::get("http://" + vm.administrationAddress + "/ready").status == 503; }));
--- a/tools/faultproxy/faultproxy.cpp
+++ b/tools/faultproxy/faultproxy.cpp
@@ -165,7 +165,8 @@
             open = this->moveBytes(nearSocket, farSocket, 0, movedForward, current);
         }
         if (open && sockets[1].events != 0 && sockets[1].revents != 0) {
-            open = this->moveBytes(farSocket, nearSocket, current.truncateBackwardAfter, movedBackward, current);
+            link.reset = link.reset || current.resetOnAnswer;
+            open = !link.reset && this->moveBytes(farSocket, nearSocket, current.truncateBackwardAfter, movedBackward, current);
         }
         if (sockets[0].revents == 0 && sockets[1].revents == 0) {
             continue;
@@ -195,7 +196,8 @@
     std::size_t size = static_cast<std::size_t>(received);
     bool goesOn = true;
     if (limit > 0 && moved + size >= limit) {
-        size = static_cast<std::size_t>(limit - moved);
+        // A limit that is set on a connection in use may lie below what has passed already.
+        size = static_cast<std::size_t>(limit > moved ? limit - moved : 0);
         goesOn = false;
     }
     std::this_thread::sleep_for(current.delay);
--- a/tools/faultproxy/linkfaults.cpp
+++ b/tools/faultproxy/linkfaults.cpp
@@ -13,6 +13,7 @@
     {"freeze_open", &LinkFaults::freezeOpen},
     {"refuse_new", &LinkFaults::refuseNew},
     {"reset_open", &LinkFaults::resetOpen},
+    {"reset_on_answer", &LinkFaults::resetOnAnswer},
 };
 
 }
--- a/tools/faultproxy/linkfaults.h
+++ b/tools/faultproxy/linkfaults.h
@@ -21,6 +21,8 @@
     bool refuseNew = false;
     /// Open connections are reset, once.
     bool resetOpen = false;
+    /// The connection is reset when the target's answer arrives, so the request ran and its answer is lost.
+    bool resetOnAnswer = false;
     /// Bytes from the target after which a connection is closed; zero: never.
     std::uint64_t truncateBackwardAfter = 0;
     /// Added to each chunk of bytes, each way.
--- a/tools/harness/testfleet.cpp
+++ b/tools/harness/testfleet.cpp
@@ -140,6 +140,30 @@
     return *this->allUpstreams.back();
 }
 
+TestFleet::Upstream &TestFleet::startUpstreamBehindProxy(const std::string &service, const std::string &id, const std::vector<std::string> &extraArguments)
+{
+    const std::uint16_t proxyPort = findFreePort();
+    std::vector<std::string> arguments = {"--announced_port=" + std::to_string(proxyPort)};
+    arguments.insert(arguments.end(), extraArguments.begin(), extraArguments.end());
+    Upstream &upstream = this->startUpstream(service, id, arguments);
+    upstream.proxyControlPort = findFreePort();
+    upstream.proxy = startOrNull(this->programFile("hyssophall-faultproxy"),
+        {"--listen_port=" + std::to_string(proxyPort),
+            "--target_port=" + std::to_string(upstream.port),
+            "--control_port=" + std::to_string(upstream.proxyControlPort)},
+        this->workFolder + "/" + id + "-proxy.out");
+    return upstream;
+}
+
+bool TestFleet::setLinkFaults(const Upstream &upstream, const nlohmann::json &faults)
+{
+    HttpRequest request;
+    request.method = "PUT";
+    request.url = "http://" + loopback + std::to_string(upstream.proxyControlPort) + "/faults";
+    request.body = faults.dump();
+    return send(request).status == 200;
+}
+
 bool TestFleet::putService(const std::string &name, unsigned int floorPerMille, unsigned int floorCount)
 {
     return this->command({"change",
@@ -188,8 +212,17 @@
 TestFleet::CommandResult TestFleet::command(const std::vector<std::string> &arguments)
 {
     const auto isControl = [](const Vm &vm) { return vm.isControl; };
-    std::vector<std::string> all = {
-        "--address=" + this->addressesOf(isControl, [](const Vm &vm) { return vm.administrationAddress; }), "--operator_key_file=" + this->operatorKeyFile()};
+    return this->runCommand(this->addressesOf(isControl, [](const Vm &vm) { return vm.administrationAddress; }), arguments);
+}
+
+TestFleet::CommandResult TestFleet::commandTo(std::size_t vm, const std::vector<std::string> &arguments)
+{
+    return this->runCommand(this->allVms[vm].administrationAddress, arguments);
+}
+
+TestFleet::CommandResult TestFleet::runCommand(const std::string &addresses, const std::vector<std::string> &arguments)
+{
+    std::vector<std::string> all = {"--address=" + addresses, "--operator_key_file=" + this->operatorKeyFile()};
     all.insert(all.end(), arguments.begin(), arguments.end());
     const std::string output = this->workFolder + "/command-" + std::to_string(this->commandCount++) + ".out";
     const std::unique_ptr<ChildProcess> process = startOrNull(this->programFile("hyssophallctl"), all, output);
@@ -215,20 +248,21 @@
 {
     return waitUntil(timeout, [this, &service, count] {
         return std::all_of(this->allVms.begin(), this->allVms.end(), [this, &service, count](const Vm &vm) {
-            const HttpAnswer answer
-                = get("http://" + vm.administrationAddress + "/v1/instances/" + service, {{"Authorization", "Bearer " + this->operatorKey}});
-            const nlohmann::json body = nlohmann::json::parse(answer.body, nullptr, false);
-            if (!body.is_object()) {
-                return false;
-            }
-            const nlohmann::json &instances = body.contains("instances") ? body["instances"] : body;
-            return static_cast<std::size_t>(std::count_if(instances.begin(), instances.end(), [](const nlohmann::json &instance) {
+            const nlohmann::json known = this->instances(vm, service);
+            return static_cast<std::size_t>(std::count_if(known.begin(), known.end(), [](const nlohmann::json &instance) {
                 return instance.dump().find("ready") != std::string::npos;
             })) == count;
         });
     });
 }
 
+nlohmann::json TestFleet::instances(const Vm &vm, const std::string &service) const
+{
+    const HttpAnswer answer = get("http://" + vm.administrationAddress + "/v1/instances/" + service, {{"Authorization", "Bearer " + this->operatorKey}});
+    const nlohmann::json body = nlohmann::json::parse(answer.body, nullptr, false);
+    return body.is_object() && body.contains("instances") ? body["instances"] : nlohmann::json::array();
+}
+
 HttpAnswer TestFleet::call(std::size_t vm,
     const std::string &method,
     const std::string &path,
@@ -288,7 +322,7 @@
     std::ofstream file(vm.settingsFile);
     file << "[vm]\nid = " << vm.id << "\nfailure_domain = domain-" << index % this->options.failureDomains
          << "\nrole = " << (vm.isControl ? "control" : "entry") << "\n";
-    if (vm.isControl) {
+    if (vm.isControl || this->options.entryDataFolders) {
         std::filesystem::create_directory(vm.dataFolder);
         file << "data_folder = " << vm.dataFolder << "\n";
     }
--- a/tools/harness/testfleet.h
+++ b/tools/harness/testfleet.h
@@ -5,6 +5,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include <atomic>
 #include <chrono>
 #include <cstdint>
 #include <functional>
@@ -33,6 +34,8 @@
         /// Entry VMs beside the control VMs.
         int entryVms = 1;
         int failureDomains = 3;
+        /// Gives the entry VMs a data folder, too, in which they keep a copy of the catalogue.
+        bool entryDataFolders = false;
         /// Added to the settings of each daemon, as "[section]\nname = value\n".
         std::string extraSettings;
     };
@@ -53,6 +56,9 @@
         std::uint16_t port = 0;
         std::vector<std::string> arguments;
         std::unique_ptr<ChildProcess> process;
+        /// Control port of the fault proxy that the instance announces; zero without one.
+        std::uint16_t proxyControlPort = 0;
+        std::unique_ptr<ChildProcess> proxy;
     };
 
     /// Outcome of one hyssophallctl command.
@@ -73,6 +79,12 @@
     /// Starts an upstream of a service that announces itself to all VMs.
     Upstream &startUpstream(const std::string &service, const std::string &id, const std::vector<std::string> &extraArguments = {});
 
+    /// Starts an upstream whose announced port is that of a fault proxy. The emulator's own pages stay reachable directly.
+    Upstream &startUpstreamBehindProxy(const std::string &service, const std::string &id, const std::vector<std::string> &extraArguments = {});
+
+    /// Replaces the faults of an upstream's proxy, in the form of parseLinkFaults(). False when the proxy doesn't accept them.
+    bool setLinkFaults(const Upstream &upstream, const nlohmann::json &faults);
+
     /// Puts a service with its announcement token into the catalogue.
     bool putService(const std::string &name, unsigned int floorPerMille = 500, unsigned int floorCount = 1);
     bool putRoute(const std::string &name, const std::string &prefix, const std::string &service, bool idempotent);
@@ -82,10 +94,15 @@
 
     /// Runs hyssophallctl with the operator's key and the addresses of the control VMs.
     CommandResult command(const std::vector<std::string> &arguments);
+    /// As command(), with one VM's address alone.
+    CommandResult commandTo(std::size_t vm, const std::vector<std::string> &arguments);
 
     /// Waits until the version that control holds is in force on all VMs.
     bool waitInForce(std::chrono::milliseconds timeout = std::chrono::seconds(10));
 
+    /// The instances of a service as one VM knows them; empty when the VM doesn't answer.
+    nlohmann::json instances(const Vm &vm, const std::string &service) const;
+
     /// Waits until a VM knows this many ready instances of a service.
     bool waitInstances(const std::string &service, std::size_t count, std::chrono::milliseconds timeout = std::chrono::seconds(15));
 
@@ -107,6 +124,7 @@
 
 private:
     void writeSettings(Vm &vm, int index);
+    CommandResult runCommand(const std::string &addresses, const std::vector<std::string> &arguments);
     std::string addressesOf(const std::function<bool(const Vm &)> &include, const std::function<std::string(const Vm &)> &address) const;
     std::string programFile(const std::string &name) const;
 
@@ -115,7 +133,7 @@
     std::string operatorKey;
     std::vector<Vm> allVms;
     std::vector<std::unique_ptr<Upstream>> allUpstreams;
-    int commandCount = 0;
+    std::atomic<int> commandCount{0};
 };
 
 } // namespace Hyssophall::Harness
--- a/tools/upstream/main.cpp
+++ b/tools/upstream/main.cpp
@@ -21,7 +21,8 @@
 #include <random>
 
 ABSL_FLAG(std::string, host, "127.0.0.1", "IP number to listen on and to announce");
-ABSL_FLAG(std::uint16_t, port, 0, "port to listen on and to announce");
+ABSL_FLAG(std::uint16_t, port, 0, "port to listen on and, without --announced_port, to announce");
+ABSL_FLAG(std::uint16_t, announced_port, 0, "port to announce in place of the own one, as behind a proxy; 0: the own one");
 ABSL_FLAG(std::string, service, "", "service of the catalogue that this instance belongs to");
 ABSL_FLAG(std::string, id, "", "id of the instance");
 ABSL_FLAG(std::string, failure_domain, "", "failure domain of the instance");
@@ -63,7 +64,8 @@
     options.instanceId = absl::GetFlag(FLAGS_id);
     options.failureDomain = absl::GetFlag(FLAGS_failure_domain);
     options.host = absl::GetFlag(FLAGS_host);
-    options.port = absl::GetFlag(FLAGS_port);
+    const std::uint16_t announcedPort = absl::GetFlag(FLAGS_announced_port);
+    options.port = announcedPort == 0 ? absl::GetFlag(FLAGS_port) : announcedPort;
     options.slots = absl::GetFlag(FLAGS_slots);
     options.incarnation = static_cast<std::uint64_t>(absl::ToUnixMillis(absl::Now()));
     options.token = readToken(absl::GetFlag(FLAGS_announce_token_file));
