--- a/libraries/process/proxy/upstreamtries.cpp
+++ b/libraries/process/proxy/upstreamtries.cpp
@@ -71,10 +71,10 @@
     tried.reusedConnection = result.reusedConnection;
     record.upstreamDuration += result.latency;
     record.tries.push_back(std::move(tried));
-    this->judge(context, result, verdict, state);
+    this->judge(context, record, result, verdict, state);
 }
 
-void UpstreamTries::judge(const RequestContext &context, const UpstreamResult &result, const TryVerdict &verdict, State &state)
+void UpstreamTries::judge(const RequestContext &context, const RequestRecord &record, const UpstreamResult &result, const TryVerdict &verdict, State &state)
 {
     TriesResult &sum = state.result;
     sum.mayHaveRun = sum.mayHaveRun || !verdict.isProvenNotRun();
@@ -90,8 +90,14 @@
     }
     state.lostConnections += verdict.outcome() == TryOutcome::ConnectionLost ? 1 : 0;
     const SteadyTime now = this->clock();
-    state.goesOn
-        = verdict.mayRetry(context.isIdempotent(), state.retries) && !this->mayBePoison(context, state) && now < context.deadline && this->budget.tryTake(now);
+    // All idle connections can go silent at once. The first time-out retires them all, so these retries are bounded by the
+    // size of the pools and need no budget, and a new connection to the same instance is as good as another instance.
+    const bool silent = result.failure && result.failure->silentConnection;
+    if (silent) {
+        state.tried.erase(record.tries.back().instance);
+    }
+    const bool mayGoOn = verdict.mayRetry(context.isIdempotent(), state.retries) && !this->mayBePoison(context, state) && now < context.deadline;
+    state.goesOn = mayGoOn && (silent || this->budget.tryTake(now));
     ++state.retries;
 }
 
