--- a/bench/gossip/main.cpp
+++ b/bench/gossip/main.cpp
@@ -2,24 +2,59 @@
 
 #include <chrono>
 #include <cstdio>
+#include <cstdlib>
 #include <ctime>
+#include <vector>
 
 using namespace Hyssophall;
 
 namespace {
 
-constexpr std::chrono::seconds settling{20};
+/// At 1,024 nodes, the states of the start are on their way for about 50 s: each is sent to a dozen peers, 400 bytes a message.
+constexpr std::chrono::seconds settling{60};
 constexpr std::chrono::seconds measured{5};
 
 struct Cost {
     double bytes = 0;
+    double heartbeatBytes = 0;
+    double stateBytes = 0;
+    double recordBytes = 0;
+    double messages = 0;
     double processorMicroseconds = 0;
 };
 
+void addParts(Cost &cost, const FleetMessages::ExchangeMessage &message)
+{
+    cost.messages += 1;
+    cost.heartbeatBytes += static_cast<double>(message.heartbeats().ByteSizeLong());
+    for (const FleetMessages::MemberState &state : message.members()) {
+        cost.stateBytes += static_cast<double>(state.ByteSizeLong());
+    }
+    for (const FleetMessages::Record &record : message.records()) {
+        cost.recordBytes += static_cast<double>(record.ByteSizeLong());
+    }
+}
+
+void print(std::size_t count, const char *load, const Cost &cost)
+{
+    std::printf("%5zu nodes, %-12s %6.0f bytes/s (heartbeats %6.0f, states %5.0f, records %5.0f), %4.1f messages/s, %5.0f us CPU/s\n",
+        count,
+        load,
+        cost.bytes,
+        cost.heartbeatBytes,
+        cost.stateBytes,
+        cost.recordBytes,
+        cost.messages,
+        cost.processorMicroseconds);
+    std::fflush(stdout);
+}
+
 /// Sent and received bytes of exchanges and processor time, for each node and simulated second. Includes the cost of the simulation.
 Cost measure(SimulatedFleet &fleet, std::size_t count, const std::function<void()> &everySecond)
 {
     fleet.network.exchangedBytes = 0;
+    Cost cost;
+    fleet.network.observeExchange = [&cost](const FleetMessages::ExchangeMessage &message) { addParts(cost, message); };
     const std::clock_t begin = std::clock();
     for (std::chrono::seconds passed(0); passed < measured; ++passed) {
         everySecond();
@@ -27,7 +62,14 @@
     }
     const double seconds = static_cast<double>(std::clock() - begin) / CLOCKS_PER_SEC;
     const double share = static_cast<double>(count) * static_cast<double>(measured.count());
-    return {2 * static_cast<double>(fleet.network.exchangedBytes) / share, seconds * 1e6 / share};
+    fleet.network.observeExchange = nullptr;
+    cost.bytes = 2 * static_cast<double>(fleet.network.exchangedBytes) / share;
+    cost.processorMicroseconds = seconds * 1e6 / share;
+    for (double *part : {&cost.heartbeatBytes, &cost.stateBytes, &cost.recordBytes, &cost.messages}) {
+        // Each message is sent by one node and received by another.
+        *part *= 2 / share;
+    }
+    return cost;
 }
 
 /// One catalogue version and five transitions of instances a second, well above the target's daily change rates.
@@ -55,21 +97,21 @@
     const Cost rest = measure(fleet, count, [] {});
     std::uint64_t incarnation = 0;
     const Cost busy = measure(fleet, count, [&fleet, count, &incarnation] { change(fleet, count, incarnation); });
-    std::printf("%5zu nodes: at rest %6.0f bytes/s %5.0f us CPU/s; under change %6.0f bytes/s %5.0f us CPU/s\n",
-        count,
-        rest.bytes,
-        rest.processorMicroseconds,
-        busy.bytes,
-        busy.processorMicroseconds);
-    std::fflush(stdout);
+    print(count, "at rest:", rest);
+    print(count, "under change:", busy);
 }
 
 } // namespace
 
 /// Prints the cost of gossip for each node and second, sent and received together, without headers of gRPC.
-int main()
+/// The arguments are the numbers of nodes.
+int main(int argc, char **argv)
 {
-    for (const std::size_t count : {std::size_t(64), std::size_t(256), std::size_t(1024)}) {
+    std::vector<std::size_t> counts;
+    for (int index = 1; index < argc; ++index) {
+        counts.push_back(std::strtoul(argv[index], nullptr, 10));
+    }
+    for (const std::size_t count : counts.empty() ? std::vector<std::size_t>{64, 256, 1024} : counts) {
         run(count);
     }
     return 0;
--- a/libraries/process/fleet/fleetclient.cpp
+++ b/libraries/process/fleet/fleetclient.cpp
@@ -68,8 +68,9 @@
 public:
     using Stub = FleetMessages::Fleet::Stub;
 
-    explicit Implementation(std::string secret)
+    Implementation(std::string secret, std::shared_ptr<FleetTraffic> traffic)
         : secret(std::move(secret))
+        , traffic(std::move(traffic))
     {
     }
 
@@ -96,8 +97,10 @@
             call->done(failedResult<Reply>(grpc::Status(grpc::StatusCode::CANCELLED, "")));
             return;
         }
+        this->count<Request>(FleetTraffic::Direction::Sent, call->request);
         start(*call->stub, &call->context, &call->request, &call->reply, [this, call](const grpc::Status &status) {
             if (status.ok()) {
+                this->count<Request>(FleetTraffic::Direction::Received, call->reply);
                 call->done(std::move(call->reply));
             } else {
                 call->done(failedResult<Reply>(status));
@@ -116,6 +119,14 @@
         std::shared_ptr<Stub> stub;
     };
 
+    template<typename Request, typename Message>
+    void count(FleetTraffic::Direction direction, const Message &message)
+    {
+        if (this->traffic != nullptr) {
+            this->traffic->count(Request::descriptor()->name(), direction, message.ByteSizeLong());
+        }
+    }
+
     std::shared_ptr<Stub> begin(const std::string &address, grpc::ClientContext *context)
     {
         std::lock_guard<std::mutex> lock(this->mutex);
@@ -139,6 +150,7 @@
     }
 
     const std::string secret;
+    const std::shared_ptr<FleetTraffic> traffic;
     std::mutex mutex;
     std::condition_variable idle;
     bool stopping = false;
@@ -146,8 +158,8 @@
     std::set<grpc::ClientContext *> callsInFlight;
 };
 
-FleetClient::FleetClient(const std::string &secret)
-    : implementation(std::make_unique<Implementation>(secret))
+FleetClient::FleetClient(const std::string &secret, std::shared_ptr<FleetTraffic> traffic)
+    : implementation(std::make_unique<Implementation>(secret, std::move(traffic)))
 {
 }
 
--- a/libraries/process/fleet/fleetclient.h
+++ b/libraries/process/fleet/fleetclient.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "process/fleet/fleettraffic.h"
 #include "process/fleet/fleettransport.h"
 
 #include <memory>
@@ -17,8 +18,8 @@
 class FleetClient final : public FleetTransport
 {
 public:
-    /// @p secret is sent with each call.
-    explicit FleetClient(const std::string &secret);
+    /// @p secret is sent with each call. Messages are counted in @p traffic when it is set.
+    explicit FleetClient(const std::string &secret, std::shared_ptr<FleetTraffic> traffic = nullptr);
 
     /// Stops as stop() does.
     ~FleetClient() override;
--- a/libraries/process/fleet/fleetserver.h
+++ b/libraries/process/fleet/fleetserver.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "process/fleet/fleettraffic.h"
 #include "process/fleet/fleettransport.h"
 
 #include <boost/leaf/result.hpp>
@@ -29,6 +30,8 @@
         std::string secret;
         /// Served on the same port; each must check FleetCredential itself and live as long as the server.
         std::vector<grpc::Service *> otherServices;
+        /// Counts the messages of the fleet's calls when set; those of other services are not counted.
+        std::shared_ptr<FleetTraffic> traffic = nullptr;
     };
 
     /// Starts to serve. A hook that is not set answers "unimplemented". Errors: FleetPortUnavailable.
--- a/libraries/process/fleet/fleetservice.cpp
+++ b/libraries/process/fleet/fleetservice.cpp
@@ -20,9 +20,10 @@
 class FleetService final : public FleetMessages::Fleet::CallbackService
 {
 public:
-    FleetService(std::string_view secret, FleetHandlers handlers)
+    FleetService(std::string_view secret, FleetHandlers handlers, std::shared_ptr<FleetTraffic> traffic)
         : credential(secret)
         , handlers(std::move(handlers))
+        , traffic(std::move(traffic))
     {
     }
 
@@ -104,6 +105,11 @@
             reactor->Finish(grpc::Status(grpc::StatusCode::UNIMPLEMENTED, "not served by this VM"));
         } else {
             *reply = handler(request);
+            if (this->traffic != nullptr) {
+                const std::string &name = Request::descriptor()->name();
+                this->traffic->count(name, FleetTraffic::Direction::Received, request.ByteSizeLong());
+                this->traffic->count(name, FleetTraffic::Direction::Sent, reply->ByteSizeLong());
+            }
             reactor->Finish(grpc::Status::OK);
         }
         return reactor;
@@ -111,6 +117,7 @@
 
     const FleetCredential credential;
     const FleetHandlers handlers;
+    const std::shared_ptr<FleetTraffic> traffic;
 };
 
 } // namespace
@@ -119,7 +126,7 @@
 {
 public:
     Implementation(const Options &options, FleetHandlers handlers)
-        : service(options.secret, std::move(handlers))
+        : service(options.secret, std::move(handlers), options.traffic)
     {
         grpc::ServerBuilder builder;
         builder.AddListeningPort(options.address, grpc::InsecureServerCredentials(), &this->port);
--- a/services/hyssophalld/fleetparts.cpp
+++ b/services/hyssophalld/fleetparts.cpp
@@ -50,6 +50,7 @@
     , store(store)
     , hooks(std::move(hooks))
     , incarnation(systemRandom() | 1U)
+    , traffic(std::make_shared<FleetTraffic>())
 {
 }
 
@@ -69,7 +70,7 @@
     if (!this->settings.vm.dataFolder.empty()) {
         this->keeper = std::make_unique<CatalogueKeeper>(this->settings.vm.dataFolder, this->store, reportCopyFailure);
     }
-    this->client = std::make_unique<FleetClient>(this->settings.fleet.secret);
+    this->client = std::make_unique<FleetClient>(this->settings.fleet.secret, this->traffic);
     this->createMembership();
     this->createQuorums();
     this->createHealth();
@@ -176,6 +177,7 @@
     FleetServer::Options options;
     options.address = this->settings.listen.fleet.address();
     options.secret = this->settings.fleet.secret;
+    options.traffic = this->traffic;
     if (this->group != nullptr) {
         options.otherServices.push_back(&this->group->service());
     }
@@ -198,7 +200,7 @@
     result.members = &this->fleet->members();
     result.instances = &this->fleet->records();
     result.clock = steadyNow;
-    result.metricsText = this->hooks.metricsText;
+    result.metricsText = [this] { return this->hooks.metricsText() + this->traffic->text(); };
     result.readiness = [this] { return this->readiness(); };
     result.announce = [this](const FleetMessages::AnnounceRequest &request) { return this->fleet->announce(request, steadyNow() + announceTimeout); };
     result.bootstrap = [this](const ControlMessages::GroupConfiguration &configuration) { return this->bootstrap(configuration); };
--- a/services/hyssophalld/fleetparts.h
+++ b/services/hyssophalld/fleetparts.h
@@ -76,6 +76,7 @@
     const Hooks hooks;
     const std::uint64_t incarnation;
     std::unique_ptr<CatalogueKeeper> keeper;
+    const std::shared_ptr<FleetTraffic> traffic;
     std::unique_ptr<FleetClient> client;
     std::unique_ptr<FleetNode> fleet;
     std::shared_ptr<RosterSettlement> settlement;
--- a/tests/unit/process/fleet/simulatedgossiptransport.h
+++ b/tests/unit/process/fleet/simulatedgossiptransport.h
@@ -86,6 +86,9 @@
         const std::uint64_t size = message.ByteSizeLong();
         this->network.exchangedBytes += size;
         this->network.largestExchange = std::max(this->network.largestExchange, size);
+        if (this->network.observeExchange) {
+            this->network.observeExchange(message);
+        }
     }
 
     SimulatedNetwork &network;
--- a/tests/unit/process/fleet/simulatednetwork.h
+++ b/tests/unit/process/fleet/simulatednetwork.h
@@ -88,6 +88,8 @@
     /// Directions, from and to, in which all messages are lost.
     std::set<std::pair<std::string, std::string>> cuts;
     std::uint64_t exchangedBytes = 0;
+    /// Sees each exchange and each answer to one when set.
+    std::function<void(const FleetMessages::ExchangeMessage &)> observeExchange;
     std::uint64_t largestExchange = 0;
 
 private:
