Leases: Renew leases that are due soon together

A VM's shard leases were renewed each at a time of its own, so a voter of several got a call for each. Held leases that are due within an eighth of the lease's duration are now renewed with the one that is due; after a few rounds they keep one rhythm.

The gain shrinks as committees overlap less in larger fleets.

--- a/libraries/process/fleet/leaseholder.cpp
+++ b/libraries/process/fleet/leaseholder.cpp
@@ -39,6 +39,8 @@
 {
     this->rosterVersion = roster.version();
     Batches batches;
+    // Held leases that are due soon are renewed together with one that is due, so that a voter of several gets one call.
+    const SteadyTime renewalsUntil = this->isRenewalDue(now) ? now + this->options.duration / 8 : now;
     for (auto current = this->leases.begin(); current != this->leases.end();) {
         Lease &lease = current->second;
         if (lease.committee.members().empty() || lease.committeeRoster != roster.version()) {
@@ -46,6 +48,9 @@
             lease.committeeRoster = roster.version();
             this->countVotes(lease, now);
         }
+        if (lease.phase == Phase::Held && lease.nextSend <= renewalsUntil) {
+            lease.nextSend = std::min(lease.nextSend, now);
+        }
         this->advance(current->first, lease, now, batches);
         current = !lease.wanted && lease.phase == Phase::Idle ? this->leases.erase(current) : std::next(current);
     }
@@ -57,6 +62,13 @@
     return outgoing;
 }
 
+bool LeaseHolder::isRenewalDue(SteadyTime now) const
+{
+    return std::any_of(this->leases.begin(), this->leases.end(), [now](const std::pair<const std::string, Lease> &lease) {
+        return lease.second.phase == Phase::Held && lease.second.wanted && now >= lease.second.nextSend;
+    });
+}
+
 void LeaseHolder::advance(const std::string &name, Lease &lease, SteadyTime now, Batches &batches)
 {
     const bool attemptOver = (lease.phase == Phase::Asking || lease.phase == Phase::Confirming) && now >= lease.attemptStart + this->options.attemptLimit;
--- a/libraries/process/fleet/leaseholder.h
+++ b/libraries/process/fleet/leaseholder.h
@@ -82,6 +82,7 @@
     };
     using Batches = std::map<std::string, Outgoing>;
 
+    bool isRenewalDue(SteadyTime now) const;
     void advance(const std::string &name, Lease &lease, SteadyTime now, Batches &batches);
     void ask(const std::string &name, Lease &lease, SteadyTime now, Batches &batches);
     void giveUp(const std::string &name, Lease &lease, SteadyTime now, Batches &batches);
