Fleet: Shorten the time in which a shard has no owner

Change: a refused attempt ends as soon as no quorum can be reached, and a leaving VM gossips four rounds at once.

The unit tests [lease] and [fleet] pass.

--- a/libraries/process/fleet/fleetnode.cpp
+++ b/libraries/process/fleet/fleetnode.cpp
@@ -16,6 +16,8 @@
 constexpr std::size_t catalogueCapacity = 4;
 /// A thread looks this often whether it shall stop.
 constexpr std::chrono::milliseconds idleWait{100};
+/// Each round tells two members; eight hear it at once and pass it on.
+constexpr int leaveRounds = 4;
 
 RandomSource createRandomSource()
 {
@@ -90,6 +92,10 @@
 void FleetNode::leave()
 {
     this->core.leave();
+    // Shards and registrations have no owner until the others know, so the news doesn't wait for the next rounds.
+    for (int round = 0; round < leaveRounds; ++round) {
+        this->answers.tryPush([this] { this->core.gossipTick(); });
+    }
     std::this_thread::sleep_for(2 * this->gossipInterval);
 }
 
--- a/libraries/process/fleet/leaseholder.cpp
+++ b/libraries/process/fleet/leaseholder.cpp
@@ -72,6 +72,7 @@
         lease.epoch = 0;
         lease.attemptStart = now;
         lease.votes.clear();
+        lease.refusals.clear();
     }
     this->ask(name, lease, now, batches);
 }
@@ -127,7 +128,14 @@
         const FleetMessages::LeaseGrant &grant = reply.grants(index);
         const FleetMessages::LeaseRequest &request = asked.request.leases(index);
         const auto found = this->leases.find(request.name());
-        if (!grant.granted() || grant.name() != request.name() || found == this->leases.end()) {
+        if (grant.name() != request.name() || found == this->leases.end()) {
+            continue;
+        }
+        if (!grant.granted()) {
+            // The answer to a release grants nothing either and says nothing about an attempt that began with the same batch.
+            if (!request.release()) {
+                this->takeRefusal(found->second, asked);
+            }
             continue;
         }
         Lease &lease = found->second;
@@ -143,6 +151,18 @@
     }
 }
 
+void LeaseHolder::takeRefusal(Lease &lease, const Outgoing &asked)
+{
+    if (lease.phase != Phase::Asking || asked.sent < lease.attemptStart) {
+        return;
+    }
+    lease.refusals.insert(asked.voter.id());
+    // Waiting for the rest of the attempt would lengthen the time without holder when a lease changes hands.
+    if (lease.refusals.size() + lease.committee.quorum() > lease.committee.members().size()) {
+        lease.attemptStart -= this->options.attemptLimit;
+    }
+}
+
 void LeaseHolder::countVotes(Lease &lease, SteadyTime now)
 {
     std::vector<SteadyTime> sent;
--- a/libraries/process/fleet/leaseholder.h
+++ b/libraries/process/fleet/leaseholder.h
@@ -9,6 +9,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -79,6 +80,8 @@
         std::uint64_t committeeRoster = 0;
         Committee committee;
         std::map<std::string, Vote> votes;
+        /// Voters that refused the present attempt.
+        std::set<std::string> refusals;
     };
     using Batches = std::map<std::string, Outgoing>;
 
@@ -86,6 +89,8 @@
     void ask(const std::string &name, Lease &lease, SteadyTime now, Batches &batches);
     void giveUp(const std::string &name, Lease &lease, SteadyTime now, Batches &batches);
     void addRequest(const CatalogueMessages::Member &voter, const std::string &name, std::uint64_t epoch, bool release, SteadyTime now, Batches &batches);
+    /// Notes a refusal and ends an attempt that can't reach a quorum any more.
+    void takeRefusal(Lease &lease, const Outgoing &asked);
     void countVotes(Lease &lease, SteadyTime now);
     std::chrono::nanoseconds randomDelay(std::chrono::nanoseconds longest);
 
