--- a/tools/harness/testfleet.cpp
+++ b/tools/harness/testfleet.cpp
@@ -102,7 +102,7 @@
             return false;
         }
     }
-    const auto answers = [this](const Vm &vm) { return get("http://" + vm.administrationAddress + "/healthz").status == 200; };
+    const auto answers = [](const Vm &vm) { return get("http://" + vm.administrationAddress + "/healthz").status == 200; };
     const bool allAnswer = waitUntil(startTimeout, [this, &answers] { return std::all_of(this->allVms.begin(), this->allVms.end(), answers); });
     if (!allAnswer || this->command({"control", "bootstrap"}).exitCode != 0) {
         return false;
