Limits: Wait longer while no owner of a team's bucket answers

Cause: A caller gave up after 250 ms also when the owner hadn't said anything, and a call to an owner was given up after 100 ms, which lost loans that were already charged. Change: Callers wait up to 1 s (limits.owner_wait_ms) until an owner answers; an over-rate team is still refused after 250 ms. A call to an owner lasts at least as long as a limited caller waits.

--- a/bench/outcomes/main.cpp
+++ b/bench/outcomes/main.cpp
@@ -20,6 +20,7 @@
 ABSL_FLAG(int, vms, 44, "VMs of each side; 3 of the fleet's are control VMs");
 ABSL_FLAG(bool, quick, false, "a few faults only");
 ABSL_FLAG(std::string, json, "", "file for the measures as JSON; empty: standard output");
+ABSL_FLAG(std::string, trace, "", "file for one line for each request: side, second, team, service, VM, status, refusal, milliseconds; empty: none");
 
 namespace {
 
@@ -62,6 +63,16 @@
     }
 }
 
+void writeTrace(std::ostream &stream, const char *side, const Scenario &scenario, const std::vector<Sample> &samples)
+{
+    for (std::size_t index = 0; index < samples.size(); ++index) {
+        const Arrival &arrival = scenario.arrivals[index];
+        const Sample &sample = samples[index];
+        stream << side << " " << arrival.at << " " << arrival.team << " " << arrival.service << " " << sample.vm << " " << sample.status << " "
+               << (sample.refusal.empty() ? "-" : sample.refusal) << " " << sample.milliseconds << "\n";
+    }
+}
+
 void warmUp(FleetSide &side, const Scenario &scenario)
 {
     // Arbiters begin their lives with the first reports, which need requests of each service on many VMs.
@@ -98,6 +109,11 @@
     result["load_average_after"] = loadAverage();
     result["fleet"] = measure(scenario, fleetRun.traffic.samples(), fleetRun.driver.observations());
     result["baseline"] = measure(scenario, baselineRun.traffic.samples(), baselineRun.driver.observations());
+    if (!absl::GetFlag(FLAGS_trace).empty()) {
+        std::ofstream trace(absl::GetFlag(FLAGS_trace));
+        writeTrace(trace, "fleet", scenario, fleetRun.traffic.samples());
+        writeTrace(trace, "baseline", scenario, baselineRun.traffic.samples());
+    }
     std::cout << table(result["fleet"], result["baseline"]) << "seed " << result["seed"] << ", " << result["vms"] << " VMs a side, " << result["requests"]
               << " requests a side, load average " << loadBefore << " before and " << result["load_average_after"].get<std::string>() << " after\n";
     if (absl::GetFlag(FLAGS_json).empty()) {
--- a/bench/outcomes/traffic.cpp
+++ b/bench/outcomes/traffic.cpp
@@ -73,16 +73,17 @@
     const FaultWindow &window = this->scenario.windows[arrival.window];
     const ServicePlan &service = this->scenario.services[arrival.service];
     const bool uneven = window.kind == FaultKind::UnevenBalancer && arrival.at < window.clear;
+    Sample &sample = this->results[index];
+    sample.vm = this->side.chooseVm(arrival.balancerDraw, uneven);
     Harness::HttpRequest request;
     request.method = service.idempotent ? "GET" : "POST";
-    request.url = this->side.callerUrl(this->side.chooseVm(arrival.balancerDraw, uneven)) + "/" + service.name + "/entry";
+    request.url = this->side.callerUrl(sample.vm) + "/" + service.name + "/entry";
     request.headers = {{"Authorization", "Bearer " + this->keys[arrival.team]}, {"X-Request-Timeout-Ms", requestTimeout}};
     if (!service.idempotent) {
         request.headers["Idempotency-Key"] = "request-" + std::to_string(index);
         request.body = "amount=1";
     }
     const Harness::HttpAnswer answer = Harness::send(request);
-    Sample &sample = this->results[index];
     sample.status = answer.status;
     sample.refusal = answer.header("hyssophall-refusal");
     sample.milliseconds = std::chrono::duration<double, std::milli>(std::chrono::steady_clock::now() - due).count();
--- a/bench/outcomes/traffic.h
+++ b/bench/outcomes/traffic.h
@@ -18,6 +18,8 @@
     std::string refusal;
     /// Since the request was due, so that a slow fleet can't hide behind a late sender.
     double milliseconds = 0;
+    /// To which VM the balancer sent it.
+    std::size_t vm = 0;
 
     bool isAnswered() const;
     /// The upstream or the VM failed; a refusal before anything was sent isn't a failure.
--- a/libraries/process/limits/borrowingratelimiter.cpp
+++ b/libraries/process/limits/borrowingratelimiter.cpp
@@ -12,6 +12,7 @@
 
 /// Between visits of all teams, which top up tokens ahead of callers and return idle ones.
 constexpr std::chrono::milliseconds scanInterval{50};
+constexpr std::chrono::milliseconds silenceInterval{50};
 
 } // namespace
 
@@ -90,11 +91,23 @@
     {
         Stripe &stripe = this->stripeOf(team);
         std::unique_lock<std::mutex> lock(stripe.mutex);
-        waiter.changed.wait_until(lock, std::min(deadline, waiter.since + this->options.longestWait), [&waiter] { return waiter.granted; });
+        SteadyTime limit = waiter.since + this->options.longestWait;
+        waiter.changed.wait_until(lock, std::min(deadline, limit), [&waiter] { return waiter.granted; });
+        // A verdict that the team is over its rate doesn't notify the waiter, so it is looked for from time to time.
+        const SteadyTime end = std::min(deadline, waiter.since + this->options.longestSilence);
+        while (!waiter.granted && limit < end && this->isUnanswered(stripe, team, waiter)) {
+            limit += silenceInterval;
+            waiter.changed.wait_until(lock, std::min(end, limit), [&waiter] { return waiter.granted; });
+        }
     }
     return this->end(team, waiter);
 }
 
+bool BorrowingRateLimiter::isUnanswered(Stripe &stripe, const std::string &team, const TokenWaiter &waiter)
+{
+    return this->tokensOf(stripe, team, this->context.clock()).refusal(waiter).kind == RateDecision::Kind::Unavailable;
+}
+
 void BorrowingRateLimiter::giveBack(const std::string &team)
 {
     Stripe &stripe = this->stripeOf(team);
@@ -217,7 +230,7 @@
     const std::weak_ptr<BorrowingRateLimiter> weak = this->weak_from_this();
     this->context.transport->borrowTokens(member->fleet_address(),
         request,
-        this->options.callTimeout,
+        std::max(this->options.callTimeout, this->options.longestWait),
         [weak, owner, request, asked](const boost::leaf::result<FleetMessages::BorrowTokensReply> &reply) {
             const std::shared_ptr<BorrowingRateLimiter> limiter = weak.lock();
             if (limiter != nullptr) {
--- a/libraries/process/limits/borrowingratelimiter.h
+++ b/libraries/process/limits/borrowingratelimiter.h
@@ -34,8 +34,12 @@
 public:
     struct Options {
         TeamTokens::Options tokens;
-        /// Longest wait of a caller.
+        /// Longest wait of a caller whose team is over its rate.
         std::chrono::milliseconds longestWait{250};
+        /// Longest wait of a caller while no owner has answered: the team may well be inside its rate.
+        std::chrono::milliseconds longestSilence{1000};
+        /// Shortest time that an owner has to answer. It has at least as long as callers wait: a loan that comes after the time-out is lost,
+        /// although callers may still wait for it and the owner has charged it to the team.
         std::chrono::milliseconds callTimeout{100};
         std::size_t maximumDemandsPerCall = 1000;
     };
@@ -80,6 +84,8 @@
     BorrowingRateLimiter(FleetContext context, Options options, OwnerSource owners, LocalOwner localOwner);
     Stripe &stripeOf(std::string_view team);
     TeamTokens &tokensOf(Stripe &stripe, const std::string &team, SteadyTime now);
+    /// Whether no owner has answered since the waiter came. The stripe is locked.
+    bool isUnanswered(Stripe &stripe, const std::string &team, const TokenWaiter &waiter);
     void scan(SteadyTime now, Batches &batches);
     std::optional<SteadyTime> visit(const std::string &team, TeamTokens &tokens, SteadyTime now, Batches &batches);
     void visitPending(SteadyTime now, Batches &batches);
--- a/libraries/process/proxy/requestpath.cpp
+++ b/libraries/process/proxy/requestpath.cpp
@@ -92,7 +92,7 @@
     if (context.team == nullptr) {
         return nullptr;
     }
-    const SteadyTime deadline = std::min(this->parts.clock() + this->options.rateWait, context.deadline);
+    const SteadyTime deadline = std::min(this->parts.clock() + std::max(this->options.rateWait, this->options.ownerWait), context.deadline);
     const RateDecision decision = this->parts.rateLimiter.acquire(context.teamName(), deadline);
     switch (decision.kind) {
     case RateDecision::Kind::Granted:
--- a/libraries/process/proxy/requestpath.h
+++ b/libraries/process/proxy/requestpath.h
@@ -33,6 +33,8 @@
     struct Options {
         std::chrono::milliseconds defaultTimeout{10000};
         std::chrono::milliseconds rateWait{250};
+        /// How long a request waits for its team's rate while no owner of the team's bucket answers.
+        std::chrono::milliseconds ownerWait{1000};
         /// How long a claim may take; a quorum that is away for longer won't be back within the request's time.
         std::chrono::milliseconds claimWait{1000};
         /// Larger bodies aren't recorded with a claim.
--- a/libraries/process/settings/settingfields.cpp
+++ b/libraries/process/settings/settingfields.cpp
@@ -154,6 +154,7 @@
             countField<std::size_t>([](Settings &settings) -> std::size_t & { return settings.limits.maximumRequestBytes; }, 1, gibibyte, "bytes")},
         {"limits.maximum_answer_bytes",
             countField<std::size_t>([](Settings &settings) -> std::size_t & { return settings.limits.maximumAnswerBytes; }, 1, gibibyte, "bytes")},
+        {"limits.owner_wait_ms", millisecondsField([](Settings &settings) -> Milliseconds & { return settings.limits.ownerWait; }, 0, 60000)},
         {"limits.rate_wait_ms", millisecondsField([](Settings &settings) -> Milliseconds & { return settings.limits.rateWait; }, 0, 60000)},
         {"limits.default_timeout_ms", millisecondsField([](Settings &settings) -> Milliseconds & { return settings.limits.defaultTimeout; }, 1, 3600000)},
         {"claims.retention_s",
--- a/services/hyssophalld/daemon.cpp
+++ b/services/hyssophalld/daemon.cpp
@@ -30,6 +30,7 @@
     RequestPath::Options options;
     options.defaultTimeout = settings.limits.defaultTimeout;
     options.rateWait = settings.limits.rateWait;
+    options.ownerWait = settings.limits.ownerWait;
     options.maximumClaimBodyBytes = settings.claims.maximumBodyBytes;
     return options;
 }
--- a/tests/unit/process/limits/concurrentlimitertest.cpp
+++ b/tests/unit/process/limits/concurrentlimitertest.cpp
@@ -7,6 +7,43 @@
 
 using namespace Hyssophall;
 
+CATCH_TEST_CASE("A caller outlasts an owner that is silent for longer than a limited caller waits", "[fleet-limit]")
+{
+    // Guards against refusing requests inside a team's rate while the team's shard moves to another owner.
+    FleetContext context;
+    context.self = "a";
+    context.clock = [] { return std::chrono::steady_clock::now(); };
+    int asked = 0;
+    const auto owner = [&asked](const FleetMessages::BorrowTokensRequest &request) {
+        FleetMessages::BorrowTokensReply reply;
+        ++asked;
+        for (const FleetMessages::TokenDemand &demand : request.demands()) {
+            FleetMessages::TokenLoan &loan = *reply.add_loans();
+            loan.set_team(demand.team());
+            loan.set_owned(asked > 10);
+            loan.set_lent(asked > 10 ? demand.wanted() : 0);
+        }
+        return reply;
+    };
+    BorrowingRateLimiter::Options options;
+    options.longestWait = std::chrono::milliseconds(1);
+    options.longestSilence = std::chrono::minutes(1);
+    const std::shared_ptr<BorrowingRateLimiter> limiter = BorrowingRateLimiter::create(
+        context, options, [](std::uint32_t) { return "a"; }, owner);
+    std::atomic<bool> ended = false;
+    std::thread borrower([&] {
+        while (!ended) {
+            limiter->waitUntil(limiter->step());
+        }
+    });
+    const RateDecision decision = limiter->acquire("red", std::chrono::steady_clock::now() + std::chrono::minutes(1));
+    ended = true;
+    limiter->wake();
+    borrower.join();
+    CATCH_REQUIRE(decision.kind == RateDecision::Kind::Granted);
+    CATCH_REQUIRE(asked == 11);
+}
+
 CATCH_TEST_CASE("Callers on many threads get exactly the tokens that were lent", "[fleet-limit]")
 {
     FleetContext context;
