Committee: Follow roster changes without choosing all committees

Each VM chose the committees of all 1,024 claim groups at each change of the roster, under the lock of its claims, with a sort of the whole roster for each, and chose the candidates of all shards from all members whenever one came or went.

A committee now comes from a heap, so only the heaviest members are ordered; failure domains are counted once by the roster. Which groups a VM is in is found before the lock is taken, after most groups are excluded by the weights inside of its own domain (Committee::mayInclude).

A differential test compares committees with the definition.

--- a/libraries/process/fleet/claimgroups.cpp
+++ b/libraries/process/fleet/claimgroups.cpp
@@ -2,6 +2,8 @@
 
 #include <gnutls/crypto.h>
 
+#include <utility>
+
 namespace Hyssophall {
 
 std::string claimKeyHash(std::string_view team, std::string_view idempotencyKey)
@@ -39,4 +41,26 @@
     return committee;
 }
 
+std::shared_ptr<const std::set<std::uint32_t>> ClaimGroups::groupsWith(const Roster &roster, const std::string &member)
+{
+    std::lock_guard<std::mutex> lock(this->presenceMutex);
+    const bool isKnown = this->presence != nullptr && this->presenceOf == member && this->presenceVersion == roster.version()
+        && this->presenceRosterSize == roster.members().size();
+    if (isKnown) {
+        return this->presence;
+    }
+    std::set<std::uint32_t> groups;
+    const CatalogueMessages::Member *entry = roster.find(member);
+    for (std::uint32_t group = 0; entry != nullptr && group < claimGroupCount; ++group) {
+        if (Committee::mayInclude(roster, "claims:" + std::to_string(group), *entry) && this->committeeOf(roster, group)->contains(member)) {
+            groups.insert(group);
+        }
+    }
+    this->presence = std::make_shared<const std::set<std::uint32_t>>(std::move(groups));
+    this->presenceOf = member;
+    this->presenceVersion = roster.version();
+    this->presenceRosterSize = roster.members().size();
+    return this->presence;
+}
+
 } // namespace Hyssophall
--- a/libraries/process/fleet/claimmember.cpp
+++ b/libraries/process/fleet/claimmember.cpp
@@ -30,9 +30,10 @@
 FleetMessages::ClaimReply ClaimMember::claim(const FleetMessages::ClaimRequest &request)
 {
     const std::shared_ptr<const Roster> roster = this->context.roster();
+    const std::shared_ptr<const std::set<std::uint32_t>> present = this->groups->groupsWith(*roster, this->context.self);
     std::lock_guard<std::mutex> lock(this->mutex);
     const SteadyTime now = this->context.clock();
-    this->followRoster(*roster, now);
+    this->followRoster(*roster, *present, now);
     return this->store.claim(request, roster->version(), now);
 }
 
@@ -46,9 +47,10 @@
 FleetMessages::RecoverClaimsReply ClaimMember::recoverClaims(const FleetMessages::RecoverClaimsRequest &request)
 {
     const std::shared_ptr<const Roster> roster = this->context.roster();
+    const std::shared_ptr<const std::set<std::uint32_t>> present = this->groups->groupsWith(*roster, this->context.self);
     std::lock_guard<std::mutex> lock(this->mutex);
     const SteadyTime now = this->context.clock();
-    this->followRoster(*roster, now);
+    this->followRoster(*roster, *present, now);
     const std::string &member = request.member();
     FleetMessages::RecoverClaimsReply reply = this->store.page(
         request, [this, &roster, &member](std::uint32_t group) { return this->groups->committeeOf(*roster, group)->contains(member); }, now);
@@ -59,11 +61,12 @@
 void ClaimMember::step()
 {
     const std::shared_ptr<const Roster> roster = this->context.roster();
+    const std::shared_ptr<const std::set<std::uint32_t>> present = this->groups->groupsWith(*roster, this->context.self);
     std::vector<CatalogueMessages::Member> due;
     {
         std::lock_guard<std::mutex> lock(this->mutex);
         const SteadyTime now = this->context.clock();
-        this->followRoster(*roster, now);
+        this->followRoster(*roster, *present, now);
         this->finishGroups(*roster, now);
         this->startPasses(*roster, now);
         for (std::pair<const std::string, Pass> &pass : this->passes) {
@@ -79,17 +82,11 @@
     }
 }
 
-void ClaimMember::followRoster(const Roster &roster, SteadyTime now)
+void ClaimMember::followRoster(const Roster &roster, const std::set<std::uint32_t> &present, SteadyTime now)
 {
     if (roster.find(this->context.self) == nullptr || (this->started && roster.version() == this->rosterVersion)) {
         return;
     }
-    std::set<std::uint32_t> present;
-    for (std::uint32_t group = 0; group < claimGroupCount; ++group) {
-        if (this->groups->committeeOf(roster, group)->contains(this->context.self)) {
-            present.insert(group);
-        }
-    }
     const bool fresh = !this->started && isAdmittedIncarnation(roster, this->context.self, this->context.incarnation);
     if (fresh) {
         this->memoryComplete = true;
@@ -99,7 +96,7 @@
             this->missing.try_emplace(group, Missing{now, {}});
         }
     }
-    this->memberOf = std::move(present);
+    this->memberOf = present;
     this->rosterVersion = roster.version();
     this->started = true;
     this->publishRecovering();
--- a/libraries/process/fleet/claimmember.h
+++ b/libraries/process/fleet/claimmember.h
@@ -49,7 +49,8 @@
     };
 
     ClaimMember(FleetContext context, ClaimStore::Options options, std::shared_ptr<ClaimGroups> groups);
-    void followRoster(const Roster &roster, SteadyTime now);
+    /// @p present has the groups of this VM in @p roster, found before the lock is taken.
+    void followRoster(const Roster &roster, const std::set<std::uint32_t> &present, SteadyTime now);
     void finishGroups(const Roster &roster, SteadyTime now);
     void startPasses(const Roster &roster, SteadyTime now);
     void askPage(const CatalogueMessages::Member &source);
--- a/libraries/process/fleet/quorumshardleases.cpp
+++ b/libraries/process/fleet/quorumshardleases.cpp
@@ -4,6 +4,8 @@
 
 #include <xxhash.h>
 
+#include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace Hyssophall {
@@ -15,6 +17,17 @@
     return "shard:" + std::to_string(shard);
 }
 
+/// Members that come and go are noticed after seconds; looking more often than this costs a copy of the list of all members each time.
+constexpr std::chrono::milliseconds candidatesInterval{100};
+
+/// Of two sorted lists, what the second doesn't have.
+std::vector<std::string> without(const std::vector<std::string> &list, const std::vector<std::string> &removed)
+{
+    std::vector<std::string> result;
+    std::set_difference(list.begin(), list.end(), removed.begin(), removed.end(), std::back_inserter(result));
+    return result;
+}
+
 } // namespace
 
 std::uint32_t shardOf(std::string_view name)
@@ -43,13 +56,33 @@
 
 void QuorumShardLeases::updateCandidates()
 {
+    const SteadyTime now = this->context.clock();
+    {
+        std::lock_guard<std::mutex> lock(this->mutex);
+        if (this->candidatesChecked != SteadyTime() && now - this->candidatesChecked < candidatesInterval) {
+            return;
+        }
+        this->candidatesChecked = now;
+    }
     std::vector<std::string> live = this->members.liveMembers();
+    std::sort(live.begin(), live.end());
     std::lock_guard<std::mutex> lock(this->mutex);
     if (live == this->candidatesFrom) {
         return;
     }
+    const std::vector<std::string> gone = without(this->candidatesFrom, live);
+    const std::vector<std::string> arrived = without(live, this->candidatesFrom);
     for (std::uint32_t shard = 0; shard < shardCount; ++shard) {
-        this->candidates[shard] = rendezvousWinner(leaseName(shard), live);
+        std::string &candidate = this->candidates[shard];
+        const std::string name = leaseName(shard);
+        if (candidate.empty() || std::binary_search(gone.begin(), gone.end(), candidate)) {
+            candidate = rendezvousWinner(name, live);
+        } else if (!arrived.empty()) {
+            // The present candidate won over all members that stayed.
+            std::vector<std::string> rivals = arrived;
+            rivals.push_back(candidate);
+            candidate = rendezvousWinner(name, rivals);
+        }
     }
     this->candidatesFrom = std::move(live);
 }
--- a/libraries/process/fleet/quorumshardleases.h
+++ b/libraries/process/fleet/quorumshardleases.h
@@ -36,6 +36,7 @@
     std::shared_ptr<LeaseAgent> agent;
     mutable std::mutex mutex;
     std::vector<std::string> candidatesFrom;
+    SteadyTime candidatesChecked;
     std::array<std::string, shardCount> candidates;
     bool released = false;
 };
--- a/libraries/version/committee.cpp
+++ b/libraries/version/committee.cpp
@@ -4,7 +4,6 @@
 
 #include <algorithm>
 #include <map>
-#include <set>
 #include <utility>
 
 namespace Hyssophall {
@@ -13,26 +12,28 @@
 
 using WeightedMember = std::pair<std::uint64_t, const CatalogueMessages::Member *>;
 
-std::vector<WeightedMember> membersByWeight(const Roster &roster, std::string_view name)
+bool isLighter(const WeightedMember &left, const WeightedMember &right)
+{
+    return left.first != right.first ? left.first < right.first : left.second->id() > right.second->id();
+}
+
+/// A heap with the heaviest member on top. A committee needs few of many members, so they are not sorted.
+std::vector<WeightedMember> heapOfMembers(const Roster &roster, std::string_view name)
 {
     std::vector<WeightedMember> weighted;
     weighted.reserve(roster.members().size());
     for (const CatalogueMessages::Member &member : roster.members()) {
         weighted.emplace_back(rendezvousWeight(name, member.id()), &member);
     }
-    std::sort(weighted.begin(), weighted.end(), [](const WeightedMember &left, const WeightedMember &right) {
-        return left.first != right.first ? left.first > right.first : left.second->id() < right.second->id();
-    });
+    std::make_heap(weighted.begin(), weighted.end(), isLighter);
     return weighted;
 }
 
-std::size_t countDomains(const Roster &roster)
+std::size_t domainLimitOf(const Roster &roster)
 {
-    std::set<std::string_view> domains;
-    for (const CatalogueMessages::Member &member : roster.members()) {
-        domains.insert(member.failure_domain());
-    }
-    return domains.size();
+    const std::size_t size = std::min(Committee::maximumSize, roster.members().size());
+    const std::size_t domains = std::max<std::size_t>(1, roster.positionsByDomain().size());
+    return (size + domains - 1) / domains;
 }
 
 } // namespace
@@ -59,32 +60,51 @@
 
 Committee Committee::of(const Roster &roster, std::string_view name)
 {
-    Committee committee;
-    const std::vector<WeightedMember> weighted = membersByWeight(roster, name);
-    const std::size_t size = std::min(maximumSize, weighted.size());
-    const std::size_t domains = std::max<std::size_t>(1, countDomains(roster));
-    const std::size_t domainLimit = (size + domains - 1) / domains;
+    std::vector<WeightedMember> heap = heapOfMembers(roster, name);
+    const std::size_t size = std::min(maximumSize, heap.size());
+    const std::size_t domainLimit = domainLimitOf(roster);
     std::map<std::string_view, std::size_t> chosenInDomain;
-    std::set<const CatalogueMessages::Member *> chosen;
-    for (const WeightedMember &candidate : weighted) {
+    std::vector<WeightedMember> chosen;
+    std::vector<WeightedMember> passedOver;
+    while (chosen.size() < size && !heap.empty()) {
+        std::pop_heap(heap.begin(), heap.end(), isLighter);
+        const WeightedMember candidate = heap.back();
+        heap.pop_back();
         std::size_t &count = chosenInDomain[candidate.second->failure_domain()];
-        if (chosen.size() < size && count < domainLimit) {
-            ++count;
-            chosen.insert(candidate.second);
-        }
+        (count < domainLimit ? chosen : passedOver).push_back(candidate);
+        ++count;
     }
     // Small failure domains may not fill their share; the rest goes to the heaviest members left.
-    for (const WeightedMember &candidate : weighted) {
-        if (chosen.size() < size) {
-            chosen.insert(candidate.second);
-        }
+    chosen.insert(chosen.end(), passedOver.begin(), passedOver.begin() + static_cast<std::ptrdiff_t>(std::min(size - chosen.size(), passedOver.size())));
+    std::sort(chosen.begin(), chosen.end(), [](const WeightedMember &left, const WeightedMember &right) { return isLighter(right, left); });
+    Committee committee;
+    for (const WeightedMember &member : chosen) {
+        committee.chosenMembers.push_back(*member.second);
+    }
+    return committee;
+}
+
+bool Committee::mayInclude(const Roster &roster, std::string_view name, const CatalogueMessages::Member &member)
+{
+    const std::size_t domainLimit = domainLimitOf(roster);
+    std::size_t shares = 0;
+    for (const auto &[domain, positions] : roster.positionsByDomain()) {
+        shares += std::min(domainLimit, positions.size());
     }
-    for (const WeightedMember &candidate : weighted) {
-        if (chosen.contains(candidate.second)) {
-            committee.chosenMembers.push_back(*candidate.second);
+    const auto found = roster.positionsByDomain().find(member.failure_domain());
+    if (found == roster.positionsByDomain().end() || shares < std::min(maximumSize, roster.members().size())) {
+        return true;
+    }
+    const WeightedMember asked(rendezvousWeight(name, member.id()), &member);
+    std::size_t heavier = 0;
+    for (const std::size_t position : found->second) {
+        const CatalogueMessages::Member &other = roster.members()[position];
+        heavier += isLighter(asked, {rendezvousWeight(name, other.id()), &other}) ? 1 : 0;
+        if (heavier >= domainLimit) {
+            return false;
         }
     }
-    return committee;
+    return true;
 }
 
 std::size_t Committee::quorumOf(std::size_t size)
--- a/libraries/version/committee.h
+++ b/libraries/version/committee.h
@@ -30,6 +30,10 @@
     /// Chooses the committee of @p name, spread over failure domains.
     static Committee of(const Roster &roster, std::string_view name);
 
+    /// False when @p member is certainly not in the committee of @p name. Looks at the member's failure domain only, which costs a small
+    /// part of choosing the committee in a fleet of many domains.
+    static bool mayInclude(const Roster &roster, std::string_view name, const CatalogueMessages::Member &member);
+
     /// Votes that decide for a committee of @p size: a majority up to 4, else two thirds, rounded up.
     static std::size_t quorumOf(std::size_t size);
 
--- a/libraries/version/roster.cpp
+++ b/libraries/version/roster.cpp
@@ -19,6 +19,14 @@
     , sortedMembers(std::move(members))
 {
     std::sort(this->sortedMembers.begin(), this->sortedMembers.end(), isBefore);
+    for (std::size_t position = 0; position < this->sortedMembers.size(); ++position) {
+        this->domains[this->sortedMembers[position].failure_domain()].push_back(position);
+    }
+}
+
+const std::map<std::string, std::vector<std::size_t>, std::less<>> &Roster::positionsByDomain() const
+{
+    return this->domains;
 }
 
 std::uint64_t Roster::version() const
--- a/libraries/version/roster.h
+++ b/libraries/version/roster.h
@@ -2,7 +2,11 @@
 
 #include "catalogue.pb.h"
 
+#include <cstddef>
 #include <cstdint>
+#include <functional>
+#include <map>
+#include <string>
 #include <string_view>
 #include <vector>
 
@@ -26,9 +30,13 @@
     /// The member with this id, or null. Valid as long as the roster.
     const CatalogueMessages::Member *find(std::string_view id) const;
 
+    /// Positions in members() by failure domain.
+    const std::map<std::string, std::vector<std::size_t>, std::less<>> &positionsByDomain() const;
+
 private:
     std::uint64_t versionNumber = 0;
     std::vector<CatalogueMessages::Member> sortedMembers;
+    std::map<std::string, std::vector<std::size_t>, std::less<>> domains;
 };
 
 } // namespace Hyssophall
--- a/tests/unit/version/committeetest.cpp
+++ b/tests/unit/version/committeetest.cpp
@@ -4,8 +4,10 @@
 
 #include <algorithm>
 #include <map>
+#include <random>
 #include <set>
 #include <string>
+#include <vector>
 
 using namespace Hyssophall;
 
@@ -27,8 +29,69 @@
         std::count_if(left.members().begin(), left.members().end(), [&right](const CatalogueMessages::Member &member) { return right.contains(member.id()); }));
 }
 
+/// The definition of a committee, with all members sorted.
+std::vector<std::string> naiveCommittee(const Roster &roster, const std::string &name)
+{
+    std::vector<CatalogueMessages::Member> members = roster.members();
+    std::sort(members.begin(), members.end(), [&name](const CatalogueMessages::Member &left, const CatalogueMessages::Member &right) {
+        return rendezvousWeight(name, left.id()) > rendezvousWeight(name, right.id());
+    });
+    std::set<std::string> domains;
+    for (const CatalogueMessages::Member &member : members) {
+        domains.insert(member.failure_domain());
+    }
+    const std::size_t size = std::min(Committee::maximumSize, members.size());
+    const std::size_t domainLimit = (size + domains.size() - 1) / domains.size();
+    std::map<std::string, std::size_t> counts;
+    std::set<std::string> chosen;
+    for (const bool isLimited : {true, false}) {
+        for (const CatalogueMessages::Member &member : members) {
+            const bool fits = !isLimited || counts[member.failure_domain()] < domainLimit;
+            if (fits && chosen.size() < size && chosen.insert(member.id()).second) {
+                ++counts[member.failure_domain()];
+            }
+        }
+    }
+    std::vector<std::string> ids;
+    for (const CatalogueMessages::Member &member : members) {
+        if (chosen.contains(member.id())) {
+            ids.push_back(member.id());
+        }
+    }
+    return ids;
+}
+
 } // namespace
 
+CATCH_TEST_CASE("Committees and the early exclusion agree with the definition for uneven failure domains", "[committee][at-most-once]")
+{
+    // Guards against VMs that count quorums of different committees, and against a claim group that its member doesn't recover.
+    std::mt19937 generator(7);
+    for (int round = 0; round < 60; ++round) {
+        std::vector<CatalogueMessages::Member> members;
+        const std::size_t domains = 1 + generator() % 14;
+        const std::size_t size = 1 + generator() % 80;
+        for (std::size_t index = 0; index < size; ++index) {
+            CatalogueMessages::Member member;
+            member.set_id("vm-" + std::to_string(index));
+            // The product makes small and large domains.
+            member.set_failure_domain("domain-" + std::to_string((generator() % domains) * (generator() % domains) / domains));
+            members.push_back(member);
+        }
+        const Roster roster(1, members);
+        for (int number = 0; number < 20; ++number) {
+            const std::string name = "claims:" + std::to_string(number);
+            std::vector<std::string> ids;
+            const Committee committee = Committee::of(roster, name);
+            for (const CatalogueMessages::Member &member : committee.members()) {
+                ids.push_back(member.id());
+                CATCH_REQUIRE(Committee::mayInclude(roster, name, member));
+            }
+            CATCH_REQUIRE(ids == naiveCommittee(roster, name));
+        }
+    }
+}
+
 CATCH_TEST_CASE("A committee survives the loss of one failure domain out of three", "[committee][at-most-once]")
 {
     const Roster roster = createRoster(44, 3);
