--- a/bench/gossip/main.cpp
+++ b/bench/gossip/main.cpp
@@ -90,6 +90,18 @@
     }
 }
 
+/// Members that running VMs take for suspect or dead, although all run.
+std::size_t countMisjudged(SimulatedFleet &fleet)
+{
+    std::size_t misjudged = 0;
+    for (const auto &entry : fleet.nodes) {
+        for (const MemberView::MemberStatus &member : entry.second->core.members().members()) {
+            misjudged += member.liveness == Liveness::Alive ? 0 : 1;
+        }
+    }
+    return misjudged;
+}
+
 void run(std::size_t count)
 {
     SimulatedFleet fleet(1, count);
@@ -98,6 +110,7 @@
     std::uint64_t incarnation = 0;
     const Cost busy = measure(fleet, count, [&fleet, count, &incarnation] { change(fleet, count, incarnation); });
     print(count, "at rest:", rest);
+    std::printf("%5zu nodes, %zu of %zu judgements of running members are suspect or dead\n", count, countMisjudged(fleet), count * count);
     print(count, "under change:", busy);
 }
 
--- a/bench/propagation/main.cpp
+++ b/bench/propagation/main.cpp
@@ -16,6 +16,7 @@
 ABSL_FLAG(int, changes, 100, "Changes whose propagation is measured.");
 ABSL_FLAG(int, withdrawals, 10, "Withdrawn keys.");
 ABSL_FLAG(int, missed, 500, "Changes that a stopped VM misses before its restart.");
+ABSL_FLAG(int, claims, 200, "Requests with an idempotency key, and as many without.");
 ABSL_FLAG(int, seconds, 15, "Length of each measurement of costs.");
 ABSL_FLAG(std::string, programs, HYSSOPHALL_BINARIES, "Folder of the programs under test.");
 
@@ -173,6 +174,75 @@
     return result;
 }
 
+/// Messages and bytes of all VMs for each of @p requests, by call; calls that go on without requests are counted too.
+json trafficOf(const std::vector<FleetProbe::Cost> &before, const std::vector<FleetProbe::Cost> &after, int requests)
+{
+    std::map<std::string, double> bytes;
+    std::map<std::string, double> messages;
+    for (std::size_t vm = 0; vm < before.size(); ++vm) {
+        for (const auto &[call, value] : after[vm].bytes) {
+            const auto found = before[vm].bytes.find(call);
+            bytes[call] += value - (found == before[vm].bytes.end() ? 0 : found->second);
+        }
+        for (const auto &[call, value] : after[vm].messages) {
+            const auto found = before[vm].messages.find(call);
+            messages[call] += value - (found == before[vm].messages.end() ? 0 : found->second);
+        }
+    }
+    json result;
+    for (const auto &[call, count] : messages) {
+        if (count > 0) {
+            result[call] = {{"messages_per_request", count / requests}, {"bytes_per_message", bytes[call] / count}};
+        }
+    }
+    return result;
+}
+
+std::vector<FleetProbe::Cost> costsOf(Harness::TestFleet &fleet, const FleetProbe &probe)
+{
+    std::vector<FleetProbe::Cost> costs;
+    for (std::size_t vm = 0; vm < fleet.vms().size(); ++vm) {
+        costs.push_back(probe.costOf(vm));
+    }
+    return costs;
+}
+
+/// Time and messages of non-idempotent requests, one after the other, over all VMs in turn.
+json measureRequests(Harness::TestFleet &fleet, const FleetProbe &probe, const std::string &key, bool withClaim)
+{
+    const int requests = absl::GetFlag(FLAGS_claims);
+    const std::vector<FleetProbe::Cost> before = costsOf(fleet, probe);
+    std::vector<double> times;
+    int refused = 0;
+    for (int number = 0; number < requests; ++number) {
+        std::map<std::string, std::string> headers;
+        if (withClaim) {
+            headers["Idempotency-Key"] = "bench-" + std::to_string(number);
+        }
+        const std::size_t vm = static_cast<std::size_t>(number) % fleet.vms().size();
+        const FleetProbe::Clock::time_point begin = FleetProbe::Clock::now();
+        refused += fleet.call(vm, "POST", "/orders", key, "order", headers).status == 200 ? 0 : 1;
+        times.push_back(std::chrono::duration<double, std::milli>(FleetProbe::Clock::now() - begin).count());
+    }
+    return {{"ms", summary(times)}, {"not_200", refused}, {"traffic", trafficOf(before, costsOf(fleet, probe), requests)}};
+}
+
+json measureClaims(Harness::TestFleet &fleet, FleetProbe &probe)
+{
+    if (!fleet.putService("orders") || !fleet.putRoute("orders", "/orders", "orders", false)) {
+        return nullptr;
+    }
+    fleet.startUpstream("orders", "orders-1");
+    const std::string key = fleet.createKey("bench", "bench-claims");
+    probe.changeTeam(10000);
+    fleet.waitInForce();
+    if (!fleet.waitInstances("orders", 1)) {
+        return nullptr;
+    }
+    const json without = measureRequests(fleet, probe, key, false);
+    return {{"without_claim", without}, {"with_claim", measureRequests(fleet, probe, key, true)}};
+}
+
 double loadAverage()
 {
     double load = 0;
@@ -206,6 +276,7 @@
     result["a_change_a_second"] = measureCosts(fleet, [&probe, &rate] { probe.changeTeam(++rate); });
     result["accepted_to_in_force"] = measurePropagation(probe);
     result["withdrawn_to_refused_ms"] = measureWithdrawals(fleet, probe);
+    result["claims"] = measureClaims(fleet, probe);
     result["restart"] = measureCatchUp(fleet, probe);
     result["load_average_after"] = loadAverage();
     std::cout << result.dump(2) << "\n";
