--- a/bench/gossip/main.cpp
+++ b/bench/gossip/main.cpp
@@ -90,16 +90,16 @@
     }
 }
 
-/// Members that running VMs take for suspect or dead, although all run.
-std::size_t countMisjudged(SimulatedFleet &fleet)
+/// Judgements of this kind by all VMs on all members.
+std::size_t countJudgements(SimulatedFleet &fleet, Liveness liveness)
 {
-    std::size_t misjudged = 0;
+    std::size_t count = 0;
     for (const auto &entry : fleet.nodes) {
         for (const MemberView::MemberStatus &member : entry.second->core.members().members()) {
-            misjudged += member.liveness == Liveness::Alive ? 0 : 1;
+            count += member.liveness == liveness ? 1 : 0;
         }
     }
-    return misjudged;
+    return count;
 }
 
 void run(std::size_t count)
@@ -110,7 +110,11 @@
     std::uint64_t incarnation = 0;
     const Cost busy = measure(fleet, count, [&fleet, count, &incarnation] { change(fleet, count, incarnation); });
     print(count, "at rest:", rest);
-    std::printf("%5zu nodes, %zu of %zu judgements of running members are suspect or dead\n", count, countMisjudged(fleet), count * count);
+    std::printf("%5zu nodes, all running: of %zu judgements, %zu are suspect and %zu are dead\n",
+        count,
+        count * count,
+        countJudgements(fleet, Liveness::Suspect),
+        countJudgements(fleet, Liveness::Dead));
     print(count, "under change:", busy);
 }
 
