--- a/bench/gossip/main.cpp
+++ b/bench/gossip/main.cpp
@@ -90,6 +90,18 @@
     }
 }
 
+/// Judgements of this kind by all VMs on all members.
+std::size_t countJudgements(SimulatedFleet &fleet, Liveness liveness)
+{
+    std::size_t count = 0;
+    for (const auto &entry : fleet.nodes) {
+        for (const MemberView::MemberStatus &member : entry.second->core.members().members()) {
+            count += member.liveness == liveness ? 1 : 0;
+        }
+    }
+    return count;
+}
+
 void run(std::size_t count)
 {
     SimulatedFleet fleet(1, count);
@@ -98,6 +110,11 @@
     std::uint64_t incarnation = 0;
     const Cost busy = measure(fleet, count, [&fleet, count, &incarnation] { change(fleet, count, incarnation); });
     print(count, "at rest:", rest);
+    std::printf("%5zu nodes, all running: of %zu judgements, %zu are suspect and %zu are dead\n",
+        count,
+        count * count,
+        countJudgements(fleet, Liveness::Suspect),
+        countJudgements(fleet, Liveness::Dead));
     print(count, "under change:", busy);
 }
 
