Leases: End a hopeless attempt without moving its start

Cause: an attempt that couldn't reach a quorum was ended by moving its start back by the attempt's limit. Grants of the attempt before, which had been given back, then passed the check of their sending time and could have counted towards a quorum.

Change: a flag ends the attempt; its start stays.

--- a/libraries/process/fleet/leaseholder.cpp
+++ b/libraries/process/fleet/leaseholder.cpp
@@ -71,7 +71,8 @@
 
 void LeaseHolder::advance(const std::string &name, Lease &lease, SteadyTime now, Batches &batches)
 {
-    const bool attemptOver = (lease.phase == Phase::Asking || lease.phase == Phase::Confirming) && now >= lease.attemptStart + this->options.attemptLimit;
+    const bool attemptOver
+        = (lease.phase == Phase::Asking || lease.phase == Phase::Confirming) && (lease.isHopeless || now >= lease.attemptStart + this->options.attemptLimit);
     const bool lost = lease.phase == Phase::Held && now >= lease.validUntil;
     if (lease.phase != Phase::Idle && (!lease.wanted || attemptOver || lost)) {
         this->giveUp(name, lease, now, batches);
@@ -85,6 +86,7 @@
         lease.attemptStart = now;
         lease.votes.clear();
         lease.refusals.clear();
+        lease.isHopeless = false;
     }
     this->ask(name, lease, now, batches);
 }
@@ -171,7 +173,7 @@
     lease.refusals.insert(asked.voter.id());
     // Waiting for the rest of the attempt would lengthen the time without holder when a lease changes hands.
     if (lease.refusals.size() + lease.committee.quorum() > lease.committee.members().size()) {
-        lease.attemptStart -= this->options.attemptLimit;
+        lease.isHopeless = true;
     }
 }
 
--- a/libraries/process/fleet/leaseholder.h
+++ b/libraries/process/fleet/leaseholder.h
@@ -82,6 +82,8 @@
         std::map<std::string, Vote> votes;
         /// Voters that refused the present attempt.
         std::set<std::string> refusals;
+        /// So many voters refused that the present attempt can't reach a quorum.
+        bool isHopeless = false;
     };
     using Batches = std::map<std::string, Outgoing>;
 
