--- a/libraries/process/control/logstorage.cpp
+++ b/libraries/process/control/logstorage.cpp
@@ -139,7 +139,12 @@
 {
     const ControlMessages::Position &last = this->stored.snapshot.last();
     std::vector<ControlMessages::Entry> &entries = this->stored.entries;
-    if (last.index() == 0 || entries.empty()) {
+    if (last.index() == 0) {
+        // Only a snapshot replaces the first entries and the first log file.
+        const bool isLost = this->state.generation > 0 || (!entries.empty() && entries.front().index() != 1);
+        return isLost ? boost::leaf::result<void>(corruption(snapshotName)) : boost::leaf::result<void>();
+    }
+    if (entries.empty()) {
         return {};
     }
     // A crash between storing an installed snapshot and replacing the log leaves entries that may not follow the snapshot.
--- a/libraries/process/control/posixdisk.cpp
+++ b/libraries/process/control/posixdisk.cpp
@@ -1,12 +1,12 @@
 #include "process/control/posixdisk.h"
 
+#include <array>
 #include <cerrno>
 #include <cstddef>
 #include <cstdio>
 #include <fcntl.h>
 #include <filesystem>
 #include <fstream>
-#include <iterator>
 #include <system_error>
 #include <unistd.h>
 #include <utility>
@@ -61,7 +61,12 @@
         return std::optional<std::string>();
     }
     std::ifstream stream(this->path(name), std::ios::binary);
-    std::string bytes((std::istreambuf_iterator<char>(stream)), std::istreambuf_iterator<char>());
+    std::string bytes;
+    std::array<char, 65536> part{};
+    // read() turns a failing disk into bad(); an iterator over the stream's buffer would throw instead.
+    while (stream.read(part.data(), part.size()) || stream.gcount() > 0) {
+        bytes.append(part.data(), static_cast<std::size_t>(stream.gcount()));
+    }
     if (!stream.is_open() || stream.bad()) {
         return failure(name);
     }
--- a/libraries/process/control/raftfollower.cpp
+++ b/libraries/process/control/raftfollower.cpp
@@ -7,6 +7,17 @@
 
 namespace Hyssophall {
 
+namespace {
+
+/// Positions in the log are counted from the first entry, so a gap in a message would shift all that follows it.
+bool followsPrevious(const ControlMessages::AppendRequest &request)
+{
+    std::uint64_t index = request.previous().index();
+    return std::all_of(request.entries().begin(), request.entries().end(), [&index](const ControlMessages::Entry &entry) { return entry.index() == ++index; });
+}
+
+} // namespace
+
 ControlMessages::AppendReply RaftReplica::answerAppend(const ControlMessages::AppendRequest &request)
 {
     ControlMessages::AppendReply reply;
@@ -27,7 +38,7 @@
         reply.set_hint_index(this->hintFor(previous));
         return reply;
     }
-    if (!this->appendReceived(request)) {
+    if (!followsPrevious(request) || !this->appendReceived(request)) {
         return reply;
     }
     const std::uint64_t match = previous + static_cast<std::uint64_t>(request.entries_size());
