Fleet: Bound hostile values in messages of other VMs

A heartbeat near 2^64 made all later heartbeats of that member look old, and wrapped a VM's own to zero. Ejections and poison records could last 49 days, an instance's port above 65535 was cut to another port, an infinite loan was converted to a whole number, which is undefined, and outcomes reported for names that no service has each took memory.

--- a/libraries/process/fleet/membership.cpp
+++ b/libraries/process/fleet/membership.cpp
@@ -21,6 +21,9 @@
 /// A VM that met no other roster version for this time, in about 50 messages, takes it that its own is in force everywhere.
 constexpr std::chrono::seconds rosterDifferenceLimit{3};
 
+/// Heartbeats count from zero, a few a second. A greater value would make all later ones of that member look old.
+constexpr std::uint64_t greatestHeartbeat = 1ULL << 48U;
+
 std::uint32_t memberHash(std::string_view id)
 {
     return static_cast<std::uint32_t>(XXH64(id.data(), id.size(), 0));
@@ -199,6 +202,9 @@
 
 bool Membership::mergeState(const FleetMessages::MemberState &state, SteadyTime now)
 {
+    if (state.heartbeat() > greatestHeartbeat) {
+        return false;
+    }
     if (this->isSelf(state.id())) {
         if (state.incarnation() != this->ownState.incarnation()) {
             this->continueAbove(state.heartbeat());
@@ -284,6 +290,9 @@
 
 void Membership::mergeHeartbeat(Known &member, std::uint64_t heartbeat, std::uint8_t tag, std::uint64_t version, SteadyTime now)
 {
+    if (heartbeat > greatestHeartbeat) {
+        return;
+    }
     if (this->isSelf(member.state.id())) {
         if (tag != tagOf(this->ownState.incarnation())) {
             this->continueAbove(heartbeat);
--- a/libraries/process/fleet/recordstore.cpp
+++ b/libraries/process/fleet/recordstore.cpp
@@ -14,6 +14,11 @@
 /// A poison record counts as new when it ends later than the known one by more than what transit may add.
 constexpr std::chrono::seconds poisonTolerance{5};
 
+/// The longest that the arbiter ejects and that a fingerprint is poison. A greater value of another VM doesn't keep a record for days.
+constexpr std::chrono::milliseconds longestEjection{std::chrono::seconds(60)};
+constexpr std::chrono::milliseconds longestPoison{std::chrono::minutes(10)};
+constexpr std::uint32_t largestPort = 65535;
+
 constexpr char instanceMark = 'i';
 constexpr char ejectionMark = 'e';
 constexpr char poisonMark = 'p';
@@ -92,6 +97,9 @@
 
 bool RecordStore::mergeInstance(const FleetMessages::Instance &instance)
 {
+    if (instance.id().empty() || instance.service().empty() || instance.port() > largestPort) {
+        return false;
+    }
     const SteadyTime now = this->clock();
     std::vector<InstanceListener> listeners;
     {
@@ -136,7 +144,10 @@
 
 bool RecordStore::mergeEjection(const FleetMessages::Ejection &ejection)
 {
-    const SteadyTime until = this->clock() + std::chrono::milliseconds(ejection.remaining_milliseconds());
+    if (ejection.service().empty() || ejection.instance().empty()) {
+        return false;
+    }
+    const SteadyTime until = this->clock() + std::min(std::chrono::milliseconds(ejection.remaining_milliseconds()), longestEjection);
     std::vector<EjectionListener> listeners;
     {
         std::lock_guard<std::mutex> lock(this->mutex);
@@ -159,7 +170,7 @@
 bool RecordStore::mergePoison(const FleetMessages::Poison &poison)
 {
     const SteadyTime now = this->clock();
-    const SteadyTime until = now + std::chrono::milliseconds(poison.remaining_milliseconds());
+    const SteadyTime until = now + std::min(std::chrono::milliseconds(poison.remaining_milliseconds()), longestPoison);
     std::vector<PoisonListener> listeners;
     {
         std::lock_guard<std::mutex> lock(this->mutex);
--- a/libraries/process/health/healthnode.cpp
+++ b/libraries/process/health/healthnode.cpp
@@ -68,6 +68,11 @@
     if (!epoch) {
         return reply;
     }
+    reply.set_owned(true);
+    if (this->directory.instances(request.service())->empty()) {
+        // There is nothing to eject, and a name that no service has costs no memory.
+        return reply;
+    }
     const SteadyTime now = this->options.clock();
     std::lock_guard<std::mutex> lock(this->mutex);
     auto arbiter = this->arbiters.try_emplace(request.service(), request.service(), *epoch, now).first;
@@ -77,7 +82,6 @@
         arbiter = this->arbiters.try_emplace(request.service(), request.service(), *epoch, now).first;
     }
     arbiter->second.report(request.member(), {request.counts().begin(), request.counts().end()}, now);
-    reply.set_owned(true);
     return reply;
 }
 
--- a/libraries/process/limits/teamtokens.cpp
+++ b/libraries/process/limits/teamtokens.cpp
@@ -5,6 +5,18 @@
 
 namespace Hyssophall {
 
+namespace {
+
+/// Far above any batch. A value beyond it, infinity or NaN is no loan; converting it to a whole number would be undefined.
+constexpr double largestLoan = 1e9;
+
+std::size_t tokenCount(double lent)
+{
+    return lent >= 1 && lent <= largestLoan ? static_cast<std::size_t>(lent) : 0;
+}
+
+} // namespace
+
 TeamTokens::TeamTokens(const Options &options, SteadyTime now)
     : options(options)
     , borrowed(now)
@@ -133,8 +145,9 @@
         return;
     }
     this->asking = false;
-    if (loan.lent() >= 1) {
-        this->tokens = (now > this->borrowed + this->options.lifetime ? 0 : this->tokens) + static_cast<std::size_t>(loan.lent());
+    const std::size_t lent = tokenCount(loan.lent());
+    if (lent > 0) {
+        this->tokens = (now > this->borrowed + this->options.lifetime ? 0 : this->tokens) + lent;
         this->borrowed = asked;
         this->serveWaiters();
     }
