Daemon: End the threads of the fleet before what they call

The listener for poison records uses the health monitor, which was destroyed while the gossip thread could still work off answers. /metrics read the pointer to the caller endpoint while the main thread set or cleared it.

The fleet's threads now stop after the server and the client, before any part is destroyed, and a mutex guards the pointer. Both were found by reading; no run has shown them.

--- a/services/hyssophalld/daemon.cpp
+++ b/services/hyssophalld/daemon.cpp
@@ -53,6 +53,14 @@
 {
 }
 
+Daemon::~Daemon()
+{
+    // Taken out first: the administration port still serves metrics while the endpoint ends.
+    std::unique_ptr<CallerEndpoint> ending;
+    const std::lock_guard<std::mutex> lock(this->callersMutex);
+    ending.swap(this->callers);
+}
+
 boost::leaf::result<void> Daemon::start()
 {
     boost::leaf::result<void> telemetry = this->startTelemetry();
@@ -83,7 +91,11 @@
     options.endpoint = this->settings.listen.caller;
     options.maximumConnections = this->settings.listen.maximumConnections;
     options.maximumRequestBytes = this->settings.limits.maximumRequestBytes;
-    BOOST_LEAF_ASSIGN(this->callers, CallerEndpoint::create(options, [this](const CallerRequest &request) { return this->path->handle(request); }));
+    BOOST_LEAF_AUTO(created, CallerEndpoint::create(options, [this](const CallerRequest &request) { return this->path->handle(request); }));
+    {
+        const std::lock_guard<std::mutex> lock(this->callersMutex);
+        this->callers = std::move(created);
+    }
     LOG(INFO) << "Serving callers on " << this->settings.listen.caller.address();
     return {};
 }
@@ -111,6 +123,7 @@
     this->metrics->addGauge(
         "hyssophall_upstream_pools", "Upstream instances with pooled connections.", [this] { return static_cast<double>(this->client->poolCount()); });
     this->metrics->addGauge("hyssophall_requests_in_flight", "Requests of callers in flight.", [this] {
+        const std::lock_guard<std::mutex> lock(this->callersMutex);
         return this->callers == nullptr ? 0.0 : static_cast<double>(this->callers->requestsInFlight());
     });
     this->metrics->addGauge(
--- a/services/hyssophalld/daemon.h
+++ b/services/hyssophalld/daemon.h
@@ -9,6 +9,7 @@
 
 #include <atomic>
 #include <memory>
+#include <mutex>
 #include <string>
 
 namespace Hyssophall {
@@ -21,7 +22,7 @@
     static boost::leaf::result<std::unique_ptr<Daemon>> create(const Settings &settings);
 
     /// Ends what create() began, in the opposite order; requests in flight are cut off without shutDown().
-    ~Daemon() = default;
+    ~Daemon();
 
     /// The steps from SIGTERM to the exit. Returns true when no request was interrupted.
     bool shutDown();
@@ -44,6 +45,8 @@
     std::unique_ptr<UpstreamClient> client;
     std::unique_ptr<FleetParts> parts;
     std::unique_ptr<RequestPath> path;
+    /// Guards the pointer alone: /metrics reads it on other threads from before the endpoint starts until after it ends.
+    std::mutex callersMutex;
     std::unique_ptr<CallerEndpoint> callers;
 };
 
--- a/services/hyssophalld/fleetparts.cpp
+++ b/services/hyssophalld/fleetparts.cpp
@@ -62,6 +62,10 @@
     if (this->client != nullptr) {
         this->client->stop();
     }
+    if (this->fleet != nullptr) {
+        // Its threads call listeners of the records, which use parts that end before the fleet does.
+        this->fleet->stop();
+    }
 }
 
 boost::leaf::result<void> FleetParts::start()
