Proxy: End an idempotent try when its caller goes away

A caller that closed its connection kept its permit, token and upstream slot until the answer or the deadline came. The endpoint now gives each request a check of the caller's socket. It is asked right before the first byte to an upstream, and about once a second while an idempotent request is in flight. A caller that closes only its sending half counts as gone too.

An exception in one caller's, operator's or VM's request passed through C code or a gRPC thread and would have ended the process; it is now logged and answered with 502 of unknown outcome, 500 or INTERNAL.

--- a/libraries/connection/upstreamconnection.cpp
+++ b/libraries/connection/upstreamconnection.cpp
@@ -56,6 +56,7 @@
     AnswerAssembler assembler;
     int sendings = 0;
     bool withheld = false;
+    bool abandoned = false;
 };
 
 int onSending(void *data, char *, char *, int, int)
@@ -72,6 +73,14 @@
     return CURL_PREREQFUNC_OK;
 }
 
+// libcurl calls this about once a second while nothing arrives.
+int onProgress(void *data, curl_off_t, curl_off_t, curl_off_t, curl_off_t)
+{
+    Transfer &transfer = *static_cast<Transfer *>(data);
+    transfer.abandoned = transfer.sendings > 0 && transfer.call.isAbandoned();
+    return transfer.abandoned ? 1 : 0;
+}
+
 std::size_t onHeader(char *bytes, std::size_t size, std::size_t count, void *data)
 {
     return static_cast<Transfer *>(data)->assembler.addHeaderLine({bytes, size * count}) ? size * count : 0;
@@ -111,6 +120,9 @@
     if (transfer.sendings == 0) {
         return UpstreamFailureKind::ConnectFailed;
     }
+    if (transfer.abandoned) {
+        return UpstreamFailureKind::Abandoned;
+    }
     if (transfer.assembler.isOverLimit()) {
         return UpstreamFailureKind::AnswerTooLarge;
     }
@@ -163,6 +175,11 @@
         curl_easy_setopt(handle, CURLOPT_HEADERDATA, &transfer);
         curl_easy_setopt(handle, CURLOPT_WRITEFUNCTION, onBody);
         curl_easy_setopt(handle, CURLOPT_WRITEDATA, &transfer);
+        if (call.idempotent && call.isAbandoned) {
+            curl_easy_setopt(handle, CURLOPT_NOPROGRESS, 0L);
+            curl_easy_setopt(handle, CURLOPT_XFERINFOFUNCTION, onProgress);
+            curl_easy_setopt(handle, CURLOPT_XFERINFODATA, &transfer);
+        }
         this->prepareMethod(call.request);
     }
 
--- a/libraries/connection/upstreamresult.h
+++ b/libraries/connection/upstreamresult.h
@@ -11,6 +11,8 @@
     ConnectFailed,
     /// The caller's last check before sending refused.
     Withheld,
+    /// The caller went away while the request was in flight.
+    Abandoned,
     TimedOut,
     /// Closed or reset before an answer began.
     ConnectionLost,
--- a/libraries/connection/upstreamsender.h
+++ b/libraries/connection/upstreamsender.h
@@ -24,6 +24,8 @@
     SteadyTime deadline;
     /// Called once the connection stands, right before the first byte; false keeps the request from being sent. May be empty.
     std::function<bool()> mayBeSent;
+    /// Asked about once a second while an idempotent request is in flight; true ends the try. May be empty.
+    std::function<bool()> isAbandoned;
 };
 
 /// Interface to the upstream HTTP client. Thread-safe.
--- a/libraries/process/administration/administrationserver.cpp
+++ b/libraries/process/administration/administrationserver.cpp
@@ -9,6 +9,8 @@
 #include <arpa/inet.h>
 #include <array>
 #include <cstdint>
+#include <exception>
+#include <glog/logging.h>
 #include <string_view>
 
 namespace Hyssophall::Administration {
@@ -66,11 +68,23 @@
     return read;
 }
 
+// An exception that passed through the web server's C code would end the process.
+HttpAnswer answerOf(const HttpRequest &request, AdministrationApi &api)
+{
+    if (request.body.size() > AdministrationServer::maximumBodyBytes) {
+        return errorAnswer(413, "request_too_large", "the body is over 1 MiB");
+    }
+    try {
+        return api.handle(request);
+    } catch (const std::exception &exception) {
+        LOG(ERROR) << "An administration request failed unexpectedly: " << exception.what();
+        return errorAnswer(500, "internal", "the request failed in an unexpected way");
+    }
+}
+
 int answerRequest(const _u_request *request, _u_response *response, void *api)
 {
-    const HttpRequest read = readRequest(*request);
-    const HttpAnswer answer = read.body.size() > AdministrationServer::maximumBodyBytes ? errorAnswer(413, "request_too_large", "the body is over 1 MiB")
-                                                                                        : static_cast<AdministrationApi *>(api)->handle(read);
+    const HttpAnswer answer = answerOf(readRequest(*request), *static_cast<AdministrationApi *>(api));
     ulfius_add_header_to_response(response, "Content-Type", answer.contentType.c_str());
     // Answers may hold keys and state that is outdated at once.
     ulfius_add_header_to_response(response, "Cache-Control", "no-store");
--- a/libraries/process/fleet/fleetservice.cpp
+++ b/libraries/process/fleet/fleetservice.cpp
@@ -6,6 +6,8 @@
 #include <grpcpp/grpcpp.h>
 
 #include <chrono>
+#include <exception>
+#include <glog/logging.h>
 #include <limits>
 #include <utility>
 
@@ -103,12 +105,23 @@
         } else if (!handler) {
             reactor->Finish(grpc::Status(grpc::StatusCode::UNIMPLEMENTED, "not served by this VM"));
         } else {
-            *reply = handler(request);
-            reactor->Finish(grpc::Status::OK);
+            reactor->Finish(statusOf([&handler, &request, reply] { *reply = handler(request); }));
         }
         return reactor;
     }
 
+    // An exception in a thread of gRPC would end the process.
+    static grpc::Status statusOf(const std::function<void()> &call)
+    {
+        try {
+            call();
+            return grpc::Status::OK;
+        } catch (const std::exception &exception) {
+            LOG(ERROR) << "A call of another VM failed unexpectedly: " << exception.what();
+            return grpc::Status(grpc::StatusCode::INTERNAL, "the call failed in an unexpected way");
+        }
+    }
+
     const FleetCredential credential;
     const FleetHandlers handlers;
 };
--- a/libraries/process/proxy/callerendpoint.cpp
+++ b/libraries/process/proxy/callerendpoint.cpp
@@ -3,17 +3,33 @@
 #include "process/proxy/listensocket.h"
 #include "process/proxy/ulfiusmessage.h"
 
+#include <sys/socket.h>
 #include <unistd.h>
 
 #include <array>
 #include <atomic>
+#include <cerrno>
 #include <condition_variable>
+#include <exception>
+#include <glog/logging.h>
 #include <mutex>
 #include <set>
 #include <utility>
 
 namespace Hyssophall {
 
+namespace {
+
+// A caller that closed only its sending half counts as gone too, as it does for other gateways.
+bool isClosedByPeer(int socket)
+{
+    char byte = 0;
+    const ssize_t count = recv(socket, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return count == 0 || (count < 0 && errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR);
+}
+
+} // namespace
+
 class CallerEndpoint::Server
 {
 public:
@@ -90,6 +106,8 @@
     static void *onRequestLine(void *data, const char *target, MHD_Connection *connection)
     {
         Server &server = from(data);
+        const MHD_ConnectionInfo *information = MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD);
+        currentSocket = information == nullptr ? -1 : information->connect_fd;
         {
             std::lock_guard<std::mutex> lock(server.mutex);
             server.inFlight.insert(connection);
@@ -115,9 +133,11 @@
     static int onRequest(const _u_request *request, _u_response *response, void *data)
     {
         Server &server = from(data);
-        const CallerRequest callerRequest = callerRequestOf(*request);
-        const bool tooLarge = callerRequest.http.body.size() > server.options.maximumRequestBytes;
-        CallerAnswer answer = tooLarge ? refusalAnswer({RefusalCode::RequestTooLarge, RequestOutcome::NotRun}) : server.handler(callerRequest);
+        CallerRequest callerRequest = callerRequestOf(*request);
+        if (currentSocket >= 0) {
+            callerRequest.isAbandoned = [socket = currentSocket] { return isClosedByPeer(socket); };
+        }
+        CallerAnswer answer = server.answerOf(callerRequest);
         if (server.draining) {
             answer.http.headers.push_back({"Connection", "close"});
         }
@@ -125,6 +145,20 @@
         return U_CALLBACK_COMPLETE;
     }
 
+    // An exception that passed through the web server's C code would end the process.
+    CallerAnswer answerOf(const CallerRequest &request) const
+    {
+        if (request.http.body.size() > this->options.maximumRequestBytes) {
+            return refusalAnswer({RefusalCode::RequestTooLarge, RequestOutcome::NotRun});
+        }
+        try {
+            return this->handler(request);
+        } catch (const std::exception &exception) {
+            LOG(ERROR) << "A caller's request failed unexpectedly: " << exception.what();
+            return refusalAnswer({RefusalCode::UpstreamFailed, RequestOutcome::Unknown});
+        }
+    }
+
     void end(const MHD_Connection *connection)
     {
         std::lock_guard<std::mutex> lock(this->mutex);
@@ -134,12 +168,16 @@
         }
     }
 
+    // ulfius doesn't pass the connection on to its callbacks. Each connection has a thread of its own, on which all of them run.
+    static thread_local int currentSocket;
     _u_instance instance{};
     bool initialized = false;
     bool started = false;
     int quiescedSocket = -1;
 };
 
+thread_local int CallerEndpoint::Server::currentSocket = -1;
+
 boost::leaf::result<std::unique_ptr<CallerEndpoint>> CallerEndpoint::create(const Options &options, Handler handler)
 {
     std::unique_ptr<Server> server = std::make_unique<Server>(options, std::move(handler));
--- a/libraries/process/proxy/upstreamtries.cpp
+++ b/libraries/process/proxy/upstreamtries.cpp
@@ -104,7 +104,13 @@
     call.newConnection = state.retries > 0;
     call.requestId = record.trace.traceId + spanId;
     call.deadline = context.deadline;
+    call.isAbandoned = context.request->isAbandoned;
     call.mayBeSent = [this, &context, &state] {
+        if (context.request->isAbandoned && context.request->isAbandoned()) {
+            // Nobody reads this refusal; it is counted and traced.
+            state.withheld = Refusal{RefusalCode::DeadlineExceeded, RequestOutcome::NotRun, std::chrono::milliseconds(0)};
+            return false;
+        }
         return boost::leaf::try_handle_all(
             [this, &context]() -> boost::leaf::result<bool> {
                 boost::leaf::result<void> confirmed = this->admission.confirm(context);
--- a/libraries/request/callermessage.h
+++ b/libraries/request/callermessage.h
@@ -4,6 +4,7 @@
 #include "process/hooks.h"
 #include "request/refusal.h"
 
+#include <functional>
 #include <optional>
 
 namespace Hyssophall {
@@ -12,6 +13,8 @@
 struct CallerRequest {
     HttpRequest http;
     SteadyTime arrival;
+    /// Whether the caller has closed its connection, so that nobody waits for the answer. Empty when that isn't known.
+    std::function<bool()> isAbandoned;
 };
 
 /// What the caller gets: an upstream's whole answer, or the fleet's refusal.
--- a/libraries/request/tryverdict.cpp
+++ b/libraries/request/tryverdict.cpp
@@ -16,6 +16,7 @@
     case UpstreamFailureKind::ConnectFailed:
         return TryOutcome::ConnectFailed;
     case UpstreamFailureKind::Withheld:
+    case UpstreamFailureKind::Abandoned:
         return TryOutcome::Neutral;
     case UpstreamFailureKind::TimedOut:
         return failure.silentConnection || !failure.mayHaveSent ? TryOutcome::Neutral : TryOutcome::TimedOut;
@@ -51,8 +52,9 @@
         this->provenNotRun = !result.failure->mayHaveSent;
         this->tryOutcome = failedOutcome(*result.failure);
         this->refusalCode = failedCode(result.failure->kind);
-        // Another try would be withheld, too, or get as large an answer.
-        this->worthRetry = result.failure->kind != UpstreamFailureKind::Withheld && result.failure->kind != UpstreamFailureKind::AnswerTooLarge;
+        // Another try would be withheld, too, or get as large an answer, or have nobody to answer.
+        const UpstreamFailureKind kind = result.failure->kind;
+        this->worthRetry = kind != UpstreamFailureKind::Withheld && kind != UpstreamFailureKind::AnswerTooLarge && kind != UpstreamFailureKind::Abandoned;
         return;
     }
     if (isShed(*result.answer)) {
