Health: Count tries of a hanging instance before they time out

Change: tries that are pending for three times the service's median latency and 300 ms at least count as slow once; their late end isn't counted again.

--- a/libraries/process/administration/changeendpoint.cpp
+++ b/libraries/process/administration/changeendpoint.cpp
@@ -32,9 +32,9 @@
     if (!object.is_object()) {
         return leaf::new_error(InvalidChange{"body", "an object"});
     }
-    for (const auto &[name, value] : object.items()) {
-        if (!names.contains(name)) {
-            return leaf::new_error(InvalidChange{name, "no field of this name"});
+    for (auto field = object.begin(); field != object.end(); ++field) {
+        if (!names.contains(field.key())) {
+            return leaf::new_error(InvalidChange{field.key(), "no field of this name"});
         }
     }
     for (const std::string &name : names) {
--- a/libraries/process/fleet/membership.h
+++ b/libraries/process/fleet/membership.h
@@ -11,12 +11,20 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 #include <unordered_map>
 #include <utility>
 #include <vector>
 
 namespace Hyssophall {
 
+namespace detail {
+
+/// Names a member in a heartbeat digest between VMs whose rosters differ.
+std::uint32_t memberHash(std::string_view id);
+
+} // namespace detail
+
 /**
  * What this VM knows of the other members of the roster: incarnations, heartbeats and when they were last fresh.
  *
--- a/libraries/process/fleet/quorumclaimcoordinator.cpp
+++ b/libraries/process/fleet/quorumclaimcoordinator.cpp
@@ -209,7 +209,7 @@
         std::lock_guard<std::mutex> lock(this->pending->mutex);
         // After the retention, the members have dropped the claim by themselves.
         std::erase_if(this->pending->entries, [this, now](const auto &entry) { return now >= entry.second.first + this->options.retention; });
-        for (auto &entry : this->pending->entries) {
+        for (std::pair<const std::pair<std::string, std::string>, PendingReleases::Entry> &entry : this->pending->entries) {
             if (now >= entry.second.sent + releaseTimeout) {
                 entry.second.sent = now;
                 due.push_back(entry.second);
--- a/libraries/process/fleet/recordstore.cpp
+++ b/libraries/process/fleet/recordstore.cpp
@@ -246,20 +246,21 @@
     const SteadyTime now = this->clock();
     std::lock_guard<std::mutex> lock(this->mutex);
     std::vector<FleetMessages::Record> result;
-    for (const auto &[name, service] : this->services) {
-        for (const auto &[id, instance] : service.instances) {
+    for (const std::pair<const std::string, Service> &service : this->services) {
+        for (const std::pair<const std::string, FleetMessages::Instance> &entry : service.second.instances) {
+            const FleetMessages::Instance &instance = entry.second;
             const std::size_t bucket = bucketOf(instance);
             if (!digests || (*digests)[bucket] != this->bucketDigests[bucket]) {
                 result.push_back(recordOf(instance));
             }
         }
     }
-    for (const auto &[key, timed] : this->ejections) {
-        result.push_back(recordOf(timed, now));
+    for (const std::pair<const InstanceKey, TimedEjection> &ejection : this->ejections) {
+        result.push_back(recordOf(ejection.second, now));
     }
-    for (const auto &[fingerprint, until] : this->poisons) {
-        if (until > now) {
-            result.push_back(recordOf(fingerprint, until, now));
+    for (const std::pair<const std::uint64_t, SteadyTime> &poison : this->poisons) {
+        if (poison.second > now) {
+            result.push_back(recordOf(poison.first, poison.second, now));
         }
     }
     return result;
--- a/libraries/process/fleet/recordstoreview.cpp
+++ b/libraries/process/fleet/recordstoreview.cpp
@@ -34,7 +34,8 @@
     std::shared_ptr<Instances> view = std::make_shared<Instances>();
     view->reserve(service.live);
     service.viewEnd = SteadyTime::max();
-    for (const auto &[id, instance] : service.instances) {
+    for (const std::pair<const std::string, FleetMessages::Instance> &entry : service.instances) {
+        const FleetMessages::Instance &instance = entry.second;
         if (instance.state() != FleetMessages::INSTANCE_STATE_EXPIRED) {
             view->push_back({instance, this->isEjected(instance, now, service.viewEnd)});
         }
--- a/libraries/process/fleet/rendezvousassignment.cpp
+++ b/libraries/process/fleet/rendezvousassignment.cpp
@@ -23,7 +23,9 @@
         return;
     }
     this->candidates = members;
-    for (auto &[name, winner] : this->winners) {
+    for (std::pair<const std::string, Winner> &entry : this->winners) {
+        const std::string &name = entry.first;
+        Winner &winner = entry.second;
         if (winner.member.empty() || (hasLost && !std::binary_search(members.begin(), members.end(), winner.member))) {
             this->assign(name, winner, this->contest(name));
             continue;
--- a/libraries/process/health/healthmonitor.cpp
+++ b/libraries/process/health/healthmonitor.cpp
@@ -14,6 +14,10 @@
 constexpr std::chrono::milliseconds slowMargin{20};
 // Time for the owner of a fingerprint to answer and for a second crash to be reported.
 constexpr std::chrono::seconds crashHoldTime{2};
+// Shorter waits are common on a busy VM, and the answer itself will tell.
+constexpr std::chrono::milliseconds shortestOverdue{300};
+// Stands for "never" while too few instances have answered for a comparison.
+constexpr std::chrono::hours longestOverdue{24};
 constexpr double avoidedFailureShare = 0.3;
 constexpr double suspiciousShare = 0.1;
 
@@ -57,7 +61,9 @@
     if (!explores) {
         chosen = this->better(seen, chosen, choices[this->draw(choices.size())], now);
     }
-    this->seenOf(seen, chosen->instance, now).score.begin();
+    Seen &taken = this->seenOf(seen, chosen->instance, now);
+    taken.score.begin();
+    taken.pending.begin(now);
     return chosen->instance;
 }
 
@@ -77,10 +83,11 @@
         }
         // This VM avoids the instance at once in any case; only the count for the arbiter waits.
         seen.score.finish(outcome, latency);
+        const bool wasOverdue = seen.pending.finish(now - latency);
         if (outcome == TryOutcome::ConnectionLost && !this->poison.wasAnsweredLately(fingerprint, now)) {
             reportsCrash = true;
             this->heldCrashes.push_back({instance.service(), instance.id(), instance.incarnation(), fingerprint, now + crashHoldTime});
-        } else {
+        } else if (!wasOverdue) {
             this->count(seen, service, outcome, latency, now);
         }
     }
@@ -110,6 +117,7 @@
     this->poison.removeExpired(now);
     for (auto service = this->services.begin(); service != this->services.end(); ++service) {
         this->forgetGone(service->first, service->second);
+        this->countOverdue(service->second, now);
         ServiceReport report;
         report.service = service->first;
         for (const std::pair<const std::string, Seen> &entry : service->second) {
@@ -215,6 +223,17 @@
     seen.counts.set_good(seen.counts.good() + 1);
 }
 
+void HealthMonitor::countOverdue(SeenInstances &service, SteadyTime now) const
+{
+    const std::chrono::microseconds limit = std::clamp<std::chrono::microseconds>(this->slowThreshold(service), shortestOverdue, longestOverdue);
+    for (auto entry = service.begin(); entry != service.end(); ++entry) {
+        const std::uint32_t overdue = entry->second.pending.takeOverdue(now, limit);
+        if (!entry->second.score.isStartingUp(now)) {
+            entry->second.counts.set_slow(entry->second.counts.slow() + overdue);
+        }
+    }
+}
+
 void HealthMonitor::settleCrashes(SteadyTime now)
 {
     while (!this->heldCrashes.empty() && this->heldCrashes.front().settleAt <= now) {
--- a/libraries/process/health/healthmonitor.h
+++ b/libraries/process/health/healthmonitor.h
@@ -2,6 +2,7 @@
 
 #include "process/health/instancehealth.h"
 #include "process/health/instancescore.h"
+#include "process/health/pendingtries.h"
 #include "process/health/poisonlist.h"
 
 #include <deque>
@@ -56,6 +57,7 @@
 
         std::uint64_t incarnation = 0;
         InstanceScore score;
+        PendingTries pending;
         FleetMessages::OutcomeCounts counts;
         bool wasEjected = false;
     };
@@ -79,6 +81,7 @@
     std::size_t draw(std::size_t count) const;
     std::chrono::microseconds slowThreshold(const SeenInstances &service) const;
     void count(Seen &seen, const SeenInstances &service, TryOutcome outcome, std::chrono::microseconds latency, SteadyTime now);
+    void countOverdue(SeenInstances &service, SteadyTime now) const;
     void settleCrashes(SteadyTime now);
     void forgetGone(const std::string &service, SeenInstances &seen) const;
     static bool isSuspicious(const Seen &seen);
--- a/libraries/version/cataloguejson.cpp
+++ b/libraries/version/cataloguejson.cpp
@@ -291,7 +291,9 @@
     if (!object.is_object()) {
         return leaf::new_error(InvalidChange{path, "an object"});
     }
-    for (const auto &[name, value] : object.items()) {
+    for (auto member = object.begin(); member != object.end(); ++member) {
+        const std::string &name = member.key();
+        const json &value = member.value();
         const FieldDescriptor *field = entry.GetDescriptor()->FindFieldByName(name);
         if (field == nullptr) {
             return leaf::new_error(InvalidChange{path + "." + name, "no field of this name"});
--- a/libraries/version/committee.cpp
+++ b/libraries/version/committee.cpp
@@ -88,8 +88,8 @@
 {
     const std::size_t domainLimit = domainLimitOf(roster);
     std::size_t shares = 0;
-    for (const auto &[domain, positions] : roster.positionsByDomain()) {
-        shares += std::min(domainLimit, positions.size());
+    for (const std::pair<const std::string, std::vector<std::size_t>> &domain : roster.positionsByDomain()) {
+        shares += std::min(domainLimit, domain.second.size());
     }
     const auto found = roster.positionsByDomain().find(member.failure_domain());
     if (found == roster.positionsByDomain().end() || shares < std::min(maximumSize, roster.members().size())) {
--- a/tests/unit/process/health/healthmonitortest.cpp
+++ b/tests/unit/process/health/healthmonitortest.cpp
@@ -167,3 +167,32 @@
         }
     }
 }
+
+CATCH_TEST_CASE("A hanging instance is reported before its requests time out", "[ejection]")
+{
+    // Guards against a detection that waits for the deadline of the requests, 10 s by default.
+    Fixture fixture(4);
+    std::size_t hanging = 0;
+    for (int request = 0; request < 200; ++request) {
+        const std::optional<FleetMessages::Instance> instance = fixture.monitor->choose("reads", true, {});
+        if (instance->id() == "reads-03" && request > 100) {
+            ++hanging;
+        } else {
+            fixture.monitor->finish(*instance, TryOutcome::Answered, 5ms, 1);
+        }
+    }
+    CATCH_REQUIRE(hanging > 0);
+    fixture.collectAll();
+    fixture.now += 500ms;
+    const std::vector<HealthMonitor::ServiceReport> reports = fixture.collectAll();
+    CATCH_REQUIRE(reports.size() == 1);
+    CATCH_REQUIRE(reports.front().suspicious);
+    CATCH_REQUIRE(reports.front().counts.size() == 1);
+    CATCH_REQUIRE(reports.front().counts.front().instance() == "reads-03");
+    CATCH_REQUIRE(reports.front().counts.front().slow() == hanging);
+    // The late end of the same tries isn't counted a second time.
+    for (std::size_t request = 0; request < hanging; ++request) {
+        fixture.monitor->finish(fixture.directory.byService["reads"][3].instance, TryOutcome::TimedOut, 500ms, 1);
+    }
+    CATCH_REQUIRE(fixture.collectAll().empty());
+}
