Limits: Begin the wait for the rate when an owner has answered

Cause: a caller's 250 ms also ran while its team's bucket had no owner, so the empty bucket of the new owner had no time to fill, and requests inside the rate were refused as rate_limited.

--- a/libraries/process/limits/borrowingratelimiter.cpp
+++ b/libraries/process/limits/borrowingratelimiter.cpp
@@ -105,7 +105,14 @@
 
 bool BorrowingRateLimiter::isUnanswered(Stripe &stripe, const std::string &team, const TokenWaiter &waiter)
 {
-    return this->tokensOf(stripe, team, this->context.clock()).refusal(waiter).kind == RateDecision::Kind::Unavailable;
+    const SteadyTime now = this->context.clock();
+    const TeamTokens &tokens = this->tokensOf(stripe, team, now);
+    if (tokens.refusal(waiter).kind == RateDecision::Kind::Unavailable) {
+        return true;
+    }
+    // A new owner's bucket starts empty. The time that the caller waited without any owner doesn't count as waiting for the rate.
+    const std::optional<SteadyTime> failure = tokens.lastFailure();
+    return failure && *failure >= waiter.since && now < *failure + this->options.longestWait;
 }
 
 void BorrowingRateLimiter::giveBack(const std::string &team)
--- a/libraries/process/limits/borrowingratelimiter.h
+++ b/libraries/process/limits/borrowingratelimiter.h
@@ -84,7 +84,7 @@
     BorrowingRateLimiter(FleetContext context, Options options, OwnerSource owners, LocalOwner localOwner);
     Stripe &stripeOf(std::string_view team);
     TeamTokens &tokensOf(Stripe &stripe, const std::string &team, SteadyTime now);
-    /// Whether no owner has answered since the waiter came. The stripe is locked.
+    /// Whether the waiter has had no fair chance yet: no owner has answered since it came, or one has only just begun to. The stripe is locked.
     bool isUnanswered(Stripe &stripe, const std::string &team, const TokenWaiter &waiter);
     void scan(SteadyTime now, Batches &batches);
     std::optional<SteadyTime> visit(const std::string &team, TeamTokens &tokens, SteadyTime now, Batches &batches);
--- a/libraries/process/limits/teamtokens.cpp
+++ b/libraries/process/limits/teamtokens.cpp
@@ -165,9 +165,15 @@
     this->asking = false;
     this->verdict = RateDecision{RateDecision::Kind::Unavailable, std::chrono::milliseconds(0)};
     this->verdictTime = now;
+    this->failure = now;
     this->earliestAsk = now + this->options.failurePause;
 }
 
+std::optional<SteadyTime> TeamTokens::lastFailure() const
+{
+    return this->failure;
+}
+
 RateDecision TeamTokens::refusal(const TokenWaiter &waiter) const
 {
     // An answer from before the wait says nothing about the owner's bucket during it.
--- a/libraries/process/limits/teamtokens.h
+++ b/libraries/process/limits/teamtokens.h
@@ -67,6 +67,9 @@
     /// The decision for a caller whose wait is over without a token.
     RateDecision refusal(const TokenWaiter &waiter) const;
 
+    /// When an owner last couldn't be asked or held no lease, or nothing when that never happened.
+    std::optional<SteadyTime> lastFailure() const;
+
     bool hasWaiters() const;
     /// The earliest time of the next request while callers wait.
     SteadyTime nextAsk() const;
@@ -93,6 +96,7 @@
     std::list<TokenWaiter *> waiters;
     RateDecision verdict;
     SteadyTime verdictTime;
+    std::optional<SteadyTime> failure;
 };
 
 } // namespace Hyssophall
--- a/tests/unit/process/limits/concurrentlimitertest.cpp
+++ b/tests/unit/process/limits/concurrentlimitertest.cpp
@@ -44,6 +44,45 @@
     CATCH_REQUIRE(asked == 11);
 }
 
+CATCH_TEST_CASE("A caller that waited for an owner still waits for the tokens of its empty bucket", "[fleet-limit]")
+{
+    // Guards against calling a team over its rate because a new owner's bucket has only begun to fill.
+    FleetContext context;
+    context.self = "a";
+    context.clock = [] { return std::chrono::steady_clock::now(); };
+    BorrowingRateLimiter::Options options;
+    options.longestWait = std::chrono::seconds(1);
+    options.longestSilence = std::chrono::minutes(1);
+    const SteadyTime ownedFrom = context.clock() + options.longestWait * 3 / 2;
+    int answers = 0;
+    const auto owner = [&answers, ownedFrom](const FleetMessages::BorrowTokensRequest &request) {
+        FleetMessages::BorrowTokensReply reply;
+        const bool isOwned = std::chrono::steady_clock::now() >= ownedFrom;
+        answers += isOwned ? 1 : 0;
+        for (const FleetMessages::TokenDemand &demand : request.demands()) {
+            FleetMessages::TokenLoan &loan = *reply.add_loans();
+            loan.set_team(demand.team());
+            loan.set_owned(isOwned);
+            loan.set_lent(answers > 2 ? demand.wanted() : 0);
+            loan.set_wait_milliseconds(answers > 2 ? 0 : 20);
+        }
+        return reply;
+    };
+    const std::shared_ptr<BorrowingRateLimiter> limiter = BorrowingRateLimiter::create(
+        context, options, [](std::uint32_t) { return "a"; }, owner);
+    std::atomic<bool> ended = false;
+    std::thread borrower([&] {
+        while (!ended) {
+            limiter->waitUntil(limiter->step());
+        }
+    });
+    const RateDecision decision = limiter->acquire("red", std::chrono::steady_clock::now() + std::chrono::minutes(1));
+    ended = true;
+    limiter->wake();
+    borrower.join();
+    CATCH_REQUIRE(decision.kind == RateDecision::Kind::Granted);
+}
+
 CATCH_TEST_CASE("Callers on many threads get exactly the tokens that were lent", "[fleet-limit]")
 {
     FleetContext context;
