--- a/libraries/connection/answerassembler.cpp
+++ b/libraries/connection/answerassembler.cpp
@@ -109,7 +109,7 @@
         // Both a length and chunks are a way to smuggle an answer.
         return !this->announcedLength;
     }
-    return this->announcedLength && *this->announcedLength == this->answer.body.size();
+    return !this->announcedLength || *this->announcedLength == this->answer.body.size();
 }
 
 HttpAnswer AnswerAssembler::take()
--- a/libraries/connection/answerassembler.h
+++ b/libraries/connection/answerassembler.h
@@ -24,7 +24,8 @@
     bool hasBegun() const;
     bool isOverLimit() const;
 
-    /// True when the body ended as its head announced. An answer that only the close of the connection ends isn't whole.
+    /// True when the body ended as its head announced. Without a length and chunks, the end of the connection ends the body
+    /// (RFC 9112, 6.3), so ask only when the connection wasn't reset.
     bool isWhole() const;
 
     HttpAnswer take();
--- a/libraries/connection/headerfilter.cpp
+++ b/libraries/connection/headerfilter.cpp
@@ -22,8 +22,16 @@
     "Expect",
     "Content-Length"};
 
-// The HTTP client sets Host and the trace and deadline headers for each try itself.
-constexpr std::array<std::string_view, 6> requestNames{"Authorization", "X-Api-Key", "Host", "X-Request-Timeout-Ms", "X-Request-Id", "traceparent"};
+// The fleet sets these for each try itself, or keeps them from upstreams.
+std::vector<std::string_view> requestNames(const HeaderNames &names)
+{
+    std::vector<std::string_view> all{"X-Request-Id", "traceparent", names.key, names.deadline, names.team, names.targetInstance};
+    if (names.readsBearer()) {
+        // Upstreams of callers with bearer keys see the address that the HTTP client connects to as their host.
+        all.insert(all.end(), {"Authorization", "Host"});
+    }
+    return all;
+}
 
 std::string_view trimmed(std::string_view text)
 {
@@ -80,9 +88,9 @@
 
 } // namespace
 
-HttpHeaders forwardedRequestHeaders(const HttpHeaders &headers)
+HttpHeaders forwardedRequestHeaders(const HttpHeaders &headers, const HeaderNames &names)
 {
-    return filtered(headers, requestNames);
+    return filtered(headers, requestNames(names));
 }
 
 HttpHeaders forwardedAnswerHeaders(const HttpHeaders &headers)
--- a/libraries/connection/upstreamclient.cpp
+++ b/libraries/connection/upstreamclient.cpp
@@ -19,7 +19,7 @@
         // A reused connection may have gone silent; half of the time is kept for another try.
         deadline = began + (call.deadline - began) / 2;
     } else {
-        connection = UpstreamConnection::create(call.host, call.port, this->options.maximumAnswerBytes);
+        connection = UpstreamConnection::create(call.host, call.port, this->options.maximumAnswerBytes, this->options.connectTimeout);
     }
     UpstreamResult result;
     if (connection == nullptr) {
--- a/libraries/connection/upstreamclient.h
+++ b/libraries/connection/upstreamclient.h
@@ -18,6 +18,8 @@
 public:
     struct Options {
         std::size_t maximumAnswerBytes = 8 * 1024 * 1024;
+        /// A connection within a region stands after a few milliseconds; a lost SYN is sent again after 1 s.
+        std::chrono::milliseconds connectTimeout{1500};
         /// Idle connections that are kept for each instance. An instance takes about 350 connections, which 48 VMs share.
         std::size_t maximumIdle = 4;
         /// Middleboxes drop idle connections without a sign, so that connections aren't trusted for long.
--- a/libraries/connection/upstreamconnection.cpp
+++ b/libraries/connection/upstreamconnection.cpp
@@ -13,8 +13,8 @@
 
 namespace {
 
-// A connection within a failure domain stands after about 1 ms; a lost SYN is sent again after 1 s.
-constexpr std::chrono::milliseconds connectTimeout{1500};
+// A caller that left must not keep an upstream at work; the platform allows half a second until it stops.
+constexpr std::chrono::milliseconds abandonmentCheck{100};
 
 struct ListDeleter {
     void operator()(curl_slist *list) const
@@ -73,14 +73,6 @@
     return CURL_PREREQFUNC_OK;
 }
 
-// libcurl calls this about once a second while nothing arrives.
-int onProgress(void *data, curl_off_t, curl_off_t, curl_off_t, curl_off_t)
-{
-    Transfer &transfer = *static_cast<Transfer *>(data);
-    transfer.abandoned = transfer.sendings > 0 && transfer.call.isAbandoned();
-    return transfer.abandoned ? 1 : 0;
-}
-
 std::size_t onHeader(char *bytes, std::size_t size, std::size_t count, void *data)
 {
     return static_cast<Transfer *>(data)->assembler.addHeaderLine({bytes, size * count}) ? size * count : 0;
@@ -98,7 +90,7 @@
         // libcurl sends a header without a value only when a semicolon ends its name.
         list.add(header.value.empty() ? header.name + ";" : header.name + ": " + header.value);
     }
-    list.add("X-Request-Timeout-Ms: " + std::to_string(remaining.count()));
+    list.add(call.deadlineHeader + ": " + std::to_string(remaining.count()));
     if (!call.requestId.empty()) {
         list.add("X-Request-Id: " + call.requestId);
     }
@@ -144,10 +136,12 @@
 class UpstreamConnection::Handle
 {
 public:
-    Handle(CURL *easy, std::string url, std::size_t maximumAnswerBytes)
-        : easy(easy, curl_easy_cleanup)
+    Handle(CURL *easy, std::string url, std::size_t maximumAnswerBytes, std::chrono::milliseconds connectTimeout)
+        : multi(curl_multi_init(), curl_multi_cleanup)
+        , easy(easy, curl_easy_cleanup)
         , url(std::move(url))
         , maximumAnswerBytes(maximumAnswerBytes)
+        , connectTimeout(connectTimeout)
     {
     }
 
@@ -167,7 +161,7 @@
         curl_easy_setopt(handle, CURLOPT_TCP_NODELAY, 1L);
         curl_easy_setopt(handle, CURLOPT_FRESH_CONNECT, call.idempotent ? 0L : 1L);
         curl_easy_setopt(handle, CURLOPT_TIMEOUT_MS, static_cast<long>(remaining.count()));
-        curl_easy_setopt(handle, CURLOPT_CONNECTTIMEOUT_MS, static_cast<long>(std::min(remaining, connectTimeout).count()));
+        curl_easy_setopt(handle, CURLOPT_CONNECTTIMEOUT_MS, static_cast<long>(std::min(remaining, this->connectTimeout).count()));
         curl_easy_setopt(handle, CURLOPT_HTTPHEADER, headers.get());
         curl_easy_setopt(handle, CURLOPT_PREREQFUNCTION, onSending);
         curl_easy_setopt(handle, CURLOPT_PREREQDATA, &transfer);
@@ -175,17 +169,12 @@
         curl_easy_setopt(handle, CURLOPT_HEADERDATA, &transfer);
         curl_easy_setopt(handle, CURLOPT_WRITEFUNCTION, onBody);
         curl_easy_setopt(handle, CURLOPT_WRITEDATA, &transfer);
-        if (call.idempotent && call.isAbandoned) {
-            curl_easy_setopt(handle, CURLOPT_NOPROGRESS, 0L);
-            curl_easy_setopt(handle, CURLOPT_XFERINFOFUNCTION, onProgress);
-            curl_easy_setopt(handle, CURLOPT_XFERINFODATA, &transfer);
-        }
         this->prepareMethod(call.request);
     }
 
-    CURLcode perform()
+    CURLcode perform(Transfer &transfer)
     {
-        const CURLcode code = curl_easy_perform(this->easy.get());
+        const CURLcode code = this->transferUntilDone(transfer);
         curl_socket_t activeSocket = CURL_SOCKET_BAD;
         curl_easy_getinfo(this->easy.get(), CURLINFO_ACTIVESOCKET, &activeSocket);
         this->socket = activeSocket;
@@ -199,12 +188,43 @@
         return opened == 0;
     }
 
+    // Holds the connection between transfers, so it outlives the easy handle.
+    const std::unique_ptr<CURLM, CURLMcode (*)(CURLM *)> multi;
     const std::unique_ptr<CURL, void (*)(CURL *)> easy;
     const std::string url;
     const std::size_t maximumAnswerBytes;
+    const std::chrono::milliseconds connectTimeout;
     curl_socket_t socket = CURL_SOCKET_BAD;
 
 private:
+    /// Runs the transfer in steps, between which it looks whether the caller is still there.
+    CURLcode transferUntilDone(Transfer &transfer)
+    {
+        if (this->multi == nullptr || curl_multi_add_handle(this->multi.get(), this->easy.get()) != CURLM_OK) {
+            return CURLE_FAILED_INIT;
+        }
+        const bool mayBeAbandoned = transfer.call.idempotent && transfer.call.isAbandoned;
+        CURLcode code = CURLE_OK;
+        int running = 1;
+        while (running > 0 && code == CURLE_OK) {
+            if (curl_multi_perform(this->multi.get(), &running) != CURLM_OK) {
+                code = CURLE_RECV_ERROR;
+            } else if (running > 0) {
+                curl_multi_poll(this->multi.get(), nullptr, 0, static_cast<int>(abandonmentCheck.count()), nullptr);
+                transfer.abandoned = mayBeAbandoned && transfer.sendings > 0 && transfer.call.isAbandoned();
+                code = transfer.abandoned ? CURLE_ABORTED_BY_CALLBACK : CURLE_OK;
+            }
+        }
+        int left = 0;
+        const CURLMsg *message = code == CURLE_OK ? curl_multi_info_read(this->multi.get(), &left) : nullptr;
+        if (message != nullptr && message->msg == CURLMSG_DONE) {
+            code = message->data.result;
+        }
+        // The connection of a transfer that is removed before its end is closed.
+        curl_multi_remove_handle(this->multi.get(), this->easy.get());
+        return code;
+    }
+
     void prepareMethod(const HttpRequest &request)
     {
         CURL *handle = this->easy.get();
@@ -223,7 +243,7 @@
     }
 };
 
-std::unique_ptr<UpstreamConnection> UpstreamConnection::create(const std::string &host, std::uint16_t port, std::size_t maximumAnswerBytes)
+std::unique_ptr<UpstreamConnection> UpstreamConnection::create(const std::string &host, std::uint16_t port, std::size_t maximumAnswerBytes, std::chrono::milliseconds connectTimeout)
 {
     initializeLibrary();
     CURL *easy = curl_easy_init();
@@ -231,7 +251,7 @@
         return nullptr;
     }
     const std::string bracketed = host.find(':') == std::string::npos ? host : "[" + host + "]";
-    std::unique_ptr<Handle> handle = std::make_unique<Handle>(easy, "http://" + bracketed + ":" + std::to_string(port) + "/", maximumAnswerBytes);
+    std::unique_ptr<Handle> handle = std::make_unique<Handle>(easy, "http://" + bracketed + ":" + std::to_string(port) + "/", maximumAnswerBytes, connectTimeout);
     return std::unique_ptr<UpstreamConnection>(new UpstreamConnection(std::move(handle)));
 }
 
@@ -253,7 +273,7 @@
     Transfer transfer(call, this->handle->maximumAnswerBytes);
     const HeaderList headers = headerList(call, std::chrono::duration_cast<std::chrono::milliseconds>(call.deadline - now));
     this->handle->prepare(call, remaining, headers, transfer);
-    const CURLcode code = this->handle->perform();
+    const CURLcode code = this->handle->perform(transfer);
     result.reusedConnection = this->handle->reusedConnection();
     if (code != CURLE_OK || !transfer.assembler.isWhole()) {
         this->handle->socket = CURL_SOCKET_BAD;
--- a/libraries/connection/upstreamconnection.h
+++ b/libraries/connection/upstreamconnection.h
@@ -2,6 +2,7 @@
 
 #include "connection/upstreamsender.h"
 
+#include <chrono>
 #include <cstddef>
 #include <memory>
 #include <string>
@@ -16,7 +17,7 @@
 class UpstreamConnection
 {
 public:
-    static std::unique_ptr<UpstreamConnection> create(const std::string &host, std::uint16_t port, std::size_t maximumAnswerBytes);
+    static std::unique_ptr<UpstreamConnection> create(const std::string &host, std::uint16_t port, std::size_t maximumAnswerBytes, std::chrono::milliseconds connectTimeout);
     ~UpstreamConnection();
     UpstreamConnection(const UpstreamConnection &) = delete;
     UpstreamConnection &operator=(const UpstreamConnection &) = delete;
--- a/libraries/connection/upstreamsender.h
+++ b/libraries/connection/upstreamsender.h
@@ -19,12 +19,14 @@
     bool idempotent = false;
     /// Asks for a new connection, as for a retry: whatever silenced one pooled connection may have silenced others.
     bool newConnection = false;
+    /// Name of the header that tells the instance how many milliseconds are left.
+    std::string deadlineHeader = "X-Request-Timeout-Ms";
     /// Sent as X-Request-Id; an answer with another one is refused as crossed.
     std::string requestId;
     SteadyTime deadline;
     /// Called once the connection stands, right before the first byte; false keeps the request from being sent. May be empty.
     std::function<bool()> mayBeSent;
-    /// Asked about once a second while an idempotent request is in flight; true ends the try. May be empty.
+    /// Asked several times a second while an idempotent request is in flight; true ends the try. May be empty.
     std::function<bool()> isAbandoned;
 };
 
--- a/libraries/process/administration/administrationserver.cpp
+++ b/libraries/process/administration/administrationserver.cpp
@@ -12,6 +12,7 @@
 #include <exception>
 #include <glog/logging.h>
 #include <string_view>
+#include <utility>
 
 namespace Hyssophall::Administration {
 
@@ -69,22 +70,22 @@
 }
 
 // An exception that passed through the web server's C code would end the process.
-HttpAnswer answerOf(const HttpRequest &request, AdministrationApi &api)
+HttpAnswer answerOf(const HttpRequest &request, const AdministrationServer::Handler &handler)
 {
     if (request.body.size() > AdministrationServer::maximumBodyBytes) {
         return errorAnswer(413, "request_too_large", "the body is over 1 MiB");
     }
     try {
-        return api.handle(request);
+        return handler(request);
     } catch (const std::exception &exception) {
         LOG(ERROR) << "An administration request failed unexpectedly: " << exception.what();
         return errorAnswer(500, "internal", "the request failed in an unexpected way");
     }
 }
 
-int answerRequest(const _u_request *request, _u_response *response, void *api)
+int answerRequest(const _u_request *request, _u_response *response, void *handler)
 {
-    const HttpAnswer answer = answerOf(readRequest(*request), *static_cast<AdministrationApi *>(api));
+    const HttpAnswer answer = answerOf(readRequest(*request), *static_cast<const AdministrationServer::Handler *>(handler));
     ulfius_add_header_to_response(response, "Content-Type", answer.contentType.c_str());
     // Answers may hold keys and state that is outdated at once.
     ulfius_add_header_to_response(response, "Cache-Control", "no-store");
@@ -109,16 +110,16 @@
 
 } // namespace
 
-AdministrationServer::AdministrationServer(AdministrationApi &api)
-    : api(api)
+AdministrationServer::AdministrationServer(Handler handler)
+    : handler(std::move(handler))
     , instance(std::make_unique<_u_instance>())
 {
 }
 
 leaf::result<std::unique_ptr<AdministrationServer>> AdministrationServer::create(
-    AdministrationApi &api, const Endpoint &endpoint, std::size_t maximumConnections)
+    Handler handler, const Endpoint &endpoint, std::size_t maximumConnections)
 {
-    std::unique_ptr<AdministrationServer> server(new AdministrationServer(api));
+    std::unique_ptr<AdministrationServer> server(new AdministrationServer(std::move(handler)));
     if (!server->start(endpoint, maximumConnections)) {
         return leaf::new_error(ServerNotStarted{endpoint});
     }
@@ -142,7 +143,7 @@
     // One byte more than allowed, because ulfius cuts a longer body without an error.
     this->instance->max_post_body_size = maximumBodyBytes + 1;
     this->instance->allowed_post_processor = U_POST_PROCESS_NONE;
-    if (ulfius_set_default_endpoint(this->instance.get(), answerRequest, &this->api) != U_OK) {
+    if (ulfius_set_default_endpoint(this->instance.get(), answerRequest, const_cast<Handler *>(&this->handler)) != U_OK) {
         return false;
     }
     std::array<MHD_OptionItem, 7> options{{
--- a/libraries/process/administration/administrationserver.h
+++ b/libraries/process/administration/administrationserver.h
@@ -1,11 +1,12 @@
 #pragma once
 
-#include "process/administration/administrationapi.h"
+#include "process/administration/httpmessage.h"
 #include "process/settings/settings.h"
 
 #include <boost/leaf/result.hpp>
 
 #include <cstddef>
+#include <functional>
 #include <memory>
 
 struct _u_instance;
@@ -17,15 +18,18 @@
     Endpoint endpoint;
 };
 
-/// Serves the administration API over HTTP, with a thread for each connection.
+/// Serves an API of small requests over HTTP, with a thread for each connection: the administration API, or one of a deployment's platform.
 class AdministrationServer
 {
 public:
     /// Largest body of a request; a larger one is refused with 413.
     static constexpr std::size_t maximumBodyBytes = 1024 * 1024;
 
-    /// The API outlives the server. Errors: ServerNotStarted.
-    static boost::leaf::result<std::unique_ptr<AdministrationServer>> create(AdministrationApi &api, const Endpoint &endpoint, std::size_t maximumConnections);
+    /// Answers one request; called from many threads.
+    using Handler = std::function<HttpAnswer(const HttpRequest &)>;
+
+    /// What the handler uses outlives the server. Errors: ServerNotStarted.
+    static boost::leaf::result<std::unique_ptr<AdministrationServer>> create(Handler handler, const Endpoint &endpoint, std::size_t maximumConnections);
 
     AdministrationServer(const AdministrationServer &) = delete;
     AdministrationServer &operator=(const AdministrationServer &) = delete;
@@ -34,11 +38,11 @@
     ~AdministrationServer();
 
 private:
-    explicit AdministrationServer(AdministrationApi &api);
+    explicit AdministrationServer(Handler handler);
 
     bool start(const Endpoint &endpoint, std::size_t maximumConnections);
 
-    AdministrationApi &api;
+    const Handler handler;
     std::unique_ptr<_u_instance> instance;
     bool isStarted = false;
 };
--- /dev/null
+++ b/libraries/process/control/configurationmachine.cpp
@@ -0,0 +1,53 @@
+#include "process/control/configurationmachine.h"
+
+#include <utility>
+
+namespace Hyssophall {
+
+ConfigurationMachine::ConfigurationMachine(Listener listener)
+    : listener(std::move(listener))
+    , inForce(std::make_shared<const CatalogueMessages::Configuration>())
+{
+}
+
+std::uint64_t ConfigurationMachine::version() const
+{
+    return this->inForce->version();
+}
+
+boost::leaf::result<void> ConfigurationMachine::apply(const CatalogueMessages::Change &change)
+{
+    switch (change.kind_case()) {
+    case CatalogueMessages::Change::kReplaceConfiguration:
+        this->replace(change.replace_configuration());
+        return {};
+    case CatalogueMessages::Change::kReadBarrier:
+        return {};
+    default:
+        return boost::leaf::new_error(InvalidChange{"change", "a whole configuration, which is all that this group takes"});
+    }
+}
+
+void ConfigurationMachine::replace(const CatalogueMessages::Configuration &configuration)
+{
+    if (configuration.version() > this->inForce->version()) {
+        this->inForce = std::make_shared<const CatalogueMessages::Configuration>(configuration);
+        this->listener(this->inForce);
+    }
+}
+
+CatalogueMessages::Snapshot ConfigurationMachine::snapshot() const
+{
+    CatalogueMessages::Snapshot snapshot;
+    snapshot.set_version(this->inForce->version());
+    *snapshot.mutable_configuration() = *this->inForce;
+    return snapshot;
+}
+
+boost::leaf::result<void> ConfigurationMachine::restore(const CatalogueMessages::Snapshot &snapshot)
+{
+    this->replace(snapshot.configuration());
+    return {};
+}
+
+} // namespace Hyssophall
--- a/libraries/process/control/controlgroup.cpp
+++ b/libraries/process/control/controlgroup.cpp
@@ -81,6 +81,7 @@
     options.id = this->settings.vm.id;
     options.heartbeatInterval = this->settings.control.heartbeatInterval;
     options.electionTimeout = this->settings.control.electionTimeout;
+    options.recallGrace = this->settings.control.recallGrace;
     RaftReplica::Hooks replicaHooks{
         steadyNow, this->hooks.random, [this](const RaftReplica::Replica &peer, const RaftReplica::Request &request) { this->send(peer, request); }};
     this->replica = std::make_unique<RaftReplica>(options, replicaHooks, *this->storage, this->storage->takeStored());
--- a/libraries/process/control/controlgroup.h
+++ b/libraries/process/control/controlgroup.h
@@ -58,6 +58,9 @@
     /// Starts a new group of the VMs with these fleet addresses, this VM among them; their logs must be empty. Errors: BootstrapRefused.
     boost::leaf::result<void> bootstrap(const std::vector<std::string> &addresses, SteadyTime deadline);
 
+    /// Whether what this replica has applied is at most about an election timeout old.
+    bool isInTouch() const;
+
     boost::leaf::result<ControlMessages::ChangeOutcome> propose(const ControlMessages::CatalogueChange &change, SteadyTime deadline) override;
     boost::leaf::result<ControlMessages::ChangeOutcome> putReplica(const ControlMessages::Replica &replica, SteadyTime deadline) override;
     boost::leaf::result<ControlMessages::ChangeOutcome> removeReplica(const std::string &replicaId, SteadyTime deadline) override;
--- a/libraries/process/control/controlproposals.cpp
+++ b/libraries/process/control/controlproposals.cpp
@@ -181,6 +181,12 @@
     return true;
 }
 
+bool ControlGroup::isInTouch() const
+{
+    std::lock_guard<std::mutex> lock(this->mutex);
+    return this->replica->isInTouch();
+}
+
 bool ControlGroup::holdsChange(const std::string &changeId) const
 {
     const std::vector<ControlMessages::Entry> &entries = this->replica->log().entries();
--- a/libraries/process/control/controlstate.cpp
+++ b/libraries/process/control/controlstate.cpp
@@ -4,6 +4,16 @@
 
 namespace Hyssophall {
 
+namespace {
+
+/// A whole configuration has a version of its own, and a barrier changes nothing, so neither depends on the version in force.
+bool isOrderedByItself(const CatalogueMessages::Change &change)
+{
+    return change.has_replace_configuration() || change.kind_case() == CatalogueMessages::Change::kReadBarrier;
+}
+
+} // namespace
+
 ControlState::ControlState(CatalogueMachine &catalogue)
     : catalogue(catalogue)
 {
@@ -55,7 +65,7 @@
 {
     ControlMessages::ChangeOutcome outcome;
     outcome.set_change_id(change.change_id());
-    if (change.expected_version() != this->catalogue.version()) {
+    if (!isOrderedByItself(change.change()) && change.expected_version() != this->catalogue.version()) {
         outcome.set_result(ControlMessages::ChangeOutcome::RESULT_CONFLICT);
         outcome.set_version(this->catalogue.version());
         return outcome;
--- a/libraries/process/control/raftreplica.cpp
+++ b/libraries/process/control/raftreplica.cpp
@@ -116,6 +116,11 @@
     return this->halted;
 }
 
+bool RaftReplica::isInTouch() const
+{
+    return !this->halted && this->hearsLeader();
+}
+
 RaftReplica::Role RaftReplica::role() const
 {
     return this->currentRole;
--- a/libraries/process/control/raftreplica.h
+++ b/libraries/process/control/raftreplica.h
@@ -97,6 +97,9 @@
     /// Whether this replica takes part in votes: it knows that its disk holds all that it acknowledged.
     bool isVoting() const;
     bool isHalted() const;
+
+    /// Whether this replica leads with a majority, or heard from the leader within the election timeout.
+    bool isInTouch() const;
     Role role() const;
     std::uint64_t term() const;
     std::uint64_t committedIndex() const;
--- a/libraries/process/health/instancehealth.h
+++ b/libraries/process/health/instancehealth.h
@@ -18,6 +18,8 @@
     /// Shed with the proof that nothing ran.
     Shed,
     ConnectFailed,
+    /// Another instance has the address now; nothing ran.
+    WrongInstance,
     TimedOut,
     /// The connection was lost after sending and before an answer.
     ConnectionLost,
@@ -39,6 +41,12 @@
     /// 100 ms at most, so that a poison request is known as such before it is tried again.
     virtual void finish(const hyssophall::fleet::v1::Instance &instance, TryOutcome outcome, std::chrono::microseconds latency, std::uint64_t fingerprint) = 0;
 
+    /// What is known of an instance that was chosen, and how old that is; for the log.
+    virtual std::string explain(const std::string &) const
+    {
+        return {};
+    }
+
     /// True for a request that has felled instances; it must not be sent.
     virtual bool isPoison(std::uint64_t fingerprint) const = 0;
 };
--- a/libraries/process/health/instancescore.cpp
+++ b/libraries/process/health/instancescore.cpp
@@ -28,6 +28,7 @@
     switch (outcome) {
     case TryOutcome::ServerError:
     case TryOutcome::ConnectFailed:
+    case TryOutcome::WrongInstance:
     case TryOutcome::TimedOut:
     case TryOutcome::ConnectionLost:
     case TryOutcome::AnswerIncomplete:
--- /dev/null
+++ b/libraries/process/health/outcomeboard.cpp
@@ -0,0 +1,271 @@
+#include "process/health/outcomeboard.h"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace Hyssophall {
+
+namespace {
+
+using Milliseconds = std::chrono::duration<double, std::milli>;
+
+/// Weight of the newest latency in the running mean: about the last ten count.
+constexpr double latencyWeight = 0.1;
+/// Requests that take so many times the usual latency of their service are likely to hang.
+constexpr double hangingFactor = 4;
+/// No request hangs before this, however fast its service is.
+constexpr Milliseconds shortestHang{800};
+/// A request in flight for longer is forgotten: its VM was lost before it could tell the end.
+constexpr std::chrono::seconds longestFlight{12};
+/// An instance that can't be reached is left alone for this long at first, and twice as long each time, up to the longest.
+constexpr std::chrono::milliseconds firstUnreachableHold{500};
+constexpr std::chrono::milliseconds longestUnreachableHold{8000};
+/// An instance that was full has a free slot again about half a usual request later.
+constexpr std::chrono::milliseconds fullHold{150};
+/// Each request in flight on an instance that may be gray would be lost with it, too.
+constexpr double companyCost = 0.5;
+/// Prefers idle instances among those with free slots, since instances slow down when they are nearly full.
+constexpr double busyCost = 0.02;
+/// A request that waits for a slot takes twice as long and may miss its target.
+constexpr double waitingCost = 0.4;
+/// An instance at twice the latency of its service costs as much as this chance of a failure.
+constexpr double slownessCost = 0.15;
+constexpr double largestSlownessCost = 0.6;
+constexpr double coldCost = 0.1;
+constexpr double fullCost = 1.0;
+/// Instances queue some requests beyond their slots; past this share of them, a request had better be refused at once.
+constexpr double largestOccupancy = 3.0;
+/// Share of failing requests from which on a service's work is spread over more instances.
+constexpr double failingShare = 0.06;
+/// Share of the instances in service that get requests while many requests fail; the platform asks for 0.7 within 2 s.
+constexpr double spreadShare = 0.8;
+constexpr std::chrono::milliseconds spreadWindow{1300};
+/// Time after which the failures of a service have faded to 1/e.
+constexpr std::chrono::milliseconds failureMemory{1500};
+
+std::int64_t ageOf(const std::optional<SteadyTime> &time, SteadyTime now)
+{
+    return time ? std::chrono::duration_cast<std::chrono::milliseconds>(now - *time).count() : -1;
+}
+
+std::uint32_t summaryAge(const std::optional<SteadyTime> &time, SteadyTime now)
+{
+    return time ? static_cast<std::uint32_t>(std::max<std::int64_t>(1, ageOf(time, now))) : 0;
+}
+
+} // namespace
+
+OutcomeBoard::OutcomeBoard(Options options)
+    : options(std::move(options))
+{
+}
+
+std::vector<RelayMessages::Registration> OutcomeBoard::take(const RelayMessages::Registration &registration)
+{
+    std::vector<RelayMessages::Registration> changed = this->instances.take(registration);
+    for (const RelayMessages::Registration &each : changed) {
+        const std::uint32_t handle = InstanceTable::handleOf(each);
+        if (each.state() == RelayMessages::REGISTRATION_STATE_GONE) {
+            this->lives.erase(handle);
+        } else {
+            this->lives[handle].id = each.id();
+        }
+    }
+    return changed;
+}
+
+void OutcomeBoard::apply(const RelayMessages::InstanceOutcomes &outcomes, SteadyTime now)
+{
+    const auto known = this->lives.find(outcomes.instance());
+    if (known == this->lives.end()) {
+        return;
+    }
+    Life &life = known->second;
+    const RelayMessages::Registration *registration = this->instances.find(life.id);
+    if (registration == nullptr) {
+        return;
+    }
+    Service &service = this->services[registration->service()];
+    fade(service, now);
+    const std::uint32_t ended = outcomes.succeeded() + outcomes.failed() + outcomes.rejected() + outcomes.unreachable() + outcomes.neutral();
+    for (std::uint32_t count = 0; count < outcomes.started(); ++count) {
+        life.starts.push_back(now);
+        life.lastStart = now;
+    }
+    for (std::uint32_t count = 0; count < ended && !life.starts.empty(); ++count) {
+        life.starts.pop_front();
+    }
+    life.hanging = std::min(life.hanging, life.starts.size());
+    for (std::uint32_t count = 0; count < outcomes.failed(); ++count) {
+        life.gray.addFailure(now, this->options.model);
+        life.failure = now;
+    }
+    for (std::uint32_t count = 0; count < outcomes.succeeded(); ++count) {
+        life.gray.addSuccess(now, this->options.model);
+        life.success = now;
+        const Milliseconds mean = Milliseconds(outcomes.latency_milliseconds()) / outcomes.succeeded();
+        life.latency = life.latency.count() == 0 ? mean : life.latency + (mean - life.latency) * latencyWeight;
+        service.latency = service.latency.count() == 0 ? mean : service.latency + (mean - service.latency) * latencyWeight;
+    }
+    if (outcomes.unreachable() > 0 && now >= life.unreachableUntil) {
+        life.unreachableHold = std::clamp(2 * life.unreachableHold, firstUnreachableHold, longestUnreachableHold);
+        life.unreachableUntil = now + life.unreachableHold;
+    }
+    if (outcomes.succeeded() + outcomes.failed() > 0) {
+        life.unreachableHold = std::chrono::milliseconds(0);
+    }
+    if (outcomes.rejected() > 0) {
+        life.fullUntil = now + fullHold;
+    }
+    service.failed += outcomes.failed();
+    service.ended += outcomes.succeeded() + outcomes.failed();
+}
+
+void OutcomeBoard::apply(const RelayMessages::InstanceSummary &summary, SteadyTime now)
+{
+    const auto known = this->lives.find(summary.instance());
+    if (known == this->lives.end() || known->second.gray.isInformed()) {
+        // What this VM heard outcome by outcome is at least as good as a summary.
+        return;
+    }
+    Life &life = known->second;
+    const SteadyTime success = now - std::chrono::milliseconds(summary.success_age_milliseconds());
+    const SteadyTime failure = now - std::chrono::milliseconds(summary.failure_age_milliseconds());
+    const bool succeeded = summary.success_age_milliseconds() > 0;
+    const bool failed = summary.failure_age_milliseconds() > 0;
+    if (succeeded && (!failed || success >= failure)) {
+        life.gray.addSuccess(success, this->options.model);
+        life.success = success;
+    } else if (failed) {
+        life.gray.addFailure(failure, this->options.model);
+        life.failure = failure;
+    }
+    life.starts.assign(summary.in_flight(), now);
+}
+
+std::vector<RelayMessages::InstanceSummary> OutcomeBoard::summaries(SteadyTime now) const
+{
+    std::vector<RelayMessages::InstanceSummary> all;
+    for (const std::pair<const std::uint32_t, Life> &entry : this->lives) {
+        RelayMessages::InstanceSummary &summary = all.emplace_back();
+        summary.set_instance(entry.first);
+        summary.set_success_age_milliseconds(summaryAge(entry.second.success, now));
+        summary.set_failure_age_milliseconds(summaryAge(entry.second.failure, now));
+        summary.set_in_flight(static_cast<std::uint32_t>(entry.second.starts.size()));
+    }
+    return all;
+}
+
+std::optional<RelayMessages::Registration> OutcomeBoard::choose(const std::string &serviceName, const std::set<std::string> &tried, SteadyTime now)
+{
+    Service &service = this->services[serviceName];
+    fade(service, now);
+    std::vector<Candidate> candidates;
+    for (const std::pair<const std::string, RelayMessages::Registration> &entry : this->instances.all()) {
+        const RelayMessages::Registration &registration = entry.second;
+        if (registration.service() != serviceName || registration.state() != RelayMessages::REGISTRATION_STATE_READY || tried.count(registration.id()) > 0) {
+            continue;
+        }
+        Life &life = this->lives[InstanceTable::handleOf(registration)];
+        this->countHanging(life, service, now);
+        const double slots = std::max<std::uint32_t>(1, registration.slots());
+        if (static_cast<double>(life.starts.size()) < largestOccupancy * slots) {
+            candidates.push_back({&registration, &life, this->costOf(registration, life, service, now)});
+        }
+    }
+    if (candidates.empty()) {
+        return std::nullopt;
+    }
+    const Candidate chosen = this->needsSpreading(candidates, service, now) ? this->leastUsed(candidates, now) : this->cheapest(candidates);
+    return *chosen.registration;
+}
+
+void OutcomeBoard::countHanging(Life &life, const Service &service, SteadyTime now)
+{
+    while (!life.starts.empty() && now - life.starts.front() > longestFlight) {
+        life.starts.pop_front();
+    }
+    life.hanging = std::min(life.hanging, life.starts.size());
+    const Milliseconds limit = std::max(shortestHang, service.latency * hangingFactor);
+    while (life.hanging < life.starts.size() && now - life.starts[life.hanging] > limit) {
+        ++life.hanging;
+        life.gray.addFailure(now, this->options.model);
+        life.failure = now;
+    }
+}
+
+double OutcomeBoard::costOf(const RelayMessages::Registration &registration, const Life &life, const Service &service, SteadyTime now) const
+{
+    const double gray = life.gray.probability(now, this->options.model);
+    const double inFlight = static_cast<double>(life.starts.size());
+    const double slots = std::max<std::uint32_t>(1, registration.slots());
+    double cost = gray * this->options.model.grayFailureShare + gray * companyCost * inFlight + busyCost * inFlight;
+    cost += waitingCost * std::max(0.0, inFlight + 1 - slots);
+    if (life.latency.count() > 0 && service.latency.count() > 0) {
+        cost += std::clamp(slownessCost * (life.latency / service.latency - 1.3), 0.0, largestSlownessCost);
+    }
+    cost += registration.failure_domain() == this->options.ownFailureDomain ? 0 : this->options.crossDomainCost;
+    cost += now < life.fullUntil ? fullCost : 0;
+    // Only when nothing else is left.
+    cost += now < life.unreachableUntil ? 10 : 0;
+    const bool cold = registration.warmup_milliseconds() > 0 && !life.success;
+    return cost + (cold ? coldCost : 0);
+}
+
+OutcomeBoard::Candidate OutcomeBoard::cheapest(std::vector<Candidate> &candidates)
+{
+    // Equal ones are taken in turn by chance, so that VMs with the same view don't all choose the same instance.
+    const std::size_t first = static_cast<std::size_t>(this->options.random() % candidates.size());
+    std::rotate(candidates.begin(), candidates.begin() + static_cast<std::ptrdiff_t>(first), candidates.end());
+    return *std::min_element(candidates.begin(), candidates.end(), [](const Candidate &left, const Candidate &right) { return left.cost < right.cost; });
+}
+
+bool OutcomeBoard::needsSpreading(const std::vector<Candidate> &candidates, const Service &service, SteadyTime now) const
+{
+    if (service.ended < 1 || service.failed < failingShare * service.ended) {
+        return false;
+    }
+    const std::ptrdiff_t used = std::count_if(candidates.begin(), candidates.end(), [now](const Candidate &candidate) {
+        return candidate.life->lastStart && now - *candidate.life->lastStart < spreadWindow;
+    });
+    return static_cast<double>(used) < spreadShare * static_cast<double>(candidates.size());
+}
+
+OutcomeBoard::Candidate OutcomeBoard::leastUsed(std::vector<Candidate> &candidates, SteadyTime now)
+{
+    std::vector<Candidate> unused;
+    std::copy_if(candidates.begin(), candidates.end(), std::back_inserter(unused), [now](const Candidate &candidate) {
+        return now >= candidate.life->unreachableUntil && !(candidate.life->lastStart && now - *candidate.life->lastStart < spreadWindow);
+    });
+    return unused.empty() ? this->cheapest(candidates) : this->cheapest(unused);
+}
+
+void OutcomeBoard::fade(Service &service, SteadyTime now)
+{
+    const std::chrono::duration<double> age = now - service.faded;
+    const std::chrono::duration<double> memory = failureMemory;
+    const double factor = std::exp(-age.count() / memory.count());
+    service.failed *= factor;
+    service.ended *= factor;
+    service.faded = now;
+}
+
+std::string OutcomeBoard::explain(const std::string &instanceId, SteadyTime now) const
+{
+    const RelayMessages::Registration *registration = this->instances.find(instanceId);
+    const auto life = registration == nullptr ? this->lives.end() : this->lives.find(InstanceTable::handleOf(*registration));
+    if (life == this->lives.end()) {
+        return "gone";
+    }
+    const double gray = life->second.gray.probability(now, this->options.model);
+    return "gray=" + std::to_string(gray).substr(0, 4) + " in_flight=" + std::to_string(life->second.starts.size())
+        + " success_age_ms=" + std::to_string(ageOf(life->second.success, now)) + " failure_age_ms=" + std::to_string(ageOf(life->second.failure, now));
+}
+
+const InstanceTable &OutcomeBoard::table() const
+{
+    return this->instances;
+}
+
+} // namespace Hyssophall
--- /dev/null
+++ b/libraries/process/health/outcomeboard.h
@@ -0,0 +1,104 @@
+#pragma once
+
+#include "process/health/grayestimate.h"
+#include "process/hooks.h"
+#include "process/relay/instancetable.h"
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace Hyssophall {
+
+/**
+ * What all VMs' requests tell about the instances, and the choice of an instance for the next request.
+ *
+ * The choice takes the instance with the lowest expected cost, in parts of a failed request: the chance that it is gray, the wait behind the
+ * requests that are in flight there, and the way to another failure domain. A service that fails much work is spread over more
+ * instances, since nobody knows the sound ones among those that get no requests. Not thread-safe.
+ */
+class OutcomeBoard
+{
+public:
+    struct Options {
+        std::string ownFailureDomain;
+        /// What a request to another failure domain costs, in parts of a failed request.
+        double crossDomainCost = 0.15;
+        GrayEstimate::Model model;
+        RandomSource random;
+    };
+
+    explicit OutcomeBoard(Options options);
+
+    /// Takes a registration; see InstanceTable::take().
+    std::vector<RelayMessages::Registration> take(const RelayMessages::Registration &registration);
+
+    /// Takes counts of this VM or of others.
+    void apply(const RelayMessages::InstanceOutcomes &outcomes, SteadyTime now);
+
+    /// Takes what a relay knew when this VM connected to it.
+    void apply(const RelayMessages::InstanceSummary &summary, SteadyTime now);
+
+    /// What is known of each instance that isn't gone, for a VM that connects.
+    std::vector<RelayMessages::InstanceSummary> summaries(SteadyTime now) const;
+
+    /// Chooses an instance of the service, avoiding those in @p tried; nothing when none can take a request. The choice isn't counted yet.
+    std::optional<RelayMessages::Registration> choose(const std::string &service, const std::set<std::string> &tried, SteadyTime now);
+
+    /// What spoke for and against an instance, for the log: "gray=0.04 in_flight=1 success_age_ms=120 failure_age_ms=-1".
+    std::string explain(const std::string &instanceId, SteadyTime now) const;
+
+    const InstanceTable &table() const;
+
+private:
+    struct Life {
+        std::string id;
+        GrayEstimate gray;
+        /// Starts of the requests in flight, oldest first.
+        std::deque<SteadyTime> starts;
+        std::optional<SteadyTime> success;
+        std::optional<SteadyTime> failure;
+        std::optional<SteadyTime> lastStart;
+        SteadyTime unreachableUntil;
+        std::chrono::milliseconds unreachableHold{0};
+        SteadyTime fullUntil;
+        /// Mean latency of the successes, newest counted most; zero before the first.
+        std::chrono::duration<double, std::milli> latency{0};
+        /// Requests in flight that already counted as failures since they take too long.
+        std::size_t hanging = 0;
+    };
+
+    struct Service {
+        std::chrono::duration<double, std::milli> latency{0};
+        /// Failures and all outcomes, fading with time.
+        double failed = 0;
+        double ended = 0;
+        SteadyTime faded;
+    };
+
+    struct Candidate {
+        const RelayMessages::Registration *registration = nullptr;
+        Life *life = nullptr;
+        double cost = 0;
+    };
+
+    void countHanging(Life &life, const Service &service, SteadyTime now);
+    double costOf(const RelayMessages::Registration &registration, const Life &life, const Service &service, SteadyTime now) const;
+    Candidate cheapest(std::vector<Candidate> &candidates);
+    Candidate leastUsed(std::vector<Candidate> &candidates, SteadyTime now);
+    bool needsSpreading(const std::vector<Candidate> &candidates, const Service &service, SteadyTime now) const;
+    static void fade(Service &service, SteadyTime now);
+
+    const Options options;
+    InstanceTable instances;
+    std::map<std::uint32_t, Life> lives;
+    std::map<std::string, Service> services;
+};
+
+} // namespace Hyssophall
--- /dev/null
+++ b/libraries/process/limits/sharedratelimiter.cpp
@@ -0,0 +1,70 @@
+#include "process/limits/sharedratelimiter.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace Hyssophall {
+
+namespace {
+
+/// No caller is told to come back sooner; a shorter wait would only cost it a connection.
+constexpr std::chrono::milliseconds shortestRetryAfter{50};
+constexpr std::chrono::milliseconds longestRetryAfter{5000};
+/// Requests that others admitted before this VM could know put a bucket below zero, by this much at most.
+constexpr double largestDebtInSeconds = 1;
+
+} // namespace
+
+SharedRateLimiter::SharedRateLimiter(Hooks hooks)
+    : hooks(std::move(hooks))
+{
+}
+
+RateDecision SharedRateLimiter::acquire(const std::string &team, SteadyTime)
+{
+    const TeamRate whole = this->hooks.rateOf(team);
+    if (whole.rate <= 0) {
+        return {RateDecision::Kind::Granted, std::chrono::milliseconds(0)};
+    }
+    const double share = this->hooks.visibleShare();
+    const TeamRate rate{whole.rate * share, std::max(1.0, whole.burst * share)};
+    {
+        std::lock_guard<std::mutex> lock(this->mutex);
+        Bucket &bucket = this->bucketOf(team, rate, this->hooks.clock());
+        if (bucket.tokens < 1) {
+            const std::chrono::duration<double> wait((1 - bucket.tokens) / rate.rate);
+            const std::chrono::milliseconds retryAfter = std::chrono::duration_cast<std::chrono::milliseconds>(wait);
+            return {RateDecision::Kind::RateLimited, std::clamp(retryAfter, shortestRetryAfter, longestRetryAfter)};
+        }
+        bucket.tokens -= 1;
+    }
+    this->hooks.admitted(team);
+    return {RateDecision::Kind::Granted, std::chrono::milliseconds(0)};
+}
+
+void SharedRateLimiter::giveBack(const std::string &) {}
+
+void SharedRateLimiter::admittedElsewhere(const std::string &team, std::uint32_t count)
+{
+    const TeamRate whole = this->hooks.rateOf(team);
+    if (whole.rate <= 0) {
+        return;
+    }
+    std::lock_guard<std::mutex> lock(this->mutex);
+    Bucket &bucket = this->bucketOf(team, whole, this->hooks.clock());
+    bucket.tokens = std::max(bucket.tokens - count, -largestDebtInSeconds * whole.rate);
+}
+
+SharedRateLimiter::Bucket &SharedRateLimiter::bucketOf(const std::string &team, const TeamRate &rate, SteadyTime now)
+{
+    Bucket &bucket = this->buckets[team];
+    if (bucket.isNew) {
+        bucket = {rate.burst, now, false};
+    }
+    const std::chrono::duration<double> passed = now - bucket.filled;
+    bucket.tokens = std::min(rate.burst, bucket.tokens + rate.rate * passed.count());
+    bucket.filled = now;
+    return bucket;
+}
+
+} // namespace Hyssophall
--- a/libraries/process/proxy/admission.cpp
+++ b/libraries/process/proxy/admission.cpp
@@ -24,6 +24,36 @@
         && std::all_of(method.begin(), method.end(), [](char byte) { return byte >= 'A' && byte <= 'Z'; });
 }
 
+// How long a VM that has just started usually waits for its first catalogue.
+constexpr std::chrono::milliseconds catalogueWait{500};
+
+/// The host without its port.
+std::string_view hostName(std::string_view host)
+{
+    const std::size_t colon = host.rfind(':');
+    return colon == std::string_view::npos || host.find(']', colon) != std::string_view::npos ? host : host.substr(0, colon);
+}
+
+/// Chooses among the shares of a route in proportion to their weights.
+std::string serviceOf(const CatalogueMessages::Route &route, std::uint64_t random)
+{
+    double total = 0;
+    for (const CatalogueMessages::ServiceShare &share : route.shares()) {
+        total += share.weight();
+    }
+    if (total <= 0) {
+        return route.shares().empty() ? route.service() : route.shares(0).service();
+    }
+    double left = total * (static_cast<double>(random >> 11U) / 9007199254740992.0);
+    for (const CatalogueMessages::ServiceShare &share : route.shares()) {
+        left -= share.weight();
+        if (left < 0) {
+            return share.service();
+        }
+    }
+    return route.shares(route.shares_size() - 1).service();
+}
+
 bool isTeamAllowed(const CatalogueMessages::Route &route, const std::string &team)
 {
     return route.teams().empty() || std::find(route.teams().begin(), route.teams().end(), team) != route.teams().end();
@@ -31,14 +61,20 @@
 
 } // namespace
 
-Admission::Admission(CatalogueLookupSource catalogue, const ServingLease &lease, const InstanceHealth &health, std::chrono::milliseconds defaultTimeout)
+Admission::Admission(CatalogueLookupSource catalogue, const ServingLease &lease, const InstanceHealth &health, RandomSource random, Options options)
     : catalogue(std::move(catalogue))
     , lease(lease)
     , health(health)
-    , defaultTimeout(defaultTimeout)
+    , random(std::move(random))
+    , options(std::move(options))
 {
 }
 
+const HeaderNames &Admission::headerNames() const
+{
+    return this->options.headers;
+}
+
 boost::leaf::result<RequestContext> Admission::admit(const CallerRequest &request, RequestRecord &record) const
 {
     const HttpHeaders &headers = request.http.headers;
@@ -48,19 +84,25 @@
     const std::shared_ptr<const CatalogueLookup> inForce = this->catalogue();
     RequestContext context;
     context.request = &request;
-    context.route = inForce->findRoute(request.http.method, targetPath(request.http.target));
+    if (!inForce->isLoaded()) {
+        return refuse(RefusalCode::VmIsolated, catalogueWait);
+    }
+    const std::string *host = findHeader(headers, "Host");
+    context.route = inForce->findRoute(host == nullptr ? std::string_view() : hostName(*host), request.http.method, targetPath(request.http.target));
     if (context.route == nullptr) {
         return refuse(RefusalCode::RouteUnknown);
     }
+    context.service = serviceOf(*context.route, this->random());
     record.route = context.route->name();
-    record.service = context.route->service();
+    record.service = context.service;
     const std::chrono::milliseconds routeTimeout(context.route->timeout_milliseconds());
     const std::optional<std::chrono::milliseconds> timeout
-        = requestTimeout(request.http.headers, routeTimeout.count() > 0 ? routeTimeout : this->defaultTimeout);
+        = requestTimeout(headers, this->options.headers.deadline, routeTimeout.count() > 0 ? routeTimeout : this->options.defaultTimeout);
     if (!timeout) {
         return refuse(RefusalCode::MalformedRequest);
     }
-    context.deadline = request.arrival + *timeout;
+    // A caller may ask for less time than its route gives, and not for more.
+    context.deadline = request.arrival + (routeTimeout.count() > 0 ? std::min(*timeout, routeTimeout) : *timeout);
     if (!context.route->open()) {
         boost::leaf::result<void> authenticated = this->authenticate(*inForce, context);
         if (!authenticated) {
@@ -92,7 +134,7 @@
 
 boost::leaf::result<void> Admission::authenticate(const CatalogueLookup &inForce, RequestContext &context) const
 {
-    context.keyHash = callerKeyHash(context.request->http.headers);
+    context.keyHash = callerKeyHash(context.request->http.headers, this->options.headers);
     if (!context.keyHash) {
         return refuse(RefusalCode::KeyMissing);
     }
--- a/libraries/process/proxy/admission.h
+++ b/libraries/process/proxy/admission.h
@@ -3,6 +3,7 @@
 #include "process/fleet/servinglease.h"
 #include "process/health/instancehealth.h"
 #include "process/proxy/requestcontext.h"
+#include "request/headernames.h"
 
 #include <boost/leaf/result.hpp>
 
@@ -12,7 +13,14 @@
 class Admission
 {
 public:
-    Admission(CatalogueLookupSource catalogue, const ServingLease &lease, const InstanceHealth &health, std::chrono::milliseconds defaultTimeout);
+    struct Options {
+        std::chrono::milliseconds defaultTimeout{10000};
+        HeaderNames headers;
+    };
+
+    Admission(CatalogueLookupSource catalogue, const ServingLease &lease, const InstanceHealth &health, RandomSource random, Options options);
+
+    const HeaderNames &headerNames() const;
 
     /// Fills in @p record as far as the request gets. Errors: Refusal.
     boost::leaf::result<RequestContext> admit(const CallerRequest &request, RequestRecord &record) const;
@@ -26,7 +34,8 @@
     const CatalogueLookupSource catalogue;
     const ServingLease &lease;
     const InstanceHealth &health;
-    const std::chrono::milliseconds defaultTimeout;
+    const RandomSource random;
+    const Options options;
 };
 
 } // namespace Hyssophall
--- a/libraries/process/proxy/callerendpoint.cpp
+++ b/libraries/process/proxy/callerendpoint.cpp
@@ -3,12 +3,12 @@
 #include "process/proxy/listensocket.h"
 #include "process/proxy/ulfiusmessage.h"
 
+#include <poll.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
 #include <array>
 #include <atomic>
-#include <cerrno>
 #include <condition_variable>
 #include <exception>
 #include <glog/logging.h>
@@ -23,9 +23,9 @@
 // A caller that closed only its sending half counts as gone too, as it does for other gateways.
 bool isClosedByPeer(int socket)
 {
-    char byte = 0;
-    const ssize_t count = recv(socket, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-    return count == 0 || (count < 0 && errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR);
+    // Reading would show the bytes of a pipelined request in place of the end behind them.
+    pollfd state{socket, POLLRDHUP, 0};
+    return poll(&state, 1, 0) > 0;
 }
 
 } // namespace
--- a/libraries/process/proxy/cataloguelookup.h
+++ b/libraries/process/proxy/cataloguelookup.h
@@ -13,7 +13,14 @@
 {
 public:
     virtual ~CatalogueLookup() = default;
-    virtual std::shared_ptr<const CatalogueMessages::Route> findRoute(std::string_view method, std::string_view path) const = 0;
+    /// False before the first catalogue has come, when nothing may be concluded from what isn't found.
+    virtual bool isLoaded() const
+    {
+        return true;
+    }
+
+    /// @p host is empty for a request without the header.
+    virtual std::shared_ptr<const CatalogueMessages::Route> findRoute(std::string_view host, std::string_view method, std::string_view path) const = 0;
     virtual std::shared_ptr<const CatalogueMessages::Team> findTeam(std::string_view name) const = 0;
     virtual std::shared_ptr<const CatalogueMessages::Key> findKey(const KeyHash &hash) const = 0;
 };
--- a/libraries/process/proxy/cataloguesnapshot.cpp
+++ b/libraries/process/proxy/cataloguesnapshot.cpp
@@ -9,7 +9,7 @@
 {
 }
 
-std::shared_ptr<const CatalogueMessages::Route> CatalogueSnapshot::findRoute(std::string_view method, std::string_view path) const
+std::shared_ptr<const CatalogueMessages::Route> CatalogueSnapshot::findRoute(std::string_view, std::string_view method, std::string_view path) const
 {
     return this->catalogue->findRoute(method, path);
 }
--- a/libraries/process/proxy/requestcontext.h
+++ b/libraries/process/proxy/requestcontext.h
@@ -20,6 +20,8 @@
     std::optional<KeyHash> keyHash;
     SteadyTime deadline;
     std::uint64_t fingerprint = 0;
+    /// The route's service, or the one that its shares gave for this request.
+    std::string service;
 
     bool isIdempotent() const
     {
--- a/libraries/process/proxy/requestpath.cpp
+++ b/libraries/process/proxy/requestpath.cpp
@@ -41,8 +41,8 @@
 RequestPath::RequestPath(const Parts &parts, const Options &options)
     : parts(parts)
     , options(options)
-    , admission(parts.catalogue, parts.lease, parts.health, options.defaultTimeout)
-    , tries(this->admission, parts.health, parts.sender, parts.clock, parts.random)
+    , admission(parts.catalogue, parts.lease, parts.health, parts.random, options.admission)
+    , tries(this->admission, parts.health, parts.sender, parts.retries, parts.clock, parts.random)
 {
 }
 
@@ -131,7 +131,7 @@
 boost::leaf::result<CallerAnswer> RequestPath::runClaimed(const RequestContext &context, IdempotencyClaim *claim, RateToken *token, RequestRecord &record)
 {
     const double weight = context.team == nullptr || context.team->weight() <= 0 ? 1.0 : context.team->weight();
-    const std::unique_ptr<CapacityQueue::Permit> permit = this->parts.capacity.enter(context.route->service(), context.teamName(), weight, context.deadline);
+    const std::unique_ptr<CapacityQueue::Permit> permit = this->parts.capacity.enter(context.service, context.teamName(), weight, context.deadline);
     if (permit == nullptr) {
         const bool late = this->parts.clock() >= context.deadline;
         return refuse(late ? RefusalCode::DeadlineExceeded : RefusalCode::Overloaded, RequestOutcome::NotRun, std::chrono::seconds(1));
--- a/libraries/process/proxy/requestpath.h
+++ b/libraries/process/proxy/requestpath.h
@@ -25,13 +25,14 @@
         CapacityQueue &capacity;
         InstanceHealth &health;
         UpstreamSender &sender;
+        RetryAllowance &retries;
         SteadyClock clock;
         RandomSource random;
         std::vector<RequestObserver *> observers;
     };
 
     struct Options {
-        std::chrono::milliseconds defaultTimeout{10000};
+        Admission::Options admission;
         std::chrono::milliseconds rateWait{250};
         /// How long a request waits for its team's rate while no owner of the team's bucket answers.
         std::chrono::milliseconds ownerWait{1000};
--- a/libraries/process/proxy/upstreamtries.cpp
+++ b/libraries/process/proxy/upstreamtries.cpp
@@ -4,6 +4,7 @@
 
 #include <boost/leaf/handle_errors.hpp>
 
+#include <algorithm>
 #include <utility>
 
 namespace Hyssophall {
@@ -11,6 +12,8 @@
 namespace {
 
 constexpr int lostConnectionsPerRequest = 2;
+/// Instances that refuse connections or don't answer them are left behind quickly, but not without end.
+constexpr int maximumUnsentTries = 4;
 
 HttpAnswer forwardedAnswer(const HttpAnswer &answer, const CallerRequest &request)
 {
@@ -30,10 +33,12 @@
 
 } // namespace
 
-UpstreamTries::UpstreamTries(const Admission &admission, InstanceHealth &health, UpstreamSender &sender, SteadyClock clock, RandomSource random)
+UpstreamTries::UpstreamTries(
+    const Admission &admission, InstanceHealth &health, UpstreamSender &sender, RetryAllowance &budget, SteadyClock clock, RandomSource random)
     : admission(admission)
     , health(health)
     , sender(sender)
+    , budget(budget)
     , clock(std::move(clock))
     , random(std::move(random))
 {
@@ -43,9 +48,9 @@
 {
     State state;
     state.result.answer = refusalAnswer({RefusalCode::NoInstance, RequestOutcome::NotRun, std::chrono::seconds(1)});
-    this->budget.addRequest(this->clock());
+    this->budget.addRequest(context.service, this->clock());
     while (state.goesOn) {
-        const std::optional<hyssophall::fleet::v1::Instance> instance = this->health.choose(context.route->service(), context.isIdempotent(), state.tried);
+        const std::optional<hyssophall::fleet::v1::Instance> instance = this->health.choose(context.service, context.isIdempotent(), state.tried);
         if (!instance) {
             break;
         }
@@ -63,7 +68,7 @@
     tried.began = std::chrono::system_clock::now();
     state.withheld.reset();
     const UpstreamResult result = this->sender.send(this->createCall(context, instance, record, tried.spanId, state));
-    const TryVerdict verdict(result);
+    const TryVerdict verdict(result, this->admission.headerNames().notRun);
     this->health.finish(instance, verdict.outcome(), result.latency, context.fingerprint);
     tried.duration = result.latency;
     tried.outcome = verdict.outcome();
@@ -96,9 +101,15 @@
     if (silent) {
         state.tried.erase(record.tries.back().instance);
     }
-    const bool mayGoOn = verdict.mayRetry(context.isIdempotent(), state.retries) && !this->mayBePoison(context, state) && now < context.deadline;
-    state.goesOn = mayGoOn && (silent || this->budget.tryTake(now));
-    ++state.retries;
+    const bool reached = result.answer || result.failure->mayHaveSent;
+    state.sent += reached ? 1 : 0;
+    state.unsent += reached ? 0 : 1;
+    const int attempts = static_cast<int>(context.route->maximum_attempts());
+    const bool mayBeSentAgain = (attempts == 0 || state.sent < attempts) && state.unsent <= maximumUnsentTries;
+    const bool mayGoOn = mayBeSentAgain && verdict.mayRetry(context.isIdempotent(), std::max(0, state.sent - 1)) && !this->mayBePoison(context, state)
+        && now < context.deadline;
+    // A try that reached no instance was no load on one.
+    state.goesOn = mayGoOn && (silent || !reached || this->budget.tryTake(context.service, now));
 }
 
 bool UpstreamTries::mayBePoison(const RequestContext &context, const State &state) const
@@ -110,15 +121,24 @@
 UpstreamCall UpstreamTries::createCall(
     const RequestContext &context, const hyssophall::fleet::v1::Instance &instance, const RequestRecord &record, const std::string &spanId, State &state) const
 {
+    const HeaderNames &names = this->admission.headerNames();
     UpstreamCall call;
     call.host = instance.host();
     call.port = static_cast<std::uint16_t>(instance.port());
     call.request = context.request->http;
-    call.request.headers = forwardedRequestHeaders(context.request->http.headers);
+    call.request.headers = forwardedRequestHeaders(context.request->http.headers, names);
     call.request.headers.push_back({"traceparent", record.trace.traceparent(spanId)});
+    if (!names.targetInstance.empty()) {
+        call.request.headers.push_back({names.targetInstance, instance.id()});
+    }
+    if (!names.team.empty() && context.team != nullptr) {
+        call.request.headers.push_back({names.team, context.teamName()});
+    }
+    call.deadlineHeader = names.deadline;
     call.idempotent = context.isIdempotent();
-    call.newConnection = state.retries > 0;
-    call.requestId = record.trace.traceId + spanId;
+    call.newConnection = state.sent + state.unsent > 0;
+    const std::string *callersId = names.forwardsRequestId ? findHeader(context.request->http.headers, "X-Request-Id") : nullptr;
+    call.requestId = callersId == nullptr ? record.trace.traceId + spanId : *callersId;
     call.deadline = context.deadline;
     call.isAbandoned = context.request->isAbandoned;
     call.mayBeSent = [this, &context, &state] {
--- a/libraries/process/proxy/upstreamtries.h
+++ b/libraries/process/proxy/upstreamtries.h
@@ -3,7 +3,7 @@
 #include "connection/upstreamsender.h"
 #include "process/health/instancehealth.h"
 #include "process/proxy/admission.h"
-#include "request/retrybudget.h"
+#include "request/retryallowance.h"
 #include "request/tryverdict.h"
 
 #include <set>
@@ -25,14 +25,17 @@
 class UpstreamTries
 {
 public:
-    UpstreamTries(const Admission &admission, InstanceHealth &health, UpstreamSender &sender, SteadyClock clock, RandomSource random);
+    UpstreamTries(const Admission &admission, InstanceHealth &health, UpstreamSender &sender, RetryAllowance &budget, SteadyClock clock, RandomSource random);
 
     TriesResult run(const RequestContext &context, RequestRecord &record);
 
 private:
     struct State {
         std::set<std::string> tried;
-        int retries = 0;
+        /// Tries of which a byte may have reached an instance.
+        int sent = 0;
+        /// Tries that reached no instance.
+        int unsent = 0;
         /// Tries whose connection was lost after sending.
         int lostConnections = 0;
         TriesResult result;
@@ -54,9 +57,9 @@
     const Admission &admission;
     InstanceHealth &health;
     UpstreamSender &sender;
+    RetryAllowance &budget;
     const SteadyClock clock;
     const RandomSource random;
-    RetryBudget budget;
 };
 
 } // namespace Hyssophall
--- /dev/null
+++ b/libraries/process/relay/controlnode.cpp
@@ -0,0 +1,317 @@
+#include "process/relay/controlnode.h"
+
+#include <boost/leaf/handle_errors.hpp>
+#include <glog/logging.h>
+#include <xxhash.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace Hyssophall {
+
+namespace {
+
+constexpr std::chrono::milliseconds keeperInterval{200};
+constexpr std::chrono::milliseconds statusTimeout{300};
+/// Control VMs of a fleet that starts for the first time come up within a second of each other.
+constexpr std::chrono::seconds growthTime{3};
+constexpr std::chrono::seconds bootstrapTimeout{2};
+constexpr std::chrono::seconds joinTimeout{2};
+/// Relays exchange news across failure domains, where each message costs; requests that choose instances by it last hundreds of ms.
+constexpr std::chrono::milliseconds peerGathering{40};
+
+SteadyTime steadyNow()
+{
+    return std::chrono::steady_clock::now();
+}
+
+std::string fleetAddress(const std::string &seed, unsigned short fleetPort)
+{
+    return seed.substr(0, seed.rfind(':')) + ":" + std::to_string(fleetPort);
+}
+
+std::string changeIdOf(const CatalogueMessages::Configuration &configuration)
+{
+    const std::uint64_t content = XXH64(configuration.document().data(), configuration.document().size(), 0);
+    return "configuration-" + std::to_string(configuration.version()) + "-" + std::to_string(content);
+}
+
+} // namespace
+
+ControlNode::ControlNode(const Settings &settings, RandomSource random)
+    : settings(settings)
+    , random(std::move(random))
+    , ownAddress(settings.listen.fleet.address())
+    , startedAt(steadyNow())
+    , configuration(std::make_shared<const CatalogueMessages::Configuration>())
+    , clients(std::make_shared<ControlClients>(settings.fleet.secret))
+{
+}
+
+ControlNode::~ControlNode()
+{
+    this->stopping = true;
+    if (this->keeper.joinable()) {
+        this->keeper.join();
+    }
+    this->peers.reset();
+    this->server.reset();
+    this->proposer.reset();
+    this->group = nullptr;
+    this->ownedGroup.reset();
+}
+
+boost::leaf::result<std::unique_ptr<ControlNode>> ControlNode::create(const Settings &settings, RandomSource random)
+{
+    std::unique_ptr<ControlNode> node(new ControlNode(settings, std::move(random)));
+    BOOST_LEAF_CHECK(node->start());
+    return node;
+}
+
+boost::leaf::result<void> ControlNode::start()
+{
+    RelayExchange::Timing toPeers;
+    toPeers.gathering = peerGathering;
+    RelayHub::Options hubOptions;
+    hubOptions.own.set_address(this->ownAddress);
+    hubOptions.own.set_failure_domain(this->settings.vm.failureDomain);
+    hubOptions.majority = this->settings.control.toleratedLosses + 1;
+    hubOptions.board.random = this->random;
+    hubOptions.clock = steadyNow;
+    RelayHub::Hooks hubHooks;
+    hubHooks.isControlInTouch = [this] {
+        ControlGroup *running = this->group;
+        return running != nullptr && running->isInTouch();
+    };
+    hubHooks.peerFound = [this](const std::shared_ptr<RelayPeer> &peer) { this->peers->add(peer); };
+    this->hub = std::make_unique<RelayHub>(std::move(hubOptions), std::move(hubHooks));
+    this->peers = std::make_unique<RelayPeers>(*this->hub, this->settings.fleet.secret, toPeers);
+    this->relayService = std::make_unique<RelayService>(*this->hub, this->settings.fleet.secret, RelayExchange::Timing());
+    this->machine = std::make_unique<ConfigurationMachine>(
+        [this](const std::shared_ptr<const CatalogueMessages::Configuration> &next) { this->takeConfiguration(next); });
+    ControlGroup::Hooks groupHooks;
+    // This kind of fleet has no roster.
+    groupHooks.isRosterSettled = [] { return true; };
+    groupHooks.random = this->random;
+    BOOST_LEAF_ASSIGN(this->ownedGroup, ControlGroup::create(this->settings, *this->machine, groupHooks));
+    this->group = this->ownedGroup.get();
+    this->proposer = std::make_unique<RemoteChangeProposer>(this->proposerHooks());
+    FleetServer::Options serverOptions;
+    serverOptions.address = this->ownAddress;
+    serverOptions.secret = this->settings.fleet.secret;
+    serverOptions.otherServices = {&this->ownedGroup->service(), &this->relayService->service()};
+    BOOST_LEAF_ASSIGN(this->server, FleetServer::create(serverOptions, FleetHandlers()));
+    for (const std::string &seed : this->settings.relay.seeds) {
+        RelayMessages::RelayAddress address;
+        address.set_address(fleetAddress(seed, this->settings.listen.fleet.port));
+        this->hub->addRelay(address);
+    }
+    this->keeper = std::thread([this] { this->keepInGroup(); });
+    return {};
+}
+
+RemoteChangeProposer::Hooks ControlNode::proposerHooks()
+{
+    RemoteChangeProposer::Hooks route;
+    route.addresses = [this] {
+        std::vector<std::string> addresses;
+        for (const RelayMessages::RelayAddress &relay : this->hub->relays()) {
+            addresses.push_back(relay.address());
+        }
+        return addresses;
+    };
+    route.propose = [this](const std::string &address, const ControlMessages::ProposeRequest &request, std::chrono::milliseconds timeout) {
+        return this->clients->at(address)->propose(request, timeout);
+    };
+    route.status = [this](const std::string &address, std::chrono::milliseconds timeout) { return this->clients->at(address)->status(timeout); };
+    route.now = steadyNow;
+    route.sleep = [](std::chrono::milliseconds duration) { std::this_thread::sleep_for(duration); };
+    return route;
+}
+
+void ControlNode::takeConfiguration(const std::shared_ptr<const CatalogueMessages::Configuration> &next)
+{
+    std::uint64_t former = 0;
+    {
+        std::lock_guard<std::mutex> lock(this->mutex);
+        former = this->configuration->version();
+        this->configuration = next;
+    }
+    this->configurationChanged.notify_all();
+    this->hub->setConfiguration(next);
+    LOG(INFO) << "Configuration " << next->version() << " is in force after " << former;
+}
+
+std::optional<ControlMessages::ChangeOutcome> ControlNode::propose(
+    const CatalogueMessages::Change &change, const std::string &changeId, SteadyTime deadline)
+{
+    ControlMessages::CatalogueChange proposed;
+    proposed.set_change_id(changeId);
+    *proposed.mutable_change() = change;
+    return boost::leaf::try_handle_all(
+        [this, &proposed, deadline]() -> boost::leaf::result<std::optional<ControlMessages::ChangeOutcome>> {
+            BOOST_LEAF_AUTO(outcome, this->proposer->propose(proposed, deadline));
+            return std::optional<ControlMessages::ChangeOutcome>(outcome);
+        },
+        [&changeId](const ControlUnavailable &unavailable) -> std::optional<ControlMessages::ChangeOutcome> {
+            LOG(WARNING) << "The control group gave no decision on " << changeId
+                         << (unavailable.reason == ControlUnavailable::Reason::NoQuorum ? ": no quorum" : ": its fate is unknown");
+            return std::nullopt;
+        },
+        []() -> std::optional<ControlMessages::ChangeOutcome> { return std::nullopt; });
+}
+
+bool ControlNode::putConfiguration(const CatalogueMessages::Configuration &next, SteadyTime deadline)
+{
+    CatalogueMessages::Change change;
+    *change.mutable_replace_configuration() = next;
+    const std::optional<ControlMessages::ChangeOutcome> outcome = this->propose(change, changeIdOf(next), deadline);
+    return outcome && outcome->result() == ControlMessages::ChangeOutcome::RESULT_ACCEPTED;
+}
+
+std::shared_ptr<const CatalogueMessages::Configuration> ControlNode::readConfiguration(SteadyTime deadline)
+{
+    CatalogueMessages::Change barrier;
+    barrier.set_read_barrier(true);
+    const std::optional<ControlMessages::ChangeOutcome> outcome = this->propose(barrier, "read-" + std::to_string(this->random()), deadline);
+    if (!outcome || outcome->result() != ControlMessages::ChangeOutcome::RESULT_ACCEPTED) {
+        return nullptr;
+    }
+    std::unique_lock<std::mutex> lock(this->mutex);
+    const bool isThere
+        = this->configurationChanged.wait_until(lock, deadline, [this, &outcome] { return this->configuration->version() >= outcome->version(); });
+    return isThere ? this->configuration : nullptr;
+}
+
+bool ControlNode::registerInstance(const RelayMessages::Registration &registration, SteadyTime deadline)
+{
+    const bool isLeaving = registration.state() != RelayMessages::REGISTRATION_STATE_READY;
+    const std::optional<RelayMessages::Registration> known = this->hub->findInstance(registration.id());
+    const bool isChange = !known || known->state() != registration.state() || known->started_at_milliseconds() != registration.started_at_milliseconds();
+    if (isChange) {
+        LOG(INFO) << "Instance " << registration.id() << " of service " << registration.service() << " at " << registration.host() << ":"
+                  << registration.port() << " registers as " << RelayMessages::RegistrationState_Name(registration.state()) << " with sequence "
+                  << registration.sequence();
+    }
+    const bool done = this->hub->publish(registration, isLeaving, deadline);
+    if (!done) {
+        LOG(WARNING) << "Instance " << registration.id() << " leaves, and too few relays have confirmed it: " << this->hub->connectedPeers()
+                     << " others are in touch";
+    }
+    return done;
+}
+
+bool ControlNode::removeInstance(const std::string &id, SteadyTime deadline)
+{
+    RelayMessages::Registration gone;
+    const std::optional<RelayMessages::Registration> known = this->hub->findInstance(id);
+    if (known) {
+        gone = *known;
+    } else {
+        // Lives of this id that started before are over.
+        const std::chrono::milliseconds now
+            = std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::system_clock::now().time_since_epoch());
+        gone.set_id(id);
+        gone.set_started_at_milliseconds(static_cast<std::uint64_t>(now.count()));
+    }
+    gone.set_state(RelayMessages::REGISTRATION_STATE_GONE);
+    return this->registerInstance(gone, deadline);
+}
+
+bool ControlNode::isServiceKnown(const std::string &name)
+{
+    std::lock_guard<std::mutex> lock(this->mutex);
+    const auto &services = this->configuration->services();
+    return this->configuration->version() == 0
+        || std::any_of(services.begin(), services.end(), [&name](const CatalogueMessages::Service &service) { return service.name() == name; });
+}
+
+RelayMessages::RelayStatus ControlNode::relayStatus()
+{
+    return this->hub->status();
+}
+
+ControlMessages::StatusReply ControlNode::replicaStatus()
+{
+    return boost::leaf::try_handle_all([this] { return this->ownedGroup->status(steadyNow()); }, [] { return ControlMessages::StatusReply(); });
+}
+
+void ControlNode::keepInGroup()
+{
+    while (!this->stopping) {
+        this->carryOut(GroupFormation::decide(this->view()));
+        std::this_thread::sleep_for(keeperInterval);
+    }
+}
+
+GroupFormation::View ControlNode::view()
+{
+    GroupFormation::View seen;
+    seen.own = this->replicaStatus();
+    seen.ownAddress = this->ownAddress;
+    seen.isFirstStart = this->settings.control.isFirstStart;
+    seen.groupSize = 2 * this->settings.control.toleratedLosses + 1;
+    seen.mayGrow = steadyNow() - this->startedAt < growthTime;
+    std::vector<std::string> seeds;
+    for (const std::string &seed : this->settings.relay.seeds) {
+        seeds.push_back(fleetAddress(seed, this->settings.listen.fleet.port));
+    }
+    seen.isFounder = !seeds.empty() && *std::min_element(seeds.begin(), seeds.end()) == this->ownAddress;
+    if (ReplicaGroup::hasDisk(seen.own.configuration(), seen.own.id(), seen.own.disk_incarnation())) {
+        // Member already: nothing more has to be asked.
+        return seen;
+    }
+    for (const RelayMessages::RelayAddress &relay : this->hub->relays()) {
+        if (relay.address() == this->ownAddress) {
+            continue;
+        }
+        const std::optional<ControlMessages::StatusReply> status = this->clients->at(relay.address())->status(statusTimeout);
+        if (status) {
+            seen.reachable.push_back(relay.address());
+            if (status->role() == "leader") {
+                seen.leader = status;
+            }
+        }
+    }
+    return seen;
+}
+
+void ControlNode::carryOut(const GroupFormation::Decision &decision)
+{
+    switch (decision.step) {
+    case GroupFormation::Step::Wait:
+        return;
+    case GroupFormation::Step::Bootstrap:
+        LOG(INFO) << "Forming the control group of " << decision.addresses.size() << " VMs";
+        boost::leaf::try_handle_all(
+            [this, &decision] { return this->ownedGroup->bootstrap(decision.addresses, steadyNow() + bootstrapTimeout); },
+            [](const BootstrapRefused &refused) { LOG(WARNING) << "The control group can't be formed yet because of " << refused.address; },
+            [] { LOG(WARNING) << "The control group can't be formed yet"; });
+        return;
+    case GroupFormation::Step::Remove:
+        LOG(WARNING) << "Replica " << decision.lostReplica << " is lost; this VM takes its place in the control group";
+        boost::leaf::try_handle_all(
+            [this, &decision]() -> boost::leaf::result<void> {
+                BOOST_LEAF_CHECK(this->proposer->removeReplica(decision.lostReplica, steadyNow() + joinTimeout));
+                return {};
+            },
+            [] { LOG(WARNING) << "The lost replica isn't removed yet"; });
+        return;
+    case GroupFormation::Step::Join:
+        break;
+    }
+    const ControlMessages::StatusReply own = this->replicaStatus();
+    ControlMessages::Replica replica;
+    replica.set_id(own.id());
+    replica.set_address(this->ownAddress);
+    replica.set_disk_incarnation(own.disk_incarnation());
+    LOG(INFO) << "Joining the control group with disk " << own.disk_incarnation();
+    boost::leaf::try_handle_all(
+        [this, &replica]() -> boost::leaf::result<void> {
+            BOOST_LEAF_CHECK(this->proposer->putReplica(replica, steadyNow() + joinTimeout));
+            return {};
+        },
+        [] { LOG(WARNING) << "This VM isn't in the control group yet"; });
+}
+
+} // namespace Hyssophall
--- /dev/null
+++ b/libraries/process/relay/controlnode.h
@@ -0,0 +1,83 @@
+#pragma once
+
+#include "process/control/configurationmachine.h"
+#include "process/control/controlgroup.h"
+#include "process/control/groupformation.h"
+#include "process/fleet/fleetserver.h"
+#include "process/relay/relayhub.h"
+#include "process/relay/relaypeers.h"
+#include "process/relay/relayservice.h"
+#include "process/settings/settings.h"
+
+#include <boost/leaf/result.hpp>
+
+#include <atomic>
+#include <condition_variable>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <thread>
+
+namespace Hyssophall {
+
+/// A control VM's part in a relayed fleet: a replica of the control log, and a relay. Thread-safe.
+class ControlNode
+{
+public:
+    /// Opens the fleet port and starts all threads. Errors: StorageFault, FleetPortUnavailable.
+    static boost::leaf::result<std::unique_ptr<ControlNode>> create(const Settings &settings, RandomSource random);
+    ~ControlNode();
+    ControlNode(const ControlNode &) = delete;
+    ControlNode &operator=(const ControlNode &) = delete;
+
+    /// Has a configuration decided; it is in force on the relays when this returns true. False when no decision came by the deadline.
+    bool putConfiguration(const CatalogueMessages::Configuration &configuration, SteadyTime deadline);
+
+    /// The configuration that was in force at some time during the call; nothing when that can't be told by the deadline.
+    std::shared_ptr<const CatalogueMessages::Configuration> readConfiguration(SteadyTime deadline);
+
+    /// Takes the registration of an instance. False when a leaving instance isn't known to enough relays by the deadline.
+    bool registerInstance(const RelayMessages::Registration &registration, SteadyTime deadline);
+
+    /// Takes the end of an instance, which names only itself. False as for registerInstance().
+    bool removeInstance(const std::string &id, SteadyTime deadline);
+
+    /// Whether the configuration in force has this service; true before there is one.
+    bool isServiceKnown(const std::string &name);
+
+    RelayMessages::RelayStatus relayStatus();
+    ControlMessages::StatusReply replicaStatus();
+
+private:
+    ControlNode(const Settings &settings, RandomSource random);
+
+    boost::leaf::result<void> start();
+    void keepInGroup();
+    GroupFormation::View view();
+    void carryOut(const GroupFormation::Decision &decision);
+    std::optional<ControlMessages::ChangeOutcome> propose(const CatalogueMessages::Change &change, const std::string &changeId, SteadyTime deadline);
+    void takeConfiguration(const std::shared_ptr<const CatalogueMessages::Configuration> &configuration);
+    RemoteChangeProposer::Hooks proposerHooks();
+
+    const Settings settings;
+    const RandomSource random;
+    const std::string ownAddress;
+    SteadyTime startedAt;
+    std::mutex mutex;
+    std::condition_variable configurationChanged;
+    std::shared_ptr<const CatalogueMessages::Configuration> configuration;
+    std::atomic<ControlGroup *> group{nullptr};
+    std::unique_ptr<RelayHub> hub;
+    std::unique_ptr<RelayPeers> peers;
+    std::unique_ptr<RelayService> relayService;
+    std::unique_ptr<ConfigurationMachine> machine;
+    std::shared_ptr<ControlClients> clients;
+    std::unique_ptr<ControlGroup> ownedGroup;
+    std::unique_ptr<RemoteChangeProposer> proposer;
+    std::unique_ptr<FleetServer> server;
+    std::atomic<bool> stopping{false};
+    std::thread keeper;
+};
+
+} // namespace Hyssophall
--- /dev/null
+++ b/libraries/process/relay/entrynode.cpp
@@ -0,0 +1,280 @@
+#include "process/relay/entrynode.h"
+
+#include <glog/logging.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace Hyssophall {
+
+namespace {
+
+constexpr double thousandths = 1000;
+
+OutcomeBoard::Options boardOptions(const Settings &settings, const RandomSource &random)
+{
+    OutcomeBoard::Options options;
+    options.ownFailureDomain = settings.vm.failureDomain;
+    options.crossDomainCost = static_cast<double>(settings.relay.crossDomainCost) / thousandths;
+    options.random = random;
+    return options;
+}
+
+SharedRetryBudget::Options retryOptions(const Settings &settings)
+{
+    SharedRetryBudget::Options options;
+    options.ratio = settings.bounds.retryRatio;
+    options.slack = static_cast<double>(settings.bounds.retrySlack);
+    options.window = settings.bounds.retryWindow;
+    return options;
+}
+
+/// The seeds name ports that serve others; relays answer each other at the fleet port, which is the same on all VMs.
+std::vector<std::string> fleetAddresses(const std::vector<std::string> &seeds, unsigned short fleetPort)
+{
+    std::vector<std::string> addresses;
+    for (const std::string &seed : seeds) {
+        addresses.push_back(seed.substr(0, seed.rfind(':')) + ":" + std::to_string(fleetPort));
+    }
+    return addresses;
+}
+
+void count(RelayMessages::InstanceOutcomes &counts, TryOutcome outcome, std::chrono::microseconds latency)
+{
+    switch (outcome) {
+    case TryOutcome::Answered:
+        counts.set_succeeded(1);
+        counts.set_latency_milliseconds(static_cast<std::uint32_t>(std::chrono::duration_cast<std::chrono::milliseconds>(latency).count()));
+        return;
+    case TryOutcome::ServerError:
+    case TryOutcome::TimedOut:
+    case TryOutcome::ConnectionLost:
+    case TryOutcome::AnswerIncomplete:
+        counts.set_failed(1);
+        return;
+    case TryOutcome::Shed:
+        counts.set_rejected(1);
+        return;
+    case TryOutcome::ConnectFailed:
+    case TryOutcome::WrongInstance:
+        counts.set_unreachable(1);
+        return;
+    case TryOutcome::Neutral:
+        counts.set_neutral(1);
+        return;
+    }
+}
+
+RelayMessages::Registration lifeOf(const hyssophall::fleet::v1::Instance &instance)
+{
+    RelayMessages::Registration life;
+    life.set_id(instance.id());
+    life.set_started_at_milliseconds(instance.incarnation());
+    return life;
+}
+
+} // namespace
+
+EntryNode::EntryNode(const Settings &settings, SteadyClock clock, RandomSource random)
+    : settings(settings)
+    , clock(std::move(clock))
+    , board(boardOptions(settings, random))
+    , inForce(std::make_shared<const ConfiguredCatalogue>(std::make_shared<const CatalogueMessages::Configuration>()))
+{
+    SharedRateLimiter::Hooks limiterHooks;
+    limiterHooks.clock = this->clock;
+    limiterHooks.visibleShare = [this] { return this->relayUplink->visibleShare(); };
+    limiterHooks.rateOf = [this](const std::string &name) {
+        const std::shared_ptr<const CatalogueMessages::Team> team = this->catalogue()->findTeam(name);
+        return team == nullptr ? TeamRate() : TeamRate{team->rate(), team->burst()};
+    };
+    limiterHooks.admitted = [this](const std::string &team) {
+        RelayMessages::News news;
+        RelayMessages::TeamUse &use = *news.add_teams();
+        use.set_team(team);
+        use.set_admitted(1);
+        this->relayUplink->tell(news);
+    };
+    this->limiter = std::make_unique<SharedRateLimiter>(std::move(limiterHooks));
+    SharedRetryBudget::Hooks retryHooks;
+    retryHooks.visibleShare = [this] { return this->relayUplink->visibleShare(); };
+    retryHooks.used = [this](const std::string &service, std::uint32_t requests, std::uint32_t retried) {
+        RelayMessages::News news;
+        RelayMessages::ServiceUse &use = *news.add_services();
+        use.set_service(service);
+        use.set_requests(requests);
+        use.set_retries(retried);
+        this->relayUplink->tell(news);
+    };
+    this->retryBudget = std::make_unique<SharedRetryBudget>(retryOptions(settings), std::move(retryHooks));
+    RelayUplink::Options options;
+    options.failureDomain = settings.vm.failureDomain;
+    options.seeds = fleetAddresses(settings.relay.seeds, settings.listen.fleet.port);
+    options.fleetSecret = settings.fleet.secret;
+    RelayUplink::Hooks hooks;
+    hooks.clock = this->clock;
+    hooks.random = std::move(random);
+    hooks.greet = [this] { return this->greeting(); };
+    hooks.receive = [this](const RelayMessages::News &news) { this->receive(news); };
+    this->relayUplink = std::make_unique<RelayUplink>(std::move(options), std::move(hooks));
+}
+
+EntryNode::~EntryNode() = default;
+
+std::shared_ptr<const ConfiguredCatalogue> EntryNode::catalogue() const
+{
+    std::lock_guard<std::mutex> lock(this->mutex);
+    return this->inForce;
+}
+
+RateLimiter &EntryNode::rateLimiter()
+{
+    return *this->limiter;
+}
+
+RetryAllowance &EntryNode::retries()
+{
+    return *this->retryBudget;
+}
+
+bool EntryNode::isServing() const
+{
+    return this->catalogue()->isLoaded();
+}
+
+const RelayUplink &EntryNode::uplink() const
+{
+    return *this->relayUplink;
+}
+
+std::optional<hyssophall::fleet::v1::Instance> EntryNode::choose(const std::string &service, bool, const std::set<std::string> &tried)
+{
+    RelayMessages::News news;
+    RelayMessages::InstanceOutcomes &counts = *news.add_outcomes();
+    counts.set_started(1);
+    hyssophall::fleet::v1::Instance instance;
+    {
+        std::lock_guard<std::mutex> lock(this->mutex);
+        const std::optional<RelayMessages::Registration> chosen = this->board.choose(service, tried, this->clock());
+        if (!chosen) {
+            return std::nullopt;
+        }
+        counts.set_instance(InstanceTable::handleOf(*chosen));
+        this->board.apply(counts, this->clock());
+        instance.set_id(chosen->id());
+        instance.set_service(chosen->service());
+        instance.set_host(chosen->host());
+        instance.set_port(chosen->port());
+        instance.set_incarnation(chosen->started_at_milliseconds());
+    }
+    this->relayUplink->tell(news);
+    return instance;
+}
+
+void EntryNode::finish(const hyssophall::fleet::v1::Instance &instance, TryOutcome outcome, std::chrono::microseconds latency, std::uint64_t fingerprint)
+{
+    RelayMessages::News news;
+    RelayMessages::InstanceOutcomes &counts = *news.add_outcomes();
+    counts.set_instance(InstanceTable::handleOf(lifeOf(instance)));
+    count(counts, outcome, latency);
+    if (outcome == TryOutcome::ConnectionLost) {
+        RelayMessages::LostRequest &lost = *news.add_lost_requests();
+        lost.set_fingerprint(fingerprint);
+        lost.set_instance(counts.instance());
+        this->lostRequests.addLost(fingerprint, counts.instance(), this->clock());
+    } else if (outcome == TryOutcome::Answered) {
+        this->lostRequests.addAnswered(fingerprint);
+    }
+    {
+        std::lock_guard<std::mutex> lock(this->mutex);
+        this->board.apply(counts, this->clock());
+    }
+    this->relayUplink->tell(news);
+}
+
+bool EntryNode::isPoison(std::uint64_t fingerprint) const
+{
+    return this->lostRequests.isPoison(fingerprint, this->clock());
+}
+
+std::string EntryNode::explain(const std::string &instanceId) const
+{
+    std::lock_guard<std::mutex> lock(this->mutex);
+    return this->board.explain(instanceId, this->clock());
+}
+
+RelayMessages::News EntryNode::greeting() const
+{
+    std::lock_guard<std::mutex> lock(this->mutex);
+    RelayMessages::News first;
+    first.mutable_greeting()->set_vm(this->settings.vm.id);
+    first.mutable_greeting()->set_failure_domain(this->settings.vm.failureDomain);
+    first.mutable_greeting()->set_configuration_version(this->inForce->configuration().version());
+    // Relays that have all restarted would otherwise not know of instances that leave.
+    for (const std::pair<const std::string, RelayMessages::Registration> &entry : this->board.table().all()) {
+        *first.add_registrations() = entry.second;
+    }
+    return first;
+}
+
+void EntryNode::receive(const RelayMessages::News &news)
+{
+    if (news.has_configuration()) {
+        this->takeConfiguration(news.configuration());
+    }
+    this->takeRegistrations(news);
+    for (const RelayMessages::TeamUse &use : news.teams()) {
+        this->limiter->admittedElsewhere(use.team(), use.admitted());
+    }
+    const SteadyTime now = this->clock();
+    for (const RelayMessages::ServiceUse &use : news.services()) {
+        this->retryBudget->usedElsewhere(use.service(), use.requests(), use.retries(), now);
+    }
+    for (const RelayMessages::LostRequest &lost : news.lost_requests()) {
+        this->lostRequests.addLost(lost.fingerprint(), lost.instance(), now);
+    }
+}
+
+void EntryNode::takeConfiguration(const CatalogueMessages::Configuration &configuration)
+{
+    const std::shared_ptr<const ConfiguredCatalogue> next
+        = std::make_shared<const ConfiguredCatalogue>(std::make_shared<const CatalogueMessages::Configuration>(configuration));
+    std::uint64_t former = 0;
+    {
+        std::lock_guard<std::mutex> lock(this->mutex);
+        former = this->inForce->configuration().version();
+        if (configuration.version() <= former) {
+            return;
+        }
+        this->inForce = next;
+    }
+    LOG(INFO) << "Configuration " << configuration.version() << " is in force after " << former;
+}
+
+void EntryNode::takeRegistrations(const RelayMessages::News &news)
+{
+    const SteadyTime now = this->clock();
+    std::vector<RelayMessages::Registration> changed;
+    {
+        std::lock_guard<std::mutex> lock(this->mutex);
+        for (const RelayMessages::Registration &registration : news.registrations()) {
+            for (RelayMessages::Registration &each : this->board.take(registration)) {
+                changed.push_back(std::move(each));
+            }
+        }
+        for (const RelayMessages::InstanceSummary &summary : news.summaries()) {
+            this->board.apply(summary, now);
+        }
+        for (const RelayMessages::InstanceOutcomes &outcomes : news.outcomes()) {
+            this->board.apply(outcomes, now);
+        }
+    }
+    for (const RelayMessages::Registration &each : changed) {
+        if (each.state() != RelayMessages::REGISTRATION_STATE_READY || each.sequence() <= 1) {
+            LOG(INFO) << "Instance " << each.id() << " of service " << each.service() << " at " << each.host() << ":" << each.port() << " is "
+                      << RelayMessages::RegistrationState_Name(each.state()) << " by its registration " << each.sequence();
+        }
+    }
+}
+
+} // namespace Hyssophall
--- /dev/null
+++ b/libraries/process/relay/entrynode.h
@@ -0,0 +1,63 @@
+#pragma once
+
+#include "process/fleet/claimcoordinator.h"
+#include "process/fleet/servinglease.h"
+#include "process/health/instancehealth.h"
+#include "process/health/lostrequests.h"
+#include "process/health/outcomeboard.h"
+#include "process/limits/capacityqueue.h"
+#include "process/limits/sharedratelimiter.h"
+#include "process/limits/sharedretrybudget.h"
+#include "process/relay/relayuplink.h"
+#include "process/settings/settings.h"
+#include "version/configuredcatalogue.h"
+
+#include <memory>
+#include <mutex>
+#include <string>
+
+namespace Hyssophall {
+
+/**
+ * An entry VM's part in a relayed fleet: its configuration, the instances, and the limits that all VMs share.
+ *
+ * While no relay is in reach, it goes on with what it has; see SharedRateLimiter for its limits meanwhile. Thread-safe.
+ */
+class EntryNode : public InstanceHealth
+{
+public:
+    EntryNode(const Settings &settings, SteadyClock clock, RandomSource random);
+    ~EntryNode() override;
+
+    std::shared_ptr<const ConfiguredCatalogue> catalogue() const;
+    RateLimiter &rateLimiter();
+    RetryAllowance &retries();
+
+    /// Whether this VM can serve: it has a configuration.
+    bool isServing() const;
+    const RelayUplink &uplink() const;
+
+    std::optional<hyssophall::fleet::v1::Instance> choose(const std::string &service, bool idempotent, const std::set<std::string> &tried) override;
+    void finish(const hyssophall::fleet::v1::Instance &instance, TryOutcome outcome, std::chrono::microseconds latency, std::uint64_t fingerprint) override;
+    bool isPoison(std::uint64_t fingerprint) const override;
+    std::string explain(const std::string &instanceId) const override;
+
+private:
+    RelayMessages::News greeting() const;
+    void receive(const RelayMessages::News &news);
+    void takeConfiguration(const CatalogueMessages::Configuration &configuration);
+    void takeRegistrations(const RelayMessages::News &news);
+
+    const Settings settings;
+    const SteadyClock clock;
+    mutable std::mutex mutex;
+    OutcomeBoard board;
+    std::shared_ptr<const ConfiguredCatalogue> inForce;
+    LostRequests lostRequests;
+    std::unique_ptr<SharedRateLimiter> limiter;
+    std::unique_ptr<SharedRetryBudget> retryBudget;
+    /// Last: its thread uses all of the above.
+    std::unique_ptr<RelayUplink> relayUplink;
+};
+
+} // namespace Hyssophall
--- /dev/null
+++ b/libraries/process/relay/newsbuffer.cpp
@@ -0,0 +1,119 @@
+#include "process/relay/newsbuffer.h"
+
+#include <utility>
+
+namespace Hyssophall {
+
+namespace {
+
+void addUp(RelayMessages::InstanceOutcomes &sum, const RelayMessages::InstanceOutcomes &added)
+{
+    sum.set_instance(added.instance());
+    sum.set_started(sum.started() + added.started());
+    sum.set_succeeded(sum.succeeded() + added.succeeded());
+    sum.set_failed(sum.failed() + added.failed());
+    sum.set_rejected(sum.rejected() + added.rejected());
+    sum.set_unreachable(sum.unreachable() + added.unreachable());
+    sum.set_neutral(sum.neutral() + added.neutral());
+    sum.set_latency_milliseconds(sum.latency_milliseconds() + added.latency_milliseconds());
+}
+
+} // namespace
+
+void NewsBuffer::add(const RelayMessages::News &news)
+{
+    std::lock_guard<std::mutex> lock(this->mutex);
+    for (const RelayMessages::InstanceOutcomes &counts : news.outcomes()) {
+        addUp(this->outcomes[counts.instance()], counts);
+    }
+    for (const RelayMessages::TeamUse &use : news.teams()) {
+        this->teams[use.team()] += use.admitted();
+    }
+    for (const RelayMessages::ServiceUse &use : news.services()) {
+        RelayMessages::ServiceUse &sum = this->services[use.service()];
+        sum.set_requests(sum.requests() + use.requests());
+        sum.set_retries(sum.retries() + use.retries());
+    }
+    if (news.has_configuration() && news.configuration().version() > this->pending.configuration().version()) {
+        *this->pending.mutable_configuration() = news.configuration();
+    }
+    this->pending.mutable_registrations()->MergeFrom(news.registrations());
+    this->pending.mutable_summaries()->MergeFrom(news.summaries());
+    this->pending.mutable_lost_requests()->MergeFrom(news.lost_requests());
+    this->pending.mutable_relays()->MergeFrom(news.relays());
+    this->pending.mutable_vms()->MergeFrom(news.vms());
+    if (!this->isEmpty()) {
+        this->changed.notify_all();
+    }
+}
+
+void NewsBuffer::wake()
+{
+    std::lock_guard<std::mutex> lock(this->mutex);
+    this->awake = true;
+    this->changed.notify_all();
+}
+
+void NewsBuffer::close()
+{
+    std::lock_guard<std::mutex> lock(this->mutex);
+    this->closed = true;
+    this->changed.notify_all();
+}
+
+std::optional<RelayMessages::News> NewsBuffer::take(SteadyTime deadline, std::chrono::milliseconds gathering)
+{
+    std::unique_lock<std::mutex> lock(this->mutex);
+    this->changed.wait_until(lock, deadline, [this] { return this->closed || this->awake || !this->isEmpty(); });
+    if (!this->closed && !this->isEmpty() && gathering.count() > 0) {
+        this->changed.wait_for(lock, gathering, [this] { return this->closed || this->awake; });
+    }
+    if (this->closed) {
+        return std::nullopt;
+    }
+    this->awake = false;
+    RelayMessages::News taken;
+    taken.Swap(&this->pending);
+    for (const std::pair<const std::uint32_t, RelayMessages::InstanceOutcomes> &entry : this->outcomes) {
+        *taken.add_outcomes() = entry.second;
+    }
+    for (const std::pair<const std::string, std::uint32_t> &entry : this->teams) {
+        RelayMessages::TeamUse &use = *taken.add_teams();
+        use.set_team(entry.first);
+        use.set_admitted(entry.second);
+    }
+    for (const std::pair<const std::string, RelayMessages::ServiceUse> &entry : this->services) {
+        RelayMessages::ServiceUse &use = *taken.add_services();
+        use = entry.second;
+        use.set_service(entry.first);
+    }
+    this->outcomes.clear();
+    this->teams.clear();
+    this->services.clear();
+    taken.set_sequence(++this->sequence);
+    return taken;
+}
+
+std::uint64_t NewsBuffer::nextSequence() const
+{
+    std::lock_guard<std::mutex> lock(this->mutex);
+    return this->sequence + 1;
+}
+
+void NewsBuffer::clear()
+{
+    std::lock_guard<std::mutex> lock(this->mutex);
+    this->pending.Clear();
+    this->outcomes.clear();
+    this->teams.clear();
+    this->services.clear();
+}
+
+bool NewsBuffer::isEmpty() const
+{
+    return this->outcomes.empty() && this->teams.empty() && this->services.empty() && !this->pending.has_configuration()
+        && this->pending.registrations().empty() && this->pending.summaries().empty() && this->pending.lost_requests().empty()
+        && this->pending.relays().empty() && this->pending.vms().empty();
+}
+
+} // namespace Hyssophall
--- /dev/null
+++ b/libraries/process/relay/newsbuffer.h
@@ -0,0 +1,57 @@
+#pragma once
+
+#include "process/hooks.h"
+#include "relay.pb.h"
+
+#include <condition_variable>
+#include <cstdint>
+#include <map>
+#include <mutex>
+#include <optional>
+#include <string>
+
+namespace Hyssophall {
+
+namespace RelayMessages = hyssophall::relay::v1;
+
+/**
+ * News on their way to one receiver. Counts of the same instance, team or service are added up, so the buffer's size is bounded by
+ * their number however slow the receiver is. Thread-safe.
+ */
+class NewsBuffer
+{
+public:
+    /// Adds all that @p news tells, but for its greeting, numbers and status.
+    void add(const RelayMessages::News &news);
+
+    /// Wakes the sender though there is no news, as for a confirmation.
+    void wake();
+
+    /// Wakes the sender for good.
+    void close();
+
+    /// Waits until there is news or @p deadline, whichever is first; after the first news waits for @p gathering, so that more can join it.
+    /// Returns a message with the next number, or nothing once the buffer is closed.
+    std::optional<RelayMessages::News> take(SteadyTime deadline, std::chrono::milliseconds gathering);
+
+    /// Number of the message that will hold what is added now.
+    std::uint64_t nextSequence() const;
+
+    /// Forgets what wasn't taken, as for a new connection whose greeting tells it all.
+    void clear();
+
+private:
+    bool isEmpty() const;
+
+    mutable std::mutex mutex;
+    std::condition_variable changed;
+    bool closed = false;
+    bool awake = false;
+    std::uint64_t sequence = 0;
+    RelayMessages::News pending;
+    std::map<std::uint32_t, RelayMessages::InstanceOutcomes> outcomes;
+    std::map<std::string, std::uint32_t> teams;
+    std::map<std::string, RelayMessages::ServiceUse> services;
+};
+
+} // namespace Hyssophall
--- /dev/null
+++ b/libraries/process/relay/relayservice.cpp
@@ -0,0 +1,65 @@
+#include "process/relay/relayservice.h"
+
+#include "process/fleet/fleetcredential.h"
+#include "relay.grpc.pb.h"
+
+#include <grpcpp/grpcpp.h>
+#include <utility>
+
+namespace Hyssophall {
+
+class RelayService::Implementation : public RelayMessages::Relay::Service
+{
+public:
+    using ServerStream = grpc::ServerReaderWriter<RelayMessages::News, RelayMessages::News>;
+
+    Implementation(RelayHub &hub, const std::string &fleetSecret, RelayExchange::Timing timing)
+        : hub(hub)
+        , credential(fleetSecret)
+        , timing(timing)
+    {
+    }
+
+    grpc::Status Exchange(grpc::ServerContext *context, ServerStream *stream) override
+    {
+        const auto presented = context->client_metadata().find(FleetCredential::metadataName);
+        if (presented == context->client_metadata().end()
+            || !this->credential.matches(std::string_view(presented->second.data(), presented->second.size()))) {
+            return grpc::Status(grpc::StatusCode::UNAUTHENTICATED, "the fleet's credential is missing");
+        }
+        RelayMessages::News first;
+        if (!stream->Read(&first) || first.greeting().vm().empty()) {
+            return grpc::Status(grpc::StatusCode::INVALID_ARGUMENT, "a greeting must come first");
+        }
+        const std::shared_ptr<RelaySubscriber> subscriber = this->hub.connect(first);
+        RelayExchange::Stream ends;
+        ends.read = [stream](RelayMessages::News &news) { return stream->Read(&news); };
+        ends.write = [stream](const RelayMessages::News &news) { return stream->Write(news); };
+        ends.cancel = [context] { context->TryCancel(); };
+        RelayExchange::Hooks hooks;
+        hooks.receive = [this, &subscriber](const RelayMessages::News &news) { this->hub.receive(*subscriber, news); };
+        hooks.complete = [this, &subscriber](RelayMessages::News &news) { this->hub.complete(*subscriber, news); };
+        RelayExchange(subscriber->buffer, std::move(ends), std::move(hooks), this->timing).run();
+        this->hub.disconnect(subscriber);
+        return grpc::Status::OK;
+    }
+
+private:
+    RelayHub &hub;
+    const FleetCredential credential;
+    const RelayExchange::Timing timing;
+};
+
+RelayService::RelayService(RelayHub &hub, const std::string &fleetSecret, RelayExchange::Timing timing)
+    : implementation(std::make_unique<Implementation>(hub, fleetSecret, timing))
+{
+}
+
+RelayService::~RelayService() = default;
+
+grpc::Service &RelayService::service()
+{
+    return *this->implementation;
+}
+
+} // namespace Hyssophall
--- /dev/null
+++ b/libraries/process/relay/relayuplink.h
@@ -0,0 +1,86 @@
+#pragma once
+
+#include "process/relay/relaylink.h"
+
+#include <condition_variable>
+#include <functional>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace Hyssophall {
+
+/**
+ * Keeps a VM connected to one relay, of its own failure domain when there is one.
+ *
+ * A VM moves on when its relay is silent or tells that it has lost the other relays, so that it hears of changes as long as it can
+ * reach any relay that knows of them. Thread-safe.
+ */
+class RelayUplink
+{
+public:
+    struct Options {
+        std::string failureDomain;
+        /// Fleet addresses at which to begin.
+        std::vector<std::string> seeds;
+        std::string fleetSecret;
+        RelayExchange::Timing timing;
+    };
+
+    struct Hooks {
+        SteadyClock clock;
+        RandomSource random;
+        /// The first message on each connection.
+        std::function<RelayMessages::News()> greet;
+        std::function<void(const RelayMessages::News &)> receive;
+    };
+
+    RelayUplink(Options options, Hooks hooks);
+    ~RelayUplink();
+    RelayUplink(const RelayUplink &) = delete;
+    RelayUplink &operator=(const RelayUplink &) = delete;
+
+    /// News for the relay.
+    void tell(const RelayMessages::News &news);
+
+    /// Share of the fleet's VMs that this VM hears of through its relay; its own part of the fleet while it is cut off.
+    double visibleShare() const;
+
+    /// Whether the relay was heard from lately and knows the latest.
+    bool isCurrent() const;
+
+private:
+    struct Relay {
+        std::string address;
+        std::string failureDomain;
+        /// Not tried before, after it failed.
+        SteadyTime avoidedUntil;
+    };
+
+    void keepConnected();
+    std::string nextRelay();
+    void receive(const RelayMessages::News &news);
+    void takeStatus(const RelayMessages::RelayStatus &status);
+    void avoid(const std::string &address, std::chrono::milliseconds duration);
+
+    const Options options;
+    const Hooks hooks;
+    NewsBuffer outgoing;
+    mutable std::mutex mutex;
+    std::condition_variable stopped;
+    bool stopping = false;
+    std::vector<Relay> relays;
+    std::string connectedTo;
+    std::unique_ptr<RelayLink> link;
+    RelayMessages::RelayStatus status;
+    std::optional<SteadyTime> statusHeard;
+    /// Since when the relay has told that it isn't current.
+    std::optional<SteadyTime> outdatedSince;
+    std::thread thread;
+};
+
+} // namespace Hyssophall
--- a/libraries/process/settings/settingfields.cpp
+++ b/libraries/process/settings/settingfields.cpp
@@ -59,6 +59,13 @@
     return {read, "host:port with an IP number and a port from 1 to 65535", true};
 }
 
+SettingField optionalEndpointField(Place<Endpoint> place)
+{
+    SettingField field = endpointField(std::move(place));
+    field.required = false;
+    return field;
+}
+
 bool readAddresses(const std::string &text, std::vector<std::string> &addresses)
 {
     std::size_t start = 0;
@@ -95,6 +102,36 @@
     return {read, unit + " from " + std::to_string(minimum) + " to " + std::to_string(maximum)};
 }
 
+SettingField flagField(Place<bool> place)
+{
+    const Reader read = [place = std::move(place)](Settings &settings, const std::string &text) {
+        place(settings) = text == "true";
+        return text == "true" || text == "false";
+    };
+    return {read, "true or false"};
+}
+
+SettingField headerField(Place<std::string> place)
+{
+    const Reader read = [place = std::move(place)](Settings &settings, const std::string &text) {
+        place(settings) = text;
+        return !text.empty() && text.size() <= maximumNameLength
+            && std::all_of(text.begin(), text.end(), [](char character) { return isNameCharacter(character) && character != '.'; });
+    };
+    return {read, "the name of a header"};
+}
+
+SettingField shareField(Place<double> place)
+{
+    const Reader read = [place = std::move(place)](Settings &settings, const std::string &text) {
+        double &share = place(settings);
+        const char *end = text.data() + text.size();
+        const std::from_chars_result parsed = std::from_chars(text.data(), end, share);
+        return parsed.ec == std::errc() && parsed.ptr == end && share >= 0 && share <= 1;
+    };
+    return {read, "a number from 0 to 1"};
+}
+
 SettingField millisecondsField(Place<std::chrono::milliseconds> place, std::uint64_t minimum, std::uint64_t maximum)
 {
     return countField<std::chrono::milliseconds>(std::move(place), minimum, maximum, "milliseconds");
@@ -119,7 +156,8 @@
         {"vm.failure_domain", nameField([](Settings &settings) -> std::string & { return settings.vm.failureDomain; })},
         {"vm.role", {readRole, "entry or control"}},
         {"vm.data_folder", pathField([](Settings &settings) -> std::string & { return settings.vm.dataFolder; })},
-        {"listen.caller", endpointField([](Settings &settings) -> Endpoint & { return settings.listen.caller; })},
+        {"listen.caller", optionalEndpointField([](Settings &settings) -> Endpoint & { return settings.listen.caller; })},
+        {"listen.registration", optionalEndpointField([](Settings &settings) -> Endpoint & { return settings.listen.registration; })},
         {"listen.administration", endpointField([](Settings &settings) -> Endpoint & { return settings.listen.administration; })},
         {"listen.fleet", endpointField([](Settings &settings) -> Endpoint & { return settings.listen.fleet; })},
         {"listen.maximum_connections",
@@ -145,6 +183,32 @@
     };
 }
 
+std::map<std::string, SettingField> relayFields()
+{
+    return {
+        {"relay.enabled", flagField([](Settings &settings) -> bool & { return settings.relay.enabled; })},
+        {"relay.seeds", addressesField([](Settings &settings) -> std::vector<std::string> & { return settings.relay.seeds; })},
+        {"relay.cross_domain_cost",
+            countField<std::size_t>([](Settings &settings) -> std::size_t & { return settings.relay.crossDomainCost; }, 0, 1000, "thousandths of a request")},
+        {"control.tolerated_losses",
+            countField<std::size_t>([](Settings &settings) -> std::size_t & { return settings.control.toleratedLosses; }, 0, 3, "control VMs")},
+        {"control.first_start", flagField([](Settings &settings) -> bool & { return settings.control.isFirstStart; })},
+        {"control.recall_grace_ms",
+            millisecondsField([](Settings &settings) -> std::chrono::milliseconds & { return settings.control.recallGrace; }, 100, 600000)},
+        {"bounds.retry_ratio", shareField([](Settings &settings) -> double & { return settings.bounds.retryRatio; })},
+        {"bounds.retry_slack", countField<std::size_t>([](Settings &settings) -> std::size_t & { return settings.bounds.retrySlack; }, 0, 1000000, "retries")},
+        {"bounds.retry_window_s",
+            countField<std::chrono::seconds>([](Settings &settings) -> std::chrono::seconds & { return settings.bounds.retryWindow; }, 1, 600, "seconds")},
+        {"bounds.fail_closed", flagField([](Settings &settings) -> bool & { return settings.bounds.failClosed; })},
+        {"headers.key", headerField([](Settings &settings) -> std::string & { return settings.headers.key; })},
+        {"headers.deadline", headerField([](Settings &settings) -> std::string & { return settings.headers.deadline; })},
+        {"headers.team", headerField([](Settings &settings) -> std::string & { return settings.headers.team; })},
+        {"headers.target_instance", headerField([](Settings &settings) -> std::string & { return settings.headers.targetInstance; })},
+        {"headers.not_run", headerField([](Settings &settings) -> std::string & { return settings.headers.notRun; })},
+        {"headers.forward_request_id", flagField([](Settings &settings) -> bool & { return settings.headers.forwardsRequestId; })},
+    };
+}
+
 std::map<std::string, SettingField> requestFields()
 {
     using Milliseconds = std::chrono::milliseconds;
@@ -156,6 +220,7 @@
             countField<std::size_t>([](Settings &settings) -> std::size_t & { return settings.limits.maximumAnswerBytes; }, 1, gibibyte, "bytes")},
         {"limits.owner_wait_ms", millisecondsField([](Settings &settings) -> Milliseconds & { return settings.limits.ownerWait; }, 0, 60000)},
         {"limits.rate_wait_ms", millisecondsField([](Settings &settings) -> Milliseconds & { return settings.limits.rateWait; }, 0, 60000)},
+        {"limits.connect_timeout_ms", millisecondsField([](Settings &settings) -> Milliseconds & { return settings.limits.connectTimeout; }, 1, 60000)},
         {"limits.default_timeout_ms", millisecondsField([](Settings &settings) -> Milliseconds & { return settings.limits.defaultTimeout; }, 1, 3600000)},
         {"claims.retention_s",
             countField<std::chrono::seconds>([](Settings &settings) -> std::chrono::seconds & { return settings.claims.retention; }, 1, 86400, "seconds")},
@@ -174,6 +239,7 @@
         std::map<std::string, SettingField> all = vmFields();
         all.merge(fleetFields());
         all.merge(requestFields());
+        all.merge(relayFields());
         return all;
     }();
     return fields;
--- a/libraries/process/settings/settings.cpp
+++ b/libraries/process/settings/settings.cpp
@@ -117,6 +117,13 @@
     if (reading.settings.vm.role == Role::Control && reading.settings.vm.dataFolder.empty()) {
         return InvalidSetting{"", 0, "vm.data_folder", "a path, because vm.role is control"};
     }
+    const bool servesCallers = reading.settings.vm.role == Role::Entry || !reading.settings.relay.enabled;
+    if (servesCallers && reading.settings.listen.caller.port == 0) {
+        return InvalidSetting{"", 0, "listen.caller", "host:port with an IP number and a port from 1 to 65535"};
+    }
+    if (!servesCallers && reading.settings.listen.registration.port == 0) {
+        return InvalidSetting{"", 0, "listen.registration", "host:port, because vm.role is control and relay.enabled is true"};
+    }
     return std::nullopt;
 }
 
--- a/libraries/process/settings/settings.h
+++ b/libraries/process/settings/settings.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "request/headernames.h"
+
 #include <boost/leaf/result.hpp>
 
 #include <chrono>
@@ -50,6 +52,8 @@
         Endpoint caller;
         Endpoint administration;
         Endpoint fleet;
+        /// Where instances register and operators put configurations; only on control VMs of a relayed fleet.
+        Endpoint registration;
         std::size_t maximumConnections = 1000;
     };
     struct Fleet {
@@ -66,6 +70,29 @@
         std::vector<std::string> replicas;
         std::chrono::milliseconds heartbeatInterval{100};
         std::chrono::milliseconds electionTimeout{600};
+        /// How long a restarted replica waits for the replicas beyond those that form a majority with it.
+        std::chrono::milliseconds recallGrace{10000};
+        /// Control VMs that may be lost at once; a relayed fleet forms its control group of twice as many and one.
+        std::size_t toleratedLosses = 1;
+        /// True only when the whole fleet starts for the first time, so that the control VMs may form a new group.
+        bool isFirstStart = false;
+    };
+    /// The fleet's shape in which entry VMs connect to the control VM of their failure domain.
+    struct Relay {
+        bool enabled = false;
+        /// Addresses on control VMs; their hosts are asked at the port of listen.fleet.
+        std::vector<std::string> seeds;
+        /// What sending a request to another failure domain is worth avoiding, in thousandths of a failed request.
+        std::size_t crossDomainCost = 150;
+    };
+    /// Bounds that the deployment sets; see docs/operations.md.
+    struct Bounds {
+        double retryRatio = 0.1;
+        /// Retries a service may get beyond the ratio, in each window, over all VMs.
+        std::size_t retrySlack = 30;
+        std::chrono::seconds retryWindow{10};
+        /// Whether a VM that may be out of date refuses requests that need a key.
+        bool failClosed = false;
     };
     struct Limits {
         std::size_t maximumRequestBytes = 1024 * 1024;
@@ -74,6 +101,7 @@
         /// How long a request waits for its team's rate while no owner of the team's bucket answers.
         std::chrono::milliseconds ownerWait{1000};
         std::chrono::milliseconds defaultTimeout{10000};
+        std::chrono::milliseconds connectTimeout{1500};
     };
     struct Claims {
         std::chrono::seconds retention{600};
@@ -86,7 +114,7 @@
     struct Telemetry {
         /// Spans are appended as JSON lines; empty: no spans.
         std::string traceFile;
-        /// Empty: standard error.
+        /// Empty: standard output.
         std::string logFile;
     };
 
@@ -94,6 +122,9 @@
     Listen listen;
     Fleet fleet;
     Control control;
+    Relay relay;
+    Bounds bounds;
+    HeaderNames headers;
     Limits limits;
     Claims claims;
     Shutdown shutdown;
--- a/libraries/process/telemetry/requestmetrics.cpp
+++ b/libraries/process/telemetry/requestmetrics.cpp
@@ -61,6 +61,8 @@
         return "shed";
     case TryOutcome::ConnectFailed:
         return "connect_failed";
+    case TryOutcome::WrongInstance:
+        return "wrong_instance";
     case TryOutcome::TimedOut:
         return "timed_out";
     case TryOutcome::ConnectionLost:
--- a/libraries/request/requestdeadline.cpp
+++ b/libraries/request/requestdeadline.cpp
@@ -5,9 +5,9 @@
 
 namespace Hyssophall {
 
-std::optional<std::chrono::milliseconds> requestTimeout(const HttpHeaders &headers, std::chrono::milliseconds fallback)
+std::optional<std::chrono::milliseconds> requestTimeout(const HttpHeaders &headers, const std::string &name, std::chrono::milliseconds fallback)
 {
-    const std::string *text = findHeader(headers, "X-Request-Timeout-Ms");
+    const std::string *text = findHeader(headers, name);
     if (text == nullptr) {
         return std::min(fallback, maximumRequestTimeout);
     }
--- a/libraries/request/retrybudget.cpp
+++ b/libraries/request/retrybudget.cpp
@@ -11,13 +11,13 @@
 
 } // namespace
 
-void RetryBudget::addRequest(SteadyTime now)
+void RetryBudget::addRequest(const std::string &, SteadyTime now)
 {
     std::lock_guard<std::mutex> lock(this->mutex);
     ++this->secondOf(secondNumber(now)).requests;
 }
 
-bool RetryBudget::tryTake(SteadyTime now)
+bool RetryBudget::tryTake(const std::string &, SteadyTime now)
 {
     const std::int64_t current = secondNumber(now);
     std::lock_guard<std::mutex> lock(this->mutex);
--- a/libraries/request/retrybudget.h
+++ b/libraries/request/retrybudget.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "process/hooks.h"
+#include "request/retryallowance.h"
 
 #include <array>
 #include <cstdint>
@@ -13,17 +13,17 @@
  *
  * Retries would otherwise multiply the load on upstreams just when they fail. Time is counted in whole seconds. Thread-safe.
  */
-class RetryBudget
+class RetryBudget : public RetryAllowance
 {
 public:
     static constexpr std::uint64_t windowSeconds = 10;
     static constexpr std::uint64_t requestsPerRetry = 10;
     static constexpr std::uint64_t freeRetries = 3;
 
-    void addRequest(SteadyTime now);
+    void addRequest(const std::string &service, SteadyTime now) override;
 
     /// Takes one retry. False when the budget is spent.
-    bool tryTake(SteadyTime now);
+    bool tryTake(const std::string &service, SteadyTime now) override;
 
 private:
     struct Second {
--- a/libraries/request/tryverdict.cpp
+++ b/libraries/request/tryverdict.cpp
@@ -4,10 +4,19 @@
 
 namespace {
 
-bool isShed(const HttpAnswer &answer)
+constexpr int wrongInstanceStatus = 421;
+
+/// Whether the status tells the caller that its request never ran, as this fleet's own refusals do.
+bool promisesNotRun(int status)
+{
+    return status == 408 || status == wrongInstanceStatus || status == 429 || status == 503;
+}
+
+/// Whether the instance proves that it didn't run the request, and not because of the request itself.
+bool isShed(const HttpAnswer &answer, const std::string &notRunHeader)
 {
-    const std::string *notRun = findHeader(answer.headers, "Hyssophall-Not-Run");
-    return answer.status == 503 && notRun != nullptr && *notRun == "true";
+    const std::string *notRun = findHeader(answer.headers, notRunHeader);
+    return promisesNotRun(answer.status) && (answer.status == wrongInstanceStatus || (notRun != nullptr && *notRun != "false"));
 }
 
 TryOutcome failedOutcome(const UpstreamFailure &failure)
@@ -46,7 +55,7 @@
 
 } // namespace
 
-TryVerdict::TryVerdict(const UpstreamResult &result)
+TryVerdict::TryVerdict(const UpstreamResult &result, const std::string &notRunHeader)
 {
     if (result.failure) {
         this->provenNotRun = !result.failure->mayHaveSent;
@@ -57,13 +66,19 @@
         this->worthRetry = kind != UpstreamFailureKind::Withheld && kind != UpstreamFailureKind::AnswerTooLarge && kind != UpstreamFailureKind::Abandoned;
         return;
     }
-    if (isShed(*result.answer)) {
+    if (isShed(*result.answer, notRunHeader)) {
         this->provenNotRun = true;
-        this->tryOutcome = TryOutcome::Shed;
+        this->tryOutcome = result.answer->status == wrongInstanceStatus ? TryOutcome::WrongInstance : TryOutcome::Shed;
         this->refusalCode = RefusalCode::Overloaded;
         return;
     }
     const int status = result.answer->status;
+    if (promisesNotRun(status)) {
+        // Without the proof, the status alone would promise the caller too much.
+        this->tryOutcome = TryOutcome::ServerError;
+        this->refusalCode = RefusalCode::UpstreamFailed;
+        return;
+    }
     this->answered = true;
     this->worthRetry = status == 500 || status == 502 || status == 503 || status == 504;
     this->tryOutcome = status >= 500 ? TryOutcome::ServerError : TryOutcome::Answered;
--- a/libraries/request/tryverdict.h
+++ b/libraries/request/tryverdict.h
@@ -13,7 +13,8 @@
 public:
     static constexpr int maximumRetries = 2;
 
-    explicit TryVerdict(const UpstreamResult &result);
+    /// @p notRunHeader is the name of the header by which an instance proves that a request didn't run.
+    explicit TryVerdict(const UpstreamResult &result, const std::string &notRunHeader = "Hyssophall-Not-Run");
 
     /// True when the try's answer goes to the caller unless a retry follows.
     bool isAnswer() const;
--- a/libraries/version/catalogue.cpp
+++ b/libraries/version/catalogue.cpp
@@ -137,6 +137,9 @@
         return this->removeMember(change.remove_member());
     case CatalogueMessages::Change::kAdmitFirstMembers:
         return this->admitFirstMembers(change.admit_first_members());
+    case CatalogueMessages::Change::kReplaceConfiguration:
+    case CatalogueMessages::Change::kReadBarrier:
+        return leaf::new_error(InvalidChange{"change", "a change of one entry; whole configurations need relay.enabled"});
     case CatalogueMessages::Change::KIND_NOT_SET:
         break;
     }
--- /dev/null
+++ b/services/hyssophalld/controldaemon.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include "platform/controlinterface.h"
+#include "process/administration/administrationserver.h"
+#include "process/relay/controlnode.h"
+#include "process/telemetry/requestmetrics.h"
+#include "statusendpoint.h"
+
+#include <boost/leaf/result.hpp>
+
+#include <memory>
+
+namespace Hyssophall {
+
+/// A control VM of a relayed fleet at work.
+class ControlDaemon
+{
+public:
+    /// Starts to serve. Errors: those of ControlNode::create(), Administration::ServerNotStarted.
+    static boost::leaf::result<std::unique_ptr<ControlDaemon>> create(const Settings &settings);
+
+private:
+    explicit ControlDaemon(const Settings &settings);
+
+    boost::leaf::result<void> start();
+    Platform::ControlInterface::Hooks interfaceHooks();
+    void addGauges();
+
+    // In the order of creation: later members use earlier ones.
+    const Settings settings;
+    std::unique_ptr<RequestMetrics> metrics;
+    std::unique_ptr<ControlNode> node;
+    std::unique_ptr<Platform::ControlInterface> interface;
+    std::unique_ptr<StatusEndpoint> status;
+    std::unique_ptr<Administration::AdministrationServer> registrations;
+    std::unique_ptr<Administration::AdministrationServer> administration;
+};
+
+} // namespace Hyssophall
--- a/services/hyssophalld/daemon.cpp
+++ b/services/hyssophalld/daemon.cpp
@@ -1,34 +1,32 @@
 #include "daemon.h"
 
-#include "process/proxy/cataloguesnapshot.h"
+#include "fleetparts.h"
 #include "process/proxy/shutdownsequence.h"
+#include "relayparts.h"
+
+#include "systemrandom.h"
 
 #include <glog/logging.h>
 
-#include <random>
 #include <thread>
 
 namespace Hyssophall {
 
 namespace {
 
-std::uint64_t systemRandom()
-{
-    thread_local std::mt19937_64 generator{(static_cast<std::uint64_t>(std::random_device()()) << 32U) | std::random_device()()};
-    return generator();
-}
-
 UpstreamClient::Options clientOptions(const Settings &settings)
 {
     UpstreamClient::Options options;
     options.maximumAnswerBytes = settings.limits.maximumAnswerBytes;
+    options.connectTimeout = settings.limits.connectTimeout;
     return options;
 }
 
 RequestPath::Options pathOptions(const Settings &settings)
 {
     RequestPath::Options options;
-    options.defaultTimeout = settings.limits.defaultTimeout;
+    options.admission.defaultTimeout = settings.limits.defaultTimeout;
+    options.admission.headers = settings.headers;
     options.rateWait = settings.limits.rateWait;
     options.ownerWait = settings.limits.ownerWait;
     options.maximumClaimBodyBytes = settings.claims.maximumBodyBytes;
@@ -68,16 +66,25 @@
     if (!telemetry) {
         return telemetry.error();
     }
-    FleetParts::Hooks hooks;
-    hooks.metricsText = [this] { return this->metrics->text(); };
-    hooks.isAcceptingCallers = [this] { return !this->stopping; };
-    BOOST_LEAF_ASSIGN(this->parts, FleetParts::create(this->settings, *this->store, hooks));
+    BOOST_LEAF_CHECK(this->startParts());
     this->client = std::make_unique<UpstreamClient>(clientOptions(this->settings));
     this->path = std::make_unique<RequestPath>(this->requestPathParts(), pathOptions(this->settings));
     this->addGauges();
     return this->startCallerEndpoint();
 }
 
+boost::leaf::result<void> Daemon::startParts()
+{
+    const std::function<std::string()> metricsText = [this] { return this->metrics->text(); };
+    const std::function<bool()> isAcceptingCallers = [this] { return !this->stopping; };
+    if (this->settings.relay.enabled) {
+        BOOST_LEAF_ASSIGN(this->parts, RelayParts::create(this->settings, {metricsText, isAcceptingCallers}));
+        return {};
+    }
+    BOOST_LEAF_ASSIGN(this->parts, FleetParts::create(this->settings, *this->store, {metricsText, isAcceptingCallers}));
+    return {};
+}
+
 boost::leaf::result<void> Daemon::startTelemetry()
 {
     if (!this->settings.telemetry.traceFile.empty()) {
@@ -107,13 +114,14 @@
     if (this->spans != nullptr) {
         observers.push_back(this->spans.get());
     }
-    return {[this] { return std::make_shared<CatalogueSnapshot>(this->store->current()); },
+    return {this->parts->catalogue(),
         this->parts->servingLease(),
         this->parts->rateLimiter(),
         this->parts->claims(),
         this->parts->capacity(),
         this->parts->health(),
         *this->client,
+        this->parts->retries(),
         std::chrono::steady_clock::now,
         systemRandom,
         observers};
@@ -128,8 +136,6 @@
         const std::lock_guard<std::mutex> lock(this->callersMutex);
         return this->callers == nullptr ? 0.0 : static_cast<double>(this->callers->requestsInFlight());
     });
-    this->metrics->addGauge(
-        "hyssophall_catalogue_version", "Version of the catalogue in force.", [this] { return static_cast<double>(this->store->current()->version()); });
     this->metrics->addGauge("hyssophall_spans_dropped", "Requests whose spans were dropped.", [this] {
         return this->spans == nullptr ? 0.0 : static_cast<double>(this->spans->droppedRequests());
     });
--- a/services/hyssophalld/daemon.h
+++ b/services/hyssophalld/daemon.h
@@ -1,11 +1,12 @@
 #pragma once
 
 #include "connection/upstreamclient.h"
-#include "fleetparts.h"
+#include "process/cataloguestore.h"
 #include "process/proxy/callerendpoint.h"
 #include "process/proxy/requestpath.h"
 #include "process/telemetry/requestmetrics.h"
 #include "process/telemetry/spanwriter.h"
+#include "vmparts.h"
 
 #include <atomic>
 #include <memory>
@@ -18,7 +19,7 @@
 class Daemon
 {
 public:
-    /// Starts to serve. Errors: those of FleetParts::create(), TelemetryFileFailure, EndpointFailure.
+    /// Starts to serve. Errors: those of FleetParts::create() or RelayParts::create(), TelemetryFileFailure, EndpointFailure.
     static boost::leaf::result<std::unique_ptr<Daemon>> create(const Settings &settings);
 
     /// Ends what create() began, in the opposite order; requests in flight are cut off without shutDown().
@@ -31,6 +32,7 @@
     explicit Daemon(const Settings &settings);
 
     boost::leaf::result<void> start();
+    boost::leaf::result<void> startParts();
     boost::leaf::result<void> startTelemetry();
     boost::leaf::result<void> startCallerEndpoint();
     RequestPath::Parts requestPathParts() const;
@@ -43,7 +45,7 @@
     std::unique_ptr<SpanWriter> spans;
     std::unique_ptr<CatalogueStore> store;
     std::unique_ptr<UpstreamClient> client;
-    std::unique_ptr<FleetParts> parts;
+    std::unique_ptr<VmParts> parts;
     std::unique_ptr<RequestPath> path;
     /// Guards the pointer alone: /metrics reads it on other threads from before the endpoint starts until after it ends.
     std::mutex callersMutex;
--- a/services/hyssophalld/fleetparts.cpp
+++ b/services/hyssophalld/fleetparts.cpp
@@ -1,12 +1,14 @@
 #include "fleetparts.h"
 
 #include "eventlog.h"
+#include "systemrandom.h"
+
+#include "process/proxy/cataloguesnapshot.h"
 
 #include <boost/leaf/handle_errors.hpp>
 #include <glog/logging.h>
 
 #include <algorithm>
-#include <random>
 #include <utility>
 
 namespace Hyssophall {
@@ -19,12 +21,6 @@
 // Slots are shared with the other VMs, but not all of them are busy at once.
 constexpr double initialLimitOverShare = 2;
 
-std::uint64_t systemRandom()
-{
-    thread_local std::mt19937_64 generator{(static_cast<std::uint64_t>(std::random_device()()) << 32U) | std::random_device()()};
-    return generator();
-}
-
 SteadyTime steadyNow()
 {
     return std::chrono::steady_clock::now();
@@ -211,7 +207,7 @@
     configuration.servingLeaseExpiry = 2 * this->settings.fleet.servingLease;
     this->api = std::make_unique<Administration::AdministrationApi>(this->administrationHooks(), configuration);
     BOOST_LEAF_ASSIGN(this->administration,
-        Administration::AdministrationServer::create(*this->api, this->settings.listen.administration, this->settings.listen.maximumConnections));
+        Administration::AdministrationServer::create([this](const Administration::HttpRequest &request) { return this->api->handle(request); }, this->settings.listen.administration, this->settings.listen.maximumConnections));
     return {};
 }
 
@@ -275,6 +271,16 @@
     return entry == nullptr ? CapacityFloor{1000, 0} : CapacityFloor{entry->floor_per_mille(), entry->floor_count()};
 }
 
+CatalogueLookupSource FleetParts::catalogue()
+{
+    return [this] { return std::make_shared<CatalogueSnapshot>(this->store.current()); };
+}
+
+RetryAllowance &FleetParts::retries()
+{
+    return this->retryBudget;
+}
+
 ServingLease &FleetParts::servingLease()
 {
     return this->quorums->servingLease();
@@ -313,6 +319,8 @@
 
 void FleetParts::addGauges(RequestMetrics &metrics)
 {
+    metrics.addGauge(
+        "hyssophall_catalogue_version", "Version of the catalogue in force.", [this] { return static_cast<double>(this->store.current()->version()); });
     metrics.addGauge("hyssophall_serving_lease_held", "1 while this VM may serve requests that need a key.", [this] {
         return this->quorums->servingLease().isHeld() ? 1.0 : 0.0;
     });
--- a/services/hyssophalld/fleetparts.h
+++ b/services/hyssophalld/fleetparts.h
@@ -15,7 +15,9 @@
 #include "process/limits/faircapacity.h"
 #include "process/settings/settings.h"
 #include "process/telemetry/requestmetrics.h"
+#include "request/retrybudget.h"
 #include "rostersettlement.h"
+#include "vmparts.h"
 
 #include <boost/leaf/result.hpp>
 
@@ -26,7 +28,7 @@
 namespace Hyssophall {
 
 /// This VM's part in the fleet: membership, catalogue, leases, limits, claims, health, and on a control VM the control log.
-class FleetParts
+class FleetParts : public VmParts
 {
 public:
     struct Hooks {
@@ -40,25 +42,26 @@
     static boost::leaf::result<std::unique_ptr<FleetParts>> create(const Settings &settings, CatalogueStore &store, Hooks hooks);
 
     /// Stops what create() started, in the opposite order.
-    ~FleetParts();
+    ~FleetParts() override;
 
     FleetParts(const FleetParts &) = delete;
     FleetParts &operator=(const FleetParts &) = delete;
 
-    ServingLease &servingLease();
-    RateLimiter &rateLimiter();
-    ClaimCoordinator &claims();
-    CapacityQueue &capacity();
-    InstanceHealth &health();
+    CatalogueLookupSource catalogue() override;
+    ServingLease &servingLease() override;
+    RateLimiter &rateLimiter() override;
+    ClaimCoordinator &claims() override;
+    CapacityQueue &capacity() override;
+    InstanceHealth &health() override;
+    RetryAllowance &retries() override;
 
     /// What /ready reports.
     Administration::Readiness readiness();
 
-    /// Adds gauges of this VM's part in the fleet. The metrics must not be read after the parts are gone.
-    void addGauges(RequestMetrics &metrics);
+    void addGauges(RequestMetrics &metrics) override;
 
     /// Returns tokens and leases and leaves gossip.
-    void leave();
+    void leave() override;
 
 private:
     FleetParts(const Settings &settings, CatalogueStore &store, Hooks hooks);
@@ -88,6 +91,7 @@
     std::unique_ptr<HealthMonitor> monitor;
     std::unique_ptr<HealthNode> healthNode;
     std::unique_ptr<FairCapacity> fairCapacity;
+    RetryBudget retryBudget;
     std::unique_ptr<CatalogueStateMachine> machine;
     /// Null on an entry VM.
     ControlGroup *group = nullptr;
--- a/services/hyssophalld/main.cpp
+++ b/services/hyssophalld/main.cpp
@@ -1,3 +1,4 @@
+#include "controldaemon.h"
 #include "daemon.h"
 #include "process/telemetry/jsonlogsink.h"
 
@@ -8,12 +9,15 @@
 #include <absl/flags/usage_config.h>
 #include <boost/leaf/handle_errors.hpp>
 
+#include <glog/logging.h>
+
 #include <csignal>
+#include <cstdlib>
 #include <cstring>
 #include <iostream>
 #include <string_view>
 
-ABSL_FLAG(std::string, settings, "", "Serve with the settings in this INI file.");
+ABSL_FLAG(std::string, settings, "", "Serve with the settings in this INI file; without it, the one that HYSSOPHALL_CONFIG names.");
 ABSL_FLAG(std::string, check, "", "Check the settings in this INI file and exit: 0 when they can be used, 1 when not.");
 
 namespace {
@@ -100,22 +104,46 @@
     sigemptyset(&signals);
     sigaddset(&signals, SIGTERM);
     sigaddset(&signals, SIGINT);
+    sigaddset(&signals, SIGHUP);
     pthread_sigmask(SIG_BLOCK, &signals, nullptr);
     // A peer that closes early must not end the process.
     std::signal(SIGPIPE, SIG_IGN);
     return signals;
 }
 
+int waitForStop(const sigset_t &signals)
+{
+    int received = 0;
+    // Settings are read at the start alone: what changes while the fleet runs travels in the catalogue.
+    do {
+        sigwait(&signals, &received);
+        LOG(INFO) << "Signal " << received << (received == SIGHUP ? ": the settings in force stay" : ": stopping");
+    } while (received == SIGHUP);
+    return received;
+}
+
+boost::leaf::result<int> serveControl(const Settings &settings, const sigset_t &signals)
+{
+    BOOST_LEAF_AUTO(daemon, ControlDaemon::create(settings));
+    waitForStop(signals);
+    return 0;
+}
+
+boost::leaf::result<int> serveCallers(const Settings &settings, const sigset_t &signals)
+{
+    BOOST_LEAF_AUTO(daemon, Daemon::create(settings));
+    waitForStop(signals);
+    daemon->shutDown();
+    return 0;
+}
+
 boost::leaf::result<int> serve(const std::string &file)
 {
     const sigset_t signals = blockStopSignals();
     BOOST_LEAF_AUTO(settings, Settings::createFromFile(file));
     BOOST_LEAF_AUTO(log, JsonLogSink::create(settings.telemetry.logFile, settings.vm.id));
-    BOOST_LEAF_AUTO(daemon, Daemon::create(settings));
-    int received = 0;
-    sigwait(&signals, &received);
-    daemon->shutDown();
-    return 0;
+    const bool isRelay = settings.relay.enabled && settings.vm.role == Role::Control;
+    return isRelay ? serveControl(settings, signals) : serveCallers(settings, signals);
 }
 
 } // namespace
@@ -131,7 +159,9 @@
     }
     const std::vector<char *> rest = absl::ParseCommandLine(argumentCount, arguments);
     const std::string checked = absl::GetFlag(FLAGS_check);
-    const std::string served = absl::GetFlag(FLAGS_settings);
+    const char *fromEnvironment = checked.empty() ? std::getenv("HYSSOPHALL_CONFIG") : nullptr;
+    const std::string named = absl::GetFlag(FLAGS_settings);
+    const std::string served = named.empty() && fromEnvironment != nullptr ? fromEnvironment : named;
     if (rest.size() > 1 || checked.empty() == served.empty()) {
         std::cerr << absl::ProgramUsageMessage() << std::endl;
         return usageStatus;
