Proxy: Keep the status of an answer without a body

VMs also stayed at the relay of another failure domain at which they had begun.

Change: empty answers set their status by themselves; a VM moves to a current relay of its own failure domain.

--- a/libraries/process/proxy/ulfiusmessage.cpp
+++ b/libraries/process/proxy/ulfiusmessage.cpp
@@ -80,6 +80,9 @@
     if (headLength && *headLength > 0) {
         // The web server announces the length of the stream but reads none of it for HEAD.
         ulfius_set_stream_response(&response, static_cast<unsigned int>(answer.status), noBytes, nullptr, *headLength, 1024, nullptr);
+    } else if (answer.body.empty()) {
+        // The function for bodies refuses an empty one and would leave the status at 200.
+        ulfius_set_empty_body_response(&response, static_cast<unsigned int>(answer.status));
     } else {
         ulfius_set_binary_body_response(&response, static_cast<unsigned int>(answer.status), answer.body.data(), answer.body.size());
     }
--- a/libraries/process/relay/relayuplink.cpp
+++ b/libraries/process/relay/relayuplink.cpp
@@ -137,11 +137,31 @@
     this->statusHeard = now;
     if (newStatus.current()) {
         this->outdatedSince.reset();
+        this->moveNearer();
         return;
     }
     if (!this->outdatedSince) {
         this->outdatedSince = now;
     }
+    this->moveOnIfOutdated(now);
+}
+
+void RelayUplink::moveNearer()
+{
+    const SteadyTime now = this->hooks.clock();
+    const auto isNear = [this](const Relay &relay) { return relay.failureDomain == this->options.failureDomain; };
+    const bool isAtHome = std::any_of(
+        this->relays.begin(), this->relays.end(), [this, isNear](const Relay &relay) { return relay.address == this->connectedTo && isNear(relay); });
+    const bool hasHome = std::any_of(
+        this->relays.begin(), this->relays.end(), [now, isNear](const Relay &relay) { return isNear(relay) && relay.avoidedUntil <= now; });
+    if (!isAtHome && hasHome) {
+        LOG(INFO) << "Moving from relay " << this->connectedTo << " to one of this failure domain";
+        this->link->cancel();
+    }
+}
+
+void RelayUplink::moveOnIfOutdated(SteadyTime now)
+{
     const bool hasOther = std::any_of(this->relays.begin(), this->relays.end(), [this, now](const Relay &relay) {
         return relay.address != this->connectedTo && relay.avoidedUntil <= now;
     });
--- a/libraries/process/relay/relayuplink.h
+++ b/libraries/process/relay/relayuplink.h
@@ -65,6 +65,9 @@
     std::string nextRelay();
     void receive(const RelayMessages::News &news);
     void takeStatus(const RelayMessages::RelayStatus &status);
+    // These are called with the mutex held.
+    void moveNearer();
+    void moveOnIfOutdated(SteadyTime now);
     void avoid(const std::string &address, std::chrono::milliseconds duration);
 
     const Options options;
