Tests: Cover the relayed fleet's decisions and the platform's messages

Change: unit tests for instance lives, outcomes, limits, retry budget, relays, group formation, configurations and codecs. They found that a VM cut off refilled its buckets at the whole rate when it heard of others' admissions, that an answer cut within its head passed as whole when its connection closed orderly, and that the by-entry catalogue took hosts that it ignores.

--- a/bench/latency/main.cpp
+++ b/bench/latency/main.cpp
@@ -10,6 +10,7 @@
 #include "process/proxy/callerendpoint.h"
 #include "process/proxy/cataloguesnapshot.h"
 #include "process/telemetry/requestmetrics.h"
+#include "request/retrybudget.h"
 
 #include <boost/leaf/handle_errors.hpp>
 #include <nlohmann/json.hpp>
@@ -143,6 +144,7 @@
     // All load goes to one instance here.
     UpstreamClient client({.maximumIdle = 64});
     RequestMetrics metrics;
+    RetryBudget retries;
     const RandomSource random = [] {
         thread_local std::mt19937_64 generator(1);
         return generator();
@@ -154,6 +156,7 @@
                          capacity,
                          health,
                          client,
+                         retries,
                          std::chrono::steady_clock::now,
                          random,
                          {&metrics}},
--- a/libraries/connection/answerassembler.cpp
+++ b/libraries/connection/answerassembler.cpp
@@ -45,6 +45,7 @@
         return false;
     }
     const std::string_view text = trimmed(line);
+    this->headEnded = text.empty();
     if (text.substr(0, 5) == "HTTP/") {
         const std::size_t space = text.find(' ');
         const std::string_view status = space == std::string_view::npos ? std::string_view() : text.substr(space + 1, 3);
@@ -99,7 +100,7 @@
 
 bool AnswerAssembler::isWhole() const
 {
-    if (this->answer.status < 200 || this->answer.status > 599 || this->ambiguousLength) {
+    if (!this->headEnded || this->answer.status < 200 || this->answer.status > 599 || this->ambiguousLength) {
         return false;
     }
     if (this->hasNoBody()) {
--- a/libraries/connection/answerassembler.h
+++ b/libraries/connection/answerassembler.h
@@ -38,6 +38,7 @@
     HttpAnswer answer;
     std::size_t headerBytes = 0;
     bool overLimit = false;
+    bool headEnded = false;
     bool chunked = false;
     bool ambiguousLength = false;
     std::optional<std::size_t> announcedLength;
--- a/libraries/connection/upstreamconnection.cpp
+++ b/libraries/connection/upstreamconnection.cpp
@@ -174,10 +174,16 @@
 
     CURLcode perform(Transfer &transfer)
     {
+        if (this->multi == nullptr || curl_multi_add_handle(this->multi.get(), this->easy.get()) != CURLM_OK) {
+            return CURLE_FAILED_INIT;
+        }
         const CURLcode code = this->transferUntilDone(transfer);
+        // Only a handle that belongs to its multi handle knows its socket.
         curl_socket_t activeSocket = CURL_SOCKET_BAD;
         curl_easy_getinfo(this->easy.get(), CURLINFO_ACTIVESOCKET, &activeSocket);
         this->socket = activeSocket;
+        // The connection of a transfer that is removed before its end is closed.
+        curl_multi_remove_handle(this->multi.get(), this->easy.get());
         return code;
     }
 
@@ -200,9 +206,6 @@
     /// Runs the transfer in steps, between which it looks whether the caller is still there.
     CURLcode transferUntilDone(Transfer &transfer)
     {
-        if (this->multi == nullptr || curl_multi_add_handle(this->multi.get(), this->easy.get()) != CURLM_OK) {
-            return CURLE_FAILED_INIT;
-        }
         const bool mayBeAbandoned = transfer.call.idempotent && transfer.call.isAbandoned;
         CURLcode code = CURLE_OK;
         int running = 1;
@@ -220,8 +223,6 @@
         if (message != nullptr && message->msg == CURLMSG_DONE) {
             code = message->data.result;
         }
-        // The connection of a transfer that is removed before its end is closed.
-        curl_multi_remove_handle(this->multi.get(), this->easy.get());
         return code;
     }
 
--- a/libraries/process/limits/sharedratelimiter.cpp
+++ b/libraries/process/limits/sharedratelimiter.cpp
@@ -26,8 +26,7 @@
     if (whole.rate <= 0) {
         return {RateDecision::Kind::Granted, std::chrono::milliseconds(0)};
     }
-    const double share = this->hooks.visibleShare();
-    const TeamRate rate{whole.rate * share, std::max(1.0, whole.burst * share)};
+    const TeamRate rate = this->ownPart(whole);
     {
         std::lock_guard<std::mutex> lock(this->mutex);
         Bucket &bucket = this->bucketOf(team, rate, this->hooks.clock());
@@ -50,9 +49,17 @@
     if (whole.rate <= 0) {
         return;
     }
+    const TeamRate rate = this->ownPart(whole);
     std::lock_guard<std::mutex> lock(this->mutex);
-    Bucket &bucket = this->bucketOf(team, whole, this->hooks.clock());
-    bucket.tokens = std::max(bucket.tokens - count, -largestDebtInSeconds * whole.rate);
+    Bucket &bucket = this->bucketOf(team, rate, this->hooks.clock());
+    bucket.tokens = std::max(bucket.tokens - count, -largestDebtInSeconds * rate.rate);
+}
+
+TeamRate SharedRateLimiter::ownPart(const TeamRate &whole) const
+{
+    const double share = this->hooks.visibleShare();
+    // A VM that is alone must still be able to admit a request.
+    return {whole.rate * share, std::max(1.0, whole.burst * share)};
 }
 
 SharedRateLimiter::Bucket &SharedRateLimiter::bucketOf(const std::string &team, const TeamRate &rate, SteadyTime now)
--- a/libraries/process/limits/sharedratelimiter.h
+++ b/libraries/process/limits/sharedratelimiter.h
@@ -52,6 +52,7 @@
         bool isNew = true;
     };
 
+    TeamRate ownPart(const TeamRate &whole) const;
     Bucket &bucketOf(const std::string &team, const TeamRate &rate, SteadyTime now);
 
     const Hooks hooks;
--- a/libraries/version/changevalidation.cpp
+++ b/libraries/version/changevalidation.cpp
@@ -152,6 +152,9 @@
     if (route.route_class() != CatalogueMessages::ROUTE_CLASS_IDEMPOTENT && route.route_class() != CatalogueMessages::ROUTE_CLASS_NON_IDEMPOTENT) {
         return InvalidChange{"route.route_class", "idempotent or non_idempotent"};
     }
+    if (!route.host().empty() || !route.shares().empty()) {
+        return InvalidChange{"route.host", "neither a host nor shares, which only whole configurations have"};
+    }
     if (route.timeout_milliseconds() > maximumTimeoutMilliseconds) {
         return InvalidChange{"route.timeout_milliseconds", "0 (the default) to 3600000"};
     }
--- /dev/null
+++ b/tests/unit/platform/codectest.cpp
@@ -0,0 +1,139 @@
+#include "platform/configurationcodec.h"
+#include "platform/registrationcodec.h"
+#include "process/keyhash.h"
+
+#include <boost/leaf/handle_errors.hpp>
+#include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
+
+using namespace Hyssophall;
+
+namespace {
+
+using Json = nlohmann::json;
+
+Json goodConfiguration()
+{
+    return Json::parse(R"({"version":7,"routes":{
+        "r-1":{"host":"a.example","path_prefix":"/x/","kind":"safe","timeout_ms":2500,"target_latency_ms":1000,"priority":2,
+               "traffic_split":[{"service":"s1","weight":90},{"service":"s2","weight":10}],"max_attempts":2,"public":false},
+        "r-2":{"host":"b.example","path_prefix":"/y/","kind":"unsafe","timeout_ms":3000,"target_latency_ms":1000,"priority":1,"service":"s2",
+               "max_attempts":2,"public":true,"later_field":[]}},
+        "services":{"s1":{"health_path":"/health","max_conns":360,"protocol":"h1","tls":false},"s2":{"max_conns":360}},
+        "limits":{"max_header_bytes":16384,"max_body_bytes":1024,"header_timeout_ms":3000,"idle_timeout_ms":15000},
+        "tenants":{"t1":{"api_keys":["k1","k2"],"priority":1,"rate_per_s":24,"burst":12}}})");
+}
+
+/// The faulty field of a configuration; "none" for a good one.
+std::string faultOf(const std::string &text)
+{
+    return boost::leaf::try_handle_all(
+        [&text]() -> boost::leaf::result<std::string> {
+            BOOST_LEAF_CHECK(Platform::readConfiguration(text));
+            return std::string("none");
+        },
+        [](const Platform::InvalidMessage &fault) { return fault.field; },
+        [] { return std::string("untyped"); });
+}
+
+std::string faultWith(const std::string &pointer, const Json &value)
+{
+    Json json = goodConfiguration();
+    json[Json::json_pointer(pointer)] = value;
+    return faultOf(json.dump());
+}
+
+Json goodRegistration()
+{
+    return Json::parse(R"({"service":"s1","address":"10.0.0.9:8080","zone":"a","version":"v1","max_concurrency":3,"state":"ready","warmup_left_ms":0,
+        "seq":4,"born":1775485916142,"later_field":1})");
+}
+
+bool isRegistration(const Json &json)
+{
+    return static_cast<bool>(Platform::readRegistration("i-1", json.dump()));
+}
+
+} // namespace
+
+// Guards against a field of the platform that lands in another field of the product, and against a document that changes on its way.
+CATCH_TEST_CASE("A configuration is decoded into the product's fields and kept as it came", "[platform]")
+{
+    const std::string text = goodConfiguration().dump(2);
+    const boost::leaf::result<CatalogueMessages::Configuration> read = Platform::readConfiguration(text);
+    CATCH_REQUIRE(read);
+    CATCH_CHECK(read->document() == text);
+    CATCH_CHECK(read->version() == 7);
+    CATCH_REQUIRE(read->routes_size() == 2);
+    const CatalogueMessages::Route &split = read->routes(0);
+    CATCH_CHECK(split.route_class() == CatalogueMessages::ROUTE_CLASS_IDEMPOTENT);
+    CATCH_CHECK(split.shares(0).weight() == 90);
+    CATCH_CHECK(split.timeout_milliseconds() == 2500);
+    CATCH_CHECK(split.maximum_attempts() == 2);
+    CATCH_CHECK_FALSE(split.open());
+    CATCH_CHECK(read->routes(1).route_class() == CatalogueMessages::ROUTE_CLASS_NON_IDEMPOTENT);
+    CATCH_CHECK(read->routes(1).open());
+    CATCH_CHECK(read->routes(1).service() == "s2");
+    CATCH_CHECK(read->teams(0).rate() == 24);
+    CATCH_CHECK(read->teams(0).burst() == 12);
+    CATCH_REQUIRE(read->keys_size() == 2);
+    CATCH_CHECK(read->keys(0).hash() == hashBytes(hashKey("k1")));
+    CATCH_CHECK(read->limits().idle_timeout_milliseconds() == 15000);
+}
+
+// Guards against an invalid configuration that comes into force.
+CATCH_TEST_CASE("What makes a configuration invalid is refused with the field", "[platform]")
+{
+    CATCH_CHECK(faultOf(goodConfiguration().dump()) == "none");
+    CATCH_CHECK(faultOf(goodConfiguration().dump().substr(0, 200)).empty());
+    CATCH_CHECK(faultOf("[]").empty());
+    CATCH_CHECK(faultWith("/version", 0) == "version");
+    CATCH_CHECK(faultWith("/version", "7") == "version");
+    CATCH_CHECK(faultWith("/routes/r-2/service", "s3") == "routes.r-2.service");
+    CATCH_CHECK(faultWith("/routes/r-1/traffic_split/0/service", "s3") == "routes.r-1.traffic_split.service");
+    CATCH_CHECK(faultWith("/routes/r-1/traffic_split/0/weight", -1) == "routes.r-1.traffic_split.weight");
+    CATCH_CHECK(faultWith("/routes/r-1/timeout_ms", 0) == "routes.r-1.timeout_ms");
+    CATCH_CHECK(faultWith("/routes/r-1/target_latency_ms", 62500) == "routes.r-1.target_latency_ms");
+    CATCH_CHECK(faultWith("/routes/r-1/target_latency_ms", 62499) == "none");
+    CATCH_CHECK(faultWith("/routes/r-1/path_prefix", "x/") == "routes.r-1.path_prefix");
+    CATCH_CHECK(faultWith("/routes/r-1/kind", "other") == "routes.r-1.kind");
+    CATCH_CHECK(faultWith("/tenants/t2", {{"api_keys", {"k2"}}}) == "tenants.t2.api_keys");
+    CATCH_CHECK(faultWith("/tenants/t2", {{"api_keys", {"k3", "k3"}}}) == "none");
+}
+
+// Guards against a message of another writer that is taken for an instance to use.
+CATCH_TEST_CASE("A registration is decoded, and one with missing or mistyped fields is refused", "[platform]")
+{
+    const boost::leaf::result<Platform::RelayMessages::Registration> read = Platform::readRegistration("i-1", goodRegistration().dump());
+    CATCH_REQUIRE(read);
+    CATCH_CHECK(read->id() == "i-1");
+    CATCH_CHECK(read->host() == "10.0.0.9");
+    CATCH_CHECK(read->port() == 8080);
+    CATCH_CHECK(read->slots() == 3);
+    CATCH_CHECK(read->sequence() == 4);
+    CATCH_CHECK(read->started_at_milliseconds() == 1775485916142);
+    CATCH_CHECK(read->state() == Platform::RelayMessages::REGISTRATION_STATE_READY);
+    for (const char *field : {"service", "address", "zone", "version", "max_concurrency", "state", "warmup_left_ms", "seq", "born"}) {
+        CATCH_CAPTURE(field);
+        Json missing = goodRegistration();
+        missing.erase(field);
+        CATCH_CHECK_FALSE(isRegistration(missing));
+        Json mistyped = goodRegistration();
+        mistyped[field] = mistyped[field].is_string() ? Json(1) : Json("1");
+        CATCH_CHECK_FALSE(isRegistration(mistyped));
+    }
+    for (const char *state : {"", "READY", "gone"}) {
+        Json unknown = goodRegistration();
+        unknown["state"] = state;
+        CATCH_CHECK_FALSE(isRegistration(unknown));
+    }
+    for (const char *address : {"", "10.0.0.9", "10.0.0.9:0", "host:80"}) {
+        Json wrong = goodRegistration();
+        wrong["address"] = address;
+        CATCH_CHECK_FALSE(isRegistration(wrong));
+    }
+    Json fraction = goodRegistration();
+    fraction["born"] = 1.5;
+    CATCH_CHECK_FALSE(isRegistration(fraction));
+    CATCH_CHECK_FALSE(static_cast<bool>(Platform::readRegistration("i-1", "\x01\x02")));
+}
--- /dev/null
+++ b/tests/unit/process/health/outcomeboardtest.cpp
@@ -0,0 +1,223 @@
+#include "process/health/outcomeboard.h"
+
+#include "unit/process/relay/registrations.h"
+
+#include <catch2/catch.hpp>
+
+#include <array>
+#include <queue>
+#include <random>
+
+using namespace Hyssophall;
+using HyssophallTest::registrationOf;
+
+namespace {
+
+using Milliseconds = std::chrono::milliseconds;
+
+constexpr SteadyTime start{std::chrono::hours(1)};
+
+OutcomeBoard::Options optionsWith(std::mt19937_64 &random)
+{
+    OutcomeBoard::Options options;
+    options.ownFailureDomain = "a";
+    options.random = [&random] { return random(); };
+    return options;
+}
+
+RelayMessages::InstanceOutcomes outcomesOf(const RelayMessages::Registration &registration)
+{
+    RelayMessages::InstanceOutcomes outcomes;
+    outcomes.set_instance(InstanceTable::handleOf(registration));
+    return outcomes;
+}
+
+/// A service whose instances are gray for 30 % of each cycle, at times of their own, and fail 75 % of their requests then.
+class GrayService
+{
+public:
+    GrayService(std::size_t instances, Milliseconds cycle, std::uint64_t seed)
+        : random(seed)
+        , cycle(cycle)
+        , board(optionsWith(this->random))
+    {
+        for (std::size_t number = 0; number < instances; ++number) {
+            this->phases.push_back(Milliseconds(static_cast<Milliseconds::rep>(this->random() % static_cast<std::uint64_t>(cycle.count()))));
+            this->board.take(registrationOf("i-" + std::to_string(number), 1, 1, static_cast<std::uint32_t>(1000 + number)));
+        }
+    }
+
+    /// Share of the requests that succeed at @p perSecond for 60 s, when each lasts 240 ms and outcomes are known 50 ms later.
+    double run(double perSecond, bool blind)
+    {
+        std::size_t sent = 0;
+        std::size_t succeeded = 0;
+        std::exponential_distribution<double> pause(perSecond);
+        const SteadyTime end = start + std::chrono::seconds(60);
+        for (SteadyTime now = start; now < end; now += std::chrono::duration_cast<SteadyTime::duration>(std::chrono::duration<double>(pause(this->random)))) {
+            this->tell(now);
+            const std::optional<RelayMessages::Registration> chosen
+                = blind ? *this->board.table().find("i-" + std::to_string(this->random() % this->phases.size())) : this->board.choose("orders", {}, now);
+            if (!chosen) {
+                continue;
+            }
+            ++sent;
+            RelayMessages::InstanceOutcomes started = outcomesOf(*chosen);
+            started.set_started(1);
+            this->board.apply(started, now);
+            const bool fails = this->isGray(std::stoul(chosen->id().substr(2)), now) && this->random() % 100 < 75;
+            succeeded += fails ? 0 : 1;
+            RelayMessages::InstanceOutcomes ended = outcomesOf(*chosen);
+            fails ? ended.set_failed(1) : ended.set_succeeded(1);
+            ended.set_latency_milliseconds(fails ? 0 : 240);
+            this->pending.push({now + Milliseconds(fails ? 52 : 290), ended});
+        }
+        return static_cast<double>(succeeded) / static_cast<double>(std::max<std::size_t>(1, sent));
+    }
+
+private:
+    struct Pending {
+        SteadyTime due;
+        RelayMessages::InstanceOutcomes outcomes;
+
+        bool operator<(const Pending &other) const
+        {
+            return this->due > other.due;
+        }
+    };
+
+    bool isGray(std::size_t number, SteadyTime now) const
+    {
+        const Milliseconds since = std::chrono::duration_cast<Milliseconds>(now - start) + this->phases[number];
+        return (since % this->cycle).count() * 10 < this->cycle.count() * 3;
+    }
+
+    void tell(SteadyTime now)
+    {
+        while (!this->pending.empty() && this->pending.top().due <= now) {
+            this->board.apply(this->pending.top().outcomes, this->pending.top().due);
+            this->pending.pop();
+        }
+    }
+
+    std::mt19937_64 random;
+    const Milliseconds cycle;
+    OutcomeBoard board;
+    std::vector<Milliseconds> phases;
+    std::priority_queue<Pending> pending;
+};
+
+} // namespace
+
+// The load of orders at both users: instances that turn gray in turn. Guards against work that goes on to instances known to fail.
+CATCH_TEST_CASE("Rotating gray phases cost a third of the failures of a blind choice at most", "[health][gray]")
+{
+    struct Load {
+        std::size_t instances;
+        double perSecond;
+        int cycle;
+    };
+    for (const Load &load : {Load{13, 52, 9000}, Load{8, 32, 12000}}) {
+        double blind = 0;
+        double informed = 0;
+        for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+            blind += 1 - GrayService(load.instances, Milliseconds(load.cycle), seed).run(load.perSecond, true);
+            informed += 1 - GrayService(load.instances, Milliseconds(load.cycle), seed).run(load.perSecond, false);
+        }
+        CATCH_CAPTURE(load.instances, blind / 5, informed / 5);
+        CATCH_CHECK(informed < blind / 3);
+    }
+}
+
+// Guards against work on an instance of another failure domain while one of the own is as good.
+CATCH_TEST_CASE("An instance of the own failure domain goes first until it is busy or suspect", "[health]")
+{
+    std::mt19937_64 random(3);
+    OutcomeBoard board(optionsWith(random));
+    RelayMessages::Registration near = registrationOf("near", 1, 1, 1);
+    RelayMessages::Registration far = registrationOf("far", 1, 1, 2);
+    far.set_failure_domain("b");
+    board.take(near);
+    board.take(far);
+    RelayMessages::InstanceOutcomes good = outcomesOf(far);
+    good.set_succeeded(1);
+    board.apply(good, start);
+    good = outcomesOf(near);
+    good.set_succeeded(1);
+    board.apply(good, start);
+    CATCH_CHECK(board.choose("orders", {}, start)->id() == "near");
+    RelayMessages::InstanceOutcomes busy = outcomesOf(near);
+    busy.set_started(3);
+    board.apply(busy, start);
+    CATCH_CHECK(board.choose("orders", {}, start)->id() == "far");
+    CATCH_CHECK(board.choose("orders", {"far"}, start)->id() == "near");
+}
+
+// Guards against requests to instances that drain or are gone, and against a choice where every instance is full.
+CATCH_TEST_CASE("Instances that leave or are full aren't chosen", "[health][leaving-upstream]")
+{
+    std::mt19937_64 random(4);
+    OutcomeBoard board(optionsWith(random));
+    RelayMessages::Registration instance = registrationOf("i-1", 1, 1, 1);
+    board.take(instance);
+    RelayMessages::InstanceOutcomes started = outcomesOf(instance);
+    started.set_started(9);
+    board.apply(started, start);
+    CATCH_CHECK_FALSE(board.choose("orders", {}, start));
+    RelayMessages::InstanceOutcomes ended = outcomesOf(instance);
+    ended.set_succeeded(9);
+    board.apply(ended, start);
+    CATCH_CHECK(board.choose("orders", {}, start));
+    instance.set_sequence(2);
+    instance.set_state(RelayMessages::REGISTRATION_STATE_DRAINING);
+    board.take(instance);
+    CATCH_CHECK_FALSE(board.choose("orders", {}, start));
+}
+
+// Guards against an instance that accepts requests and never answers: it must be avoided before they time out.
+CATCH_TEST_CASE("Requests that hang speak against their instance while they are in flight", "[health][gray]")
+{
+    std::mt19937_64 random(5);
+    OutcomeBoard board(optionsWith(random));
+    const std::array<RelayMessages::Registration, 2> instances{registrationOf("i-1", 1, 1, 1), registrationOf("i-2", 1, 1, 2)};
+    for (const RelayMessages::Registration &instance : instances) {
+        board.take(instance);
+        RelayMessages::InstanceOutcomes good = outcomesOf(instance);
+        good.set_succeeded(1);
+        good.set_latency_milliseconds(200);
+        board.apply(good, start);
+    }
+    RelayMessages::InstanceOutcomes started = outcomesOf(instances[0]);
+    started.set_started(1);
+    board.apply(started, start);
+    for (int second = 1; second <= 4; ++second) {
+        CATCH_CHECK(board.choose("orders", {}, start + std::chrono::seconds(second))->id() == "i-2");
+        RelayMessages::InstanceOutcomes good = outcomesOf(instances[1]);
+        good.set_succeeded(1);
+        good.set_latency_milliseconds(200);
+        board.apply(good, start + std::chrono::seconds(second));
+    }
+}
+
+// Guards against a service most of whose sound instances are idle while many requests fail on the others.
+CATCH_TEST_CASE("A service that fails much work is spread over most of its instances", "[health][ejection-floor]")
+{
+    std::mt19937_64 random(6);
+    OutcomeBoard board(optionsWith(random));
+    for (int number = 0; number < 10; ++number) {
+        board.take(registrationOf("i-" + std::to_string(number), 1, 1, static_cast<std::uint32_t>(1000 + number)));
+    }
+    std::set<std::string> used;
+    SteadyTime now = start;
+    for (int request = 0; request < 40; ++request) {
+        now += Milliseconds(30);
+        const RelayMessages::Registration chosen = *board.choose("orders", {}, now);
+        used.insert(chosen.id());
+        RelayMessages::InstanceOutcomes outcomes = outcomesOf(chosen);
+        outcomes.set_started(1);
+        // Two of five requests fail, whatever the instance.
+        request % 5 < 2 ? outcomes.set_failed(1) : outcomes.set_succeeded(1);
+        board.apply(outcomes, now);
+    }
+    CATCH_CHECK(used.size() >= 7);
+}
--- a/tests/unit/process/proxy/callerendpointtest.cpp
+++ b/tests/unit/process/proxy/callerendpointtest.cpp
@@ -9,6 +9,7 @@
 #include <catch2/catch.hpp>
 
 #include <future>
+#include <thread>
 
 using namespace Hyssophall;
 using HyssophallTest::MockedPath;
@@ -100,6 +101,35 @@
     CATCH_CHECK(gateway.upstream.requests().empty());
 }
 
+// Guards against an upstream's failure without a body that reaches the caller as a success.
+CATCH_TEST_CASE("An answer without a body keeps its status", "[proxy][whole-answer]")
+{
+    for (const std::string status : {"500 Failed", "404 Not Found", "204 No Content"}) {
+        const std::string length = status.front() == '2' ? "" : "Content-Length: 0\r\n";
+        Gateway gateway([&](RawConnection &connection, const std::string &) { connection.write("HTTP/1.1 " + status + "\r\n" + length + "\r\n"); });
+        const std::string answer = RawCaller(gateway.endpoint->port()).exchange(post("order"), true);
+        CATCH_CHECK(contains(answer, "HTTP/1.1 " + status.substr(0, 3) + " "));
+    }
+}
+
+// Guards against work for a caller that left while its next, pipelined request was waiting to be read.
+CATCH_TEST_CASE("A caller that leaves with a pipelined request waiting is noticed", "[proxy]")
+{
+    std::promise<bool> ended;
+    Gateway gateway([&ended](RawConnection &connection, const std::string &) { ended.set_value(connection.readRequest().empty()); });
+    {
+        RawCaller caller(gateway.endpoint->port());
+        caller.write(get("/read") + get("/read"));
+        while (gateway.upstream.requests().empty()) {
+            std::this_thread::sleep_for(std::chrono::milliseconds(5));
+        }
+    }
+    std::future<bool> isEnded = ended.get_future();
+    CATCH_REQUIRE(isEnded.wait_for(std::chrono::seconds(2)) == std::future_status::ready);
+    CATCH_CHECK(isEnded.get());
+    CATCH_CHECK(gateway.upstream.requests().size() == 1);
+}
+
 CATCH_TEST_CASE("A withdrawn key stops working on a kept connection", "[proxy][key-isolation]")
 {
     Gateway gateway(answerOk);
--- a/tests/unit/process/proxy/pathmocks.h
+++ b/tests/unit/process/proxy/pathmocks.h
@@ -2,6 +2,7 @@
 
 #include "process/proxy/requestpath.h"
 #include "request/callerkey.h"
+#include "request/retrybudget.h"
 
 #include <deque>
 #include <functional>
@@ -227,6 +228,7 @@
                    this->capacity,
                    this->health,
                    otherSender == nullptr ? this->sender : *otherSender,
+                   this->retries,
                    std::chrono::steady_clock::now,
                    [this] { return ++this->counter; },
                    {}},
@@ -250,6 +252,7 @@
     MockCapacity capacity;
     MockHealth health;
     MockSender sender;
+    Hyssophall::RetryBudget retries;
     std::atomic<std::uint64_t> counter{0};
     Hyssophall::RequestPath path;
 };
--- a/tests/unit/process/proxy/requestpathtest.cpp
+++ b/tests/unit/process/proxy/requestpathtest.cpp
@@ -164,6 +164,8 @@
 {
     MockedPath mocked;
     mocked.sender.addFailure(UpstreamFailureKind::TimedOut, true);
+    // As many as there are instances; tries that reach none don't use up the retries.
+    mocked.sender.addFailure(UpstreamFailureKind::ConnectFailed, false);
     mocked.sender.addFailure(UpstreamFailureKind::ConnectFailed, false);
     mocked.sender.addFailure(UpstreamFailureKind::ConnectFailed, false);
     requireRefusal(mocked.handle("GET", "/read"), RefusalCode::UpstreamFailed, RequestOutcome::Unknown);
--- a/tests/unit/process/settings/settingstest.cpp
+++ b/tests/unit/process/settings/settingstest.cpp
@@ -69,3 +69,25 @@
     CATCH_REQUIRE(faultOf(std::string("a\0b", 3)) == "test.ini:0 ");
     CATCH_REQUIRE(faultOf("") == "test.ini:0 fleet.secret");
 }
+
+// Guards against a control VM of a relayed fleet that starts without a port for registrations, and against header names that can't be sent.
+CATCH_TEST_CASE("Settings of a relayed fleet are checked together", "[settings]")
+{
+    const std::string common = "[vm]\nid = vm-1\nfailure_domain = a\n[listen]\nadministration = 127.0.0.1:8081\nfleet = 127.0.0.1:8082\n"
+                               "[fleet]\nsecret = 0123456789abcdef\n[relay]\nenabled = true\nseeds = 127.0.0.1:1\n";
+    const std::string control = common + "[vm]\nrole = control\ndata_folder = /data\n";
+    CATCH_REQUIRE(faultOf(common) == "test.ini:0 listen.caller");
+    CATCH_REQUIRE(faultOf(common + "[listen]\ncaller = 127.0.0.1:8080\n") == "");
+    CATCH_REQUIRE(faultOf(control) == "test.ini:0 listen.registration");
+    CATCH_REQUIRE(faultOf(control + "[listen]\nregistration = 127.0.0.1:8083\n") == "");
+    CATCH_REQUIRE(faultOf(minimal + "[relay]\nenabled = yes\n") == "test.ini:11 relay.enabled");
+    CATCH_REQUIRE(faultOf(minimal + "[headers]\nkey = X Key\n") == "test.ini:11 headers.key");
+    CATCH_REQUIRE(faultOf(minimal + "[bounds]\nretry_ratio = 1.5\n") == "test.ini:11 bounds.retry_ratio");
+    const boost::leaf::result<Settings> settings
+        = Settings::create(minimal + "[headers]\nkey = X-Key\n[bounds]\nretry_ratio = 0.2\nretry_slack = 64\nfail_closed = true\n", "test.ini");
+    CATCH_REQUIRE(settings);
+    CATCH_REQUIRE(settings->headers.key == "X-Key");
+    CATCH_REQUIRE_FALSE(settings->headers.readsBearer());
+    CATCH_REQUIRE(settings->bounds.retryRatio == Approx(0.2));
+    CATCH_REQUIRE(settings->bounds.failClosed);
+}
