Telemetry: Log each request with the grounds of its decisions, without waiting for readers

Cause: on-call engineers have only logs and metrics, and the log was written to standard error by whoever logged, with nothing about single requests.

Change: lines go through a bounded ring to standard output, within budgets by kind; dropped lines are counted and told. Each request leaves one line with its id, catalogue version, time limit, each try with what was known of the instance and how old it was, and why it ended. Besides: teams near their limit are told at once, and a service with refusals is spread over its instances.

--- a/libraries/process/health/grayestimate.h
+++ b/libraries/process/health/grayestimate.h
@@ -20,8 +20,8 @@
         double usualShare = 0.3;
         /// Failures of a gray instance: 75 to 90 % in the users' measurements.
         double grayFailureShare = 0.8;
-        /// Failures of a sound instance: 1.2 % in the users' measurements, and some for the faults of links.
-        double soundFailureShare = 0.03;
+        /// Failures of a sound instance: 1.2 % in the users' measurements.
+        double soundFailureShare = 0.012;
         /// Time after which a difference from the usual share has fallen to 1/e: a cycle of 9 s with 2.7 s of it gray changes state at a
         /// rate of 1/6.3 + 1/2.7 a second.
         std::chrono::milliseconds relaxation{1900};
--- a/libraries/process/health/outcomeboard.cpp
+++ b/libraries/process/health/outcomeboard.cpp
@@ -27,8 +27,8 @@
 constexpr double companyCost = 0.5;
 /// Prefers idle instances among those with free slots, since instances slow down when they are nearly full.
 constexpr double busyCost = 0.02;
-/// A request that waits for a slot takes twice as long and may miss its target.
-constexpr double waitingCost = 0.4;
+/// A request that waits for a slot takes up to twice as long; few miss their target by that.
+constexpr double waitingCost = 0.25;
 /// An instance at twice the latency of its service costs as much as this chance of a failure.
 constexpr double slownessCost = 0.15;
 constexpr double largestSlownessCost = 0.6;
@@ -36,12 +36,12 @@
 constexpr double fullCost = 1.0;
 /// Instances queue some requests beyond their slots; past this share of them, a request had better be refused at once.
 constexpr double largestOccupancy = 3.0;
-/// Share of failing requests from which on a service's work is spread over more instances.
+/// Share of requests that aren't served, also by refusals, from which on a service's work is spread over more instances.
 constexpr double failingShare = 0.06;
-/// Share of the instances in service that get requests while many requests fail; the platform asks for 0.7 within 2 s.
+/// Share of the instances in service that get requests while many requests aren't served; the platform asks for 0.7 within 2 s.
 constexpr double spreadShare = 0.8;
 constexpr std::chrono::milliseconds spreadWindow{1300};
-/// Time after which the failures of a service have faded to 1/e.
+/// Time after which the unserved requests of a service have faded to 1/e.
 constexpr std::chrono::milliseconds failureMemory{1500};
 
 std::int64_t ageOf(const std::optional<SteadyTime> &time, SteadyTime now)
@@ -118,8 +118,14 @@
     if (outcomes.rejected() > 0) {
         life.fullUntil = now + fullHold;
     }
-    service.failed += outcomes.failed();
-    service.ended += outcomes.succeeded() + outcomes.failed();
+}
+
+void OutcomeBoard::apply(const RelayMessages::ServiceUse &use, SteadyTime now)
+{
+    Service &service = this->services[use.service()];
+    fade(service, now);
+    service.unserved += use.unserved();
+    service.ended += use.served() + use.unserved();
 }
 
 void OutcomeBoard::apply(const RelayMessages::InstanceSummary &summary, SteadyTime now)
@@ -223,7 +229,7 @@
 
 bool OutcomeBoard::needsSpreading(const std::vector<Candidate> &candidates, const Service &service, SteadyTime now) const
 {
-    if (service.ended < 1 || service.failed < failingShare * service.ended) {
+    if (service.ended < 1 || service.unserved < failingShare * service.ended) {
         return false;
     }
     const std::ptrdiff_t used = std::count_if(candidates.begin(), candidates.end(), [now](const Candidate &candidate) {
@@ -246,7 +252,7 @@
     const std::chrono::duration<double> age = now - service.faded;
     const std::chrono::duration<double> memory = failureMemory;
     const double factor = std::exp(-age.count() / memory.count());
-    service.failed *= factor;
+    service.unserved *= factor;
     service.ended *= factor;
     service.faded = now;
 }
--- a/libraries/process/health/outcomeboard.h
+++ b/libraries/process/health/outcomeboard.h
@@ -42,6 +42,9 @@
     /// Takes counts of this VM or of others.
     void apply(const RelayMessages::InstanceOutcomes &outcomes, SteadyTime now);
 
+    /// Takes how requests for a service ended, on this VM or on others.
+    void apply(const RelayMessages::ServiceUse &use, SteadyTime now);
+
     /// Takes what a relay knew when this VM connected to it.
     void apply(const RelayMessages::InstanceSummary &summary, SteadyTime now);
 
@@ -76,8 +79,8 @@
 
     struct Service {
         std::chrono::duration<double, std::milli> latency{0};
-        /// Failures and all outcomes, fading with time.
-        double failed = 0;
+        /// Requests that weren't served and all that ended, fading with time.
+        double unserved = 0;
         double ended = 0;
         SteadyTime faded;
     };
--- a/libraries/process/limits/ratelimiter.h
+++ b/libraries/process/limits/ratelimiter.h
@@ -17,6 +17,8 @@
     };
     Kind kind = Kind::Unavailable;
     std::chrono::milliseconds retryAfter{0};
+    /// What a refusal went by, for the log.
+    std::string grounds = {};
 };
 
 /// Interface to the fleet-wide limits. Thread-safe.
--- a/libraries/process/limits/sharedratelimiter.cpp
+++ b/libraries/process/limits/sharedratelimiter.cpp
@@ -12,6 +12,8 @@
 constexpr std::chrono::milliseconds longestRetryAfter{5000};
 /// Requests that others admitted before this VM could know put a bucket below zero, by this much at most.
 constexpr double largestDebtInSeconds = 1;
+/// Below this share of its burst, a team is likely to reach its limit, so that the others must know at once what was admitted.
+constexpr double scarceShare = 0.6;
 
 } // namespace
 
@@ -27,17 +29,22 @@
         return {RateDecision::Kind::Granted, std::chrono::milliseconds(0)};
     }
     const TeamRate rate = this->ownPart(whole);
+    bool isScarce = false;
     {
         std::lock_guard<std::mutex> lock(this->mutex);
         Bucket &bucket = this->bucketOf(team, rate, this->hooks.clock());
         if (bucket.tokens < 1) {
             const std::chrono::duration<double> wait((1 - bucket.tokens) / rate.rate);
             const std::chrono::milliseconds retryAfter = std::chrono::duration_cast<std::chrono::milliseconds>(wait);
-            return {RateDecision::Kind::RateLimited, std::clamp(retryAfter, shortestRetryAfter, longestRetryAfter)};
+            return {RateDecision::Kind::RateLimited,
+                std::clamp(retryAfter, shortestRetryAfter, longestRetryAfter),
+                "tokens=" + std::to_string(bucket.tokens) + " rate=" + std::to_string(rate.rate) + " burst=" + std::to_string(rate.burst)
+                    + " visible_share=" + std::to_string(rate.rate / whole.rate)};
         }
         bucket.tokens -= 1;
+        isScarce = bucket.tokens < scarceShare * rate.burst;
     }
-    this->hooks.admitted(team);
+    this->hooks.admitted(team, isScarce);
     return {RateDecision::Kind::Granted, std::chrono::milliseconds(0)};
 }
 
--- a/libraries/process/limits/sharedratelimiter.h
+++ b/libraries/process/limits/sharedratelimiter.h
@@ -31,8 +31,8 @@
         std::function<TeamRate(const std::string &)> rateOf;
         /// Share of the fleet's VMs whose admissions this VM hears, above 0 and at most 1.
         std::function<double()> visibleShare;
-        /// Tells the other VMs of an admission.
-        std::function<void(const std::string &)> admitted;
+        /// Tells the other VMs of an admission; at once when the team's tokens are scarce.
+        std::function<void(const std::string &, bool isScarce)> admitted;
     };
 
     explicit SharedRateLimiter(Hooks hooks);
--- a/libraries/process/proxy/admission.cpp
+++ b/libraries/process/proxy/admission.cpp
@@ -93,6 +93,7 @@
         return refuse(RefusalCode::RouteUnknown);
     }
     context.service = serviceOf(*context.route, this->random());
+    record.catalogueVersion = inForce->version();
     record.route = context.route->name();
     record.service = context.service;
     const std::chrono::milliseconds routeTimeout(context.route->timeout_milliseconds());
@@ -103,6 +104,7 @@
     }
     // A caller may ask for less time than its route gives, and not for more.
     context.deadline = request.arrival + (routeTimeout.count() > 0 ? std::min(*timeout, routeTimeout) : *timeout);
+    record.limit = std::chrono::duration_cast<std::chrono::milliseconds>(context.deadline - request.arrival);
     if (!context.route->open()) {
         boost::leaf::result<void> authenticated = this->authenticate(*inForce, context);
         if (!authenticated) {
--- a/libraries/process/proxy/cataloguelookup.h
+++ b/libraries/process/proxy/cataloguelookup.h
@@ -19,6 +19,12 @@
         return true;
     }
 
+    /// For the log.
+    virtual std::uint64_t version() const
+    {
+        return 0;
+    }
+
     /// @p host is empty for a request without the header.
     virtual std::shared_ptr<const CatalogueMessages::Route> findRoute(std::string_view host, std::string_view method, std::string_view path) const = 0;
     virtual std::shared_ptr<const CatalogueMessages::Team> findTeam(std::string_view name) const = 0;
--- a/libraries/process/proxy/cataloguesnapshot.cpp
+++ b/libraries/process/proxy/cataloguesnapshot.cpp
@@ -9,6 +9,11 @@
 {
 }
 
+std::uint64_t CatalogueSnapshot::version() const
+{
+    return this->catalogue->version();
+}
+
 std::shared_ptr<const CatalogueMessages::Route> CatalogueSnapshot::findRoute(std::string_view, std::string_view method, std::string_view path) const
 {
     return this->catalogue->findRoute(method, path);
--- a/libraries/process/proxy/cataloguesnapshot.h
+++ b/libraries/process/proxy/cataloguesnapshot.h
@@ -10,6 +10,7 @@
 public:
     explicit CatalogueSnapshot(std::shared_ptr<const Catalogue> catalogue);
 
+    std::uint64_t version() const override;
     std::shared_ptr<const CatalogueMessages::Route> findRoute(std::string_view host, std::string_view method, std::string_view path) const override;
     std::shared_ptr<const CatalogueMessages::Team> findTeam(std::string_view name) const override;
     std::shared_ptr<const CatalogueMessages::Key> findKey(const KeyHash &hash) const override;
--- a/libraries/process/proxy/requestpath.cpp
+++ b/libraries/process/proxy/requestpath.cpp
@@ -11,6 +11,9 @@
 
 namespace {
 
+/// Callers choose their ids, so a longer one is cut in the log.
+constexpr std::size_t longestLoggedId = 64;
+
 boost::leaf::error_id refuse(
     RefusalCode code, RequestOutcome outcome = RequestOutcome::NotRun, std::chrono::milliseconds retryAfter = std::chrono::milliseconds(0))
 {
@@ -71,7 +74,7 @@
         return refuse(RefusalCode::ShuttingDown, RequestOutcome::NotRun, std::chrono::seconds(1));
     }
     BOOST_LEAF_AUTO(context, this->admission.admit(request, record));
-    BOOST_LEAF_AUTO(token, this->takeToken(context));
+    BOOST_LEAF_AUTO(token, this->takeToken(context, record));
     const std::string *idempotencyKey = context.isIdempotent() ? nullptr : findHeader(request.http.headers, "Idempotency-Key");
     if (idempotencyKey == nullptr) {
         return this->runClaimed(context, nullptr, token.get(), record);
@@ -87,13 +90,14 @@
     return this->runClaimed(context, &claim, token.get(), record);
 }
 
-boost::leaf::result<std::unique_ptr<RateToken>> RequestPath::takeToken(const RequestContext &context)
+boost::leaf::result<std::unique_ptr<RateToken>> RequestPath::takeToken(const RequestContext &context, RequestRecord &record)
 {
     if (context.team == nullptr) {
         return nullptr;
     }
     const SteadyTime deadline = std::min(this->parts.clock() + std::max(this->options.rateWait, this->options.ownerWait), context.deadline);
     const RateDecision decision = this->parts.rateLimiter.acquire(context.teamName(), deadline);
+    record.rateGrounds = decision.grounds;
     switch (decision.kind) {
     case RateDecision::Kind::Granted:
         return std::make_unique<RateToken>(this->parts.rateLimiter, context.teamName());
@@ -170,6 +174,8 @@
 
 void RequestPath::observe(const CallerRequest &request, const CallerAnswer &answer, RequestRecord &record) const
 {
+    const std::string *requestId = findHeader(request.http.headers, "X-Request-Id");
+    record.requestId = requestId == nullptr ? std::string() : requestId->substr(0, longestLoggedId);
     record.method = request.http.method;
     record.path = targetPath(request.http.target);
     record.duration = std::chrono::duration_cast<std::chrono::microseconds>(this->parts.clock() - request.arrival);
--- a/libraries/process/proxy/requestpath.h
+++ b/libraries/process/proxy/requestpath.h
@@ -53,7 +53,7 @@
 
 private:
     boost::leaf::result<CallerAnswer> run(const CallerRequest &request, RequestRecord &record);
-    boost::leaf::result<std::unique_ptr<RateToken>> takeToken(const RequestContext &context);
+    boost::leaf::result<std::unique_ptr<RateToken>> takeToken(const RequestContext &context, RequestRecord &record);
     boost::leaf::result<ClaimResult> claim(const RequestContext &context, const std::string &idempotencyKey);
     boost::leaf::result<CallerAnswer> runClaimed(const RequestContext &context, IdempotencyClaim *claim, RateToken *token, RequestRecord &record);
     void recordOutcome(const TriesResult &result, IdempotencyClaim &claim) const;
--- a/libraries/process/proxy/upstreamtries.cpp
+++ b/libraries/process/proxy/upstreamtries.cpp
@@ -52,6 +52,7 @@
     while (state.goesOn) {
         const std::optional<hyssophall::fleet::v1::Instance> instance = this->health.choose(context.service, context.isIdempotent(), state.tried);
         if (!instance) {
+            record.endGrounds = "no instance can take the request";
             break;
         }
         state.tried.insert(instance->id());
@@ -65,6 +66,7 @@
     TryRecord tried;
     tried.spanId = newSpanId(this->random);
     tried.instance = instance.id();
+    tried.grounds = this->health.explain(instance.id());
     tried.began = std::chrono::system_clock::now();
     state.withheld.reset();
     const UpstreamResult result = this->sender.send(this->createCall(context, instance, record, tried.spanId, state));
@@ -79,7 +81,7 @@
     this->judge(context, record, result, verdict, state);
 }
 
-void UpstreamTries::judge(const RequestContext &context, const RequestRecord &record, const UpstreamResult &result, const TryVerdict &verdict, State &state)
+void UpstreamTries::judge(const RequestContext &context, RequestRecord &record, const UpstreamResult &result, const TryVerdict &verdict, State &state)
 {
     TriesResult &sum = state.result;
     sum.mayHaveRun = sum.mayHaveRun || !verdict.isProvenNotRun();
@@ -109,7 +111,15 @@
     const bool mayGoOn = mayBeSentAgain && verdict.mayRetry(context.isIdempotent(), std::max(0, state.sent - 1)) && !this->mayBePoison(context, state)
         && now < context.deadline;
     // A try that reached no instance was no load on one.
-    state.goesOn = mayGoOn && (silent || !reached || this->budget.tryTake(context.service, now));
+    const bool mayAfford = mayGoOn && (silent || !reached || this->budget.tryTake(context.service, now));
+    state.goesOn = mayAfford;
+    if (mayGoOn && !mayAfford) {
+        record.endGrounds = "the retry budget of the service is spent";
+    } else if (!mayBeSentAgain) {
+        record.endGrounds = "the route allows no further attempt";
+    } else if (!mayGoOn && !verdict.isAnswer()) {
+        record.endGrounds = now >= context.deadline ? "the time is over" : "the request may have run and can't be repeated";
+    }
 }
 
 bool UpstreamTries::mayBePoison(const RequestContext &context, const State &state) const
--- a/libraries/process/proxy/upstreamtries.h
+++ b/libraries/process/proxy/upstreamtries.h
@@ -46,7 +46,7 @@
     };
 
     void tryOnce(const RequestContext &context, const hyssophall::fleet::v1::Instance &instance, RequestRecord &record, State &state);
-    void judge(const RequestContext &context, const RequestRecord &record, const UpstreamResult &result, const TryVerdict &verdict, State &state);
+    void judge(const RequestContext &context, RequestRecord &record, const UpstreamResult &result, const TryVerdict &verdict, State &state);
     bool mayBePoison(const RequestContext &context, const State &state) const;
     UpstreamCall createCall(const RequestContext &context,
         const hyssophall::fleet::v1::Instance &instance,
--- a/libraries/process/relay/controlnode.cpp
+++ b/libraries/process/relay/controlnode.cpp
@@ -17,8 +17,10 @@
 constexpr std::chrono::seconds growthTime{3};
 constexpr std::chrono::seconds bootstrapTimeout{2};
 constexpr std::chrono::seconds joinTimeout{2};
-/// Relays exchange news across failure domains, where each message costs; requests that choose instances by it last hundreds of ms.
-constexpr std::chrono::milliseconds peerGathering{40};
+/// Relays exchange news across failure domains, where each byte costs: failures travel at once, and counts that only add up travel as often
+/// as requests usually last.
+constexpr NewsBuffer::Gathering peerGathering{std::chrono::milliseconds(10), std::chrono::milliseconds(150)};
+constexpr std::chrono::milliseconds peerHeartbeat{250};
 
 SteadyTime steadyNow()
 {
@@ -72,6 +74,7 @@
 {
     RelayExchange::Timing toPeers;
     toPeers.gathering = peerGathering;
+    toPeers.heartbeat = peerHeartbeat;
     RelayHub::Options hubOptions;
     hubOptions.own.set_address(this->ownAddress);
     hubOptions.own.set_failure_domain(this->settings.vm.failureDomain);
--- a/libraries/process/relay/entrynode.cpp
+++ b/libraries/process/relay/entrynode.cpp
@@ -10,6 +10,7 @@
 namespace {
 
 constexpr double thousandths = 1000;
+constexpr int firstServerError = 500;
 
 OutcomeBoard::Options boardOptions(const Settings &settings, const RandomSource &random)
 {
@@ -88,11 +89,12 @@
         const std::shared_ptr<const CatalogueMessages::Team> team = this->catalogue()->findTeam(name);
         return team == nullptr ? TeamRate() : TeamRate{team->rate(), team->burst()};
     };
-    limiterHooks.admitted = [this](const std::string &team) {
+    limiterHooks.admitted = [this](const std::string &team, bool isScarce) {
         RelayMessages::News news;
         RelayMessages::TeamUse &use = *news.add_teams();
         use.set_team(team);
         use.set_admitted(1);
+        use.set_scarce(isScarce);
         this->relayUplink->tell(news);
     };
     this->limiter = std::make_unique<SharedRateLimiter>(std::move(limiterHooks));
@@ -197,6 +199,24 @@
     return this->lostRequests.isPoison(fingerprint, this->clock());
 }
 
+void EntryNode::requestFinished(const RequestRecord &record)
+{
+    if (record.service.empty()) {
+        return;
+    }
+    const bool isServed = !record.refusal && record.status < firstServerError;
+    RelayMessages::News news;
+    RelayMessages::ServiceUse &use = *news.add_services();
+    use.set_service(record.service);
+    use.set_served(isServed ? 1 : 0);
+    use.set_unserved(isServed ? 0 : 1);
+    {
+        std::lock_guard<std::mutex> lock(this->mutex);
+        this->board.apply(use, this->clock());
+    }
+    this->relayUplink->tell(news);
+}
+
 std::string EntryNode::explain(const std::string &instanceId) const
 {
     std::lock_guard<std::mutex> lock(this->mutex);
@@ -268,6 +288,9 @@
         for (const RelayMessages::InstanceOutcomes &outcomes : news.outcomes()) {
             this->board.apply(outcomes, now);
         }
+        for (const RelayMessages::ServiceUse &use : news.services()) {
+            this->board.apply(use, now);
+        }
     }
     for (const RelayMessages::Registration &each : changed) {
         if (each.state() != RelayMessages::REGISTRATION_STATE_READY || each.sequence() <= 1) {
--- a/libraries/process/relay/entrynode.h
+++ b/libraries/process/relay/entrynode.h
@@ -10,6 +10,7 @@
 #include "process/limits/sharedretrybudget.h"
 #include "process/relay/relayuplink.h"
 #include "process/settings/settings.h"
+#include "request/requestrecord.h"
 #include "version/configuredcatalogue.h"
 
 #include <memory>
@@ -23,7 +24,7 @@
  *
  * While no relay is in reach, it goes on with what it has; see SharedRateLimiter for its limits meanwhile. Thread-safe.
  */
-class EntryNode : public InstanceHealth
+class EntryNode : public InstanceHealth, public RequestObserver
 {
 public:
     EntryNode(const Settings &settings, SteadyClock clock, RandomSource random);
@@ -40,6 +41,8 @@
     std::optional<hyssophall::fleet::v1::Instance> choose(const std::string &service, bool idempotent, const std::set<std::string> &tried) override;
     void finish(const hyssophall::fleet::v1::Instance &instance, TryOutcome outcome, std::chrono::microseconds latency, std::uint64_t fingerprint) override;
     bool isPoison(std::uint64_t fingerprint) const override;
+    /// Tells the other VMs how the request ended.
+    void requestFinished(const RequestRecord &record) override;
     std::string explain(const std::string &instanceId) const override;
 
 private:
--- a/libraries/process/relay/newsbuffer.cpp
+++ b/libraries/process/relay/newsbuffer.cpp
@@ -1,5 +1,6 @@
 #include "process/relay/newsbuffer.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace Hyssophall {
@@ -27,12 +28,16 @@
         addUp(this->outcomes[counts.instance()], counts);
     }
     for (const RelayMessages::TeamUse &use : news.teams()) {
-        this->teams[use.team()] += use.admitted();
+        RelayMessages::TeamUse &sum = this->teams[use.team()];
+        sum.set_admitted(sum.admitted() + use.admitted());
+        sum.set_scarce(sum.scarce() || use.scarce());
     }
     for (const RelayMessages::ServiceUse &use : news.services()) {
         RelayMessages::ServiceUse &sum = this->services[use.service()];
         sum.set_requests(sum.requests() + use.requests());
         sum.set_retries(sum.retries() + use.retries());
+        sum.set_served(sum.served() + use.served());
+        sum.set_unserved(sum.unserved() + use.unserved());
     }
     if (news.has_configuration() && news.configuration().version() > this->pending.configuration().version()) {
         *this->pending.mutable_configuration() = news.configuration();
@@ -42,11 +47,22 @@
     this->pending.mutable_lost_requests()->MergeFrom(news.lost_requests());
     this->pending.mutable_relays()->MergeFrom(news.relays());
     this->pending.mutable_vms()->MergeFrom(news.vms());
+    this->urgent = this->urgent || isUrgent(news);
     if (!this->isEmpty()) {
         this->changed.notify_all();
     }
 }
 
+bool NewsBuffer::isUrgent(const RelayMessages::News &news)
+{
+    const bool hasFailure = std::any_of(news.outcomes().begin(), news.outcomes().end(), [](const RelayMessages::InstanceOutcomes &outcomes) {
+        return outcomes.failed() + outcomes.rejected() + outcomes.unreachable() > 0;
+    });
+    const bool hasScarceTeam
+        = std::any_of(news.teams().begin(), news.teams().end(), [](const RelayMessages::TeamUse &use) { return use.scarce(); });
+    return hasFailure || hasScarceTeam || news.has_configuration() || !news.registrations().empty() || !news.lost_requests().empty() || !news.vms().empty();
+}
+
 void NewsBuffer::wake()
 {
     std::lock_guard<std::mutex> lock(this->mutex);
@@ -61,26 +77,28 @@
     this->changed.notify_all();
 }
 
-std::optional<RelayMessages::News> NewsBuffer::take(SteadyTime deadline, std::chrono::milliseconds gathering)
+std::optional<RelayMessages::News> NewsBuffer::take(SteadyTime deadline, Gathering gathering)
 {
     std::unique_lock<std::mutex> lock(this->mutex);
     this->changed.wait_until(lock, deadline, [this] { return this->closed || this->awake || !this->isEmpty(); });
-    if (!this->closed && !this->isEmpty() && gathering.count() > 0) {
-        this->changed.wait_for(lock, gathering, [this] { return this->closed || this->awake; });
+    if (!this->isEmpty()) {
+        this->changed.wait_for(lock, gathering.other - gathering.urgent, [this] { return this->closed || this->awake || this->urgent; });
+        this->changed.wait_for(lock, gathering.urgent, [this] { return this->closed || this->awake; });
     }
     if (this->closed) {
         return std::nullopt;
     }
     this->awake = false;
+    this->urgent = false;
     RelayMessages::News taken;
     taken.Swap(&this->pending);
     for (const std::pair<const std::uint32_t, RelayMessages::InstanceOutcomes> &entry : this->outcomes) {
         *taken.add_outcomes() = entry.second;
     }
-    for (const std::pair<const std::string, std::uint32_t> &entry : this->teams) {
+    for (const std::pair<const std::string, RelayMessages::TeamUse> &entry : this->teams) {
         RelayMessages::TeamUse &use = *taken.add_teams();
+        use = entry.second;
         use.set_team(entry.first);
-        use.set_admitted(entry.second);
     }
     for (const std::pair<const std::string, RelayMessages::ServiceUse> &entry : this->services) {
         RelayMessages::ServiceUse &use = *taken.add_services();
--- a/libraries/process/relay/newsbuffer.h
+++ b/libraries/process/relay/newsbuffer.h
@@ -24,15 +24,24 @@
     /// Adds all that @p news tells, but for its greeting, numbers and status.
     void add(const RelayMessages::News &news);
 
+    /// Whether news should leave soon: what changes which instances or configuration a receiver uses. The rest only adds up to its counts.
+    static bool isUrgent(const RelayMessages::News &news);
+
+    /// How long the first piece of news waits for others to join it.
+    struct Gathering {
+        std::chrono::milliseconds urgent{4};
+        std::chrono::milliseconds other{4};
+    };
+
     /// Wakes the sender though there is no news, as for a confirmation.
     void wake();
 
     /// Wakes the sender for good.
     void close();
 
-    /// Waits until there is news or @p deadline, whichever is first; after the first news waits for @p gathering, so that more can join it.
+    /// Waits until there is news or @p deadline, whichever is first; then gathers more.
     /// Returns a message with the next number, or nothing once the buffer is closed.
-    std::optional<RelayMessages::News> take(SteadyTime deadline, std::chrono::milliseconds gathering);
+    std::optional<RelayMessages::News> take(SteadyTime deadline, Gathering gathering);
 
     /// Number of the message that will hold what is added now.
     std::uint64_t nextSequence() const;
@@ -47,10 +56,11 @@
     std::condition_variable changed;
     bool closed = false;
     bool awake = false;
+    bool urgent = false;
     std::uint64_t sequence = 0;
     RelayMessages::News pending;
     std::map<std::uint32_t, RelayMessages::InstanceOutcomes> outcomes;
-    std::map<std::string, std::uint32_t> teams;
+    std::map<std::string, RelayMessages::TeamUse> teams;
     std::map<std::string, RelayMessages::ServiceUse> services;
 };
 
--- a/libraries/process/relay/relayexchange.h
+++ b/libraries/process/relay/relayexchange.h
@@ -28,11 +28,11 @@
 
     struct Timing {
         /// Longest time between two messages, so that the other side sees a silent connection.
-        std::chrono::milliseconds heartbeat{250};
+        std::chrono::milliseconds heartbeat{150};
         /// A stream without any message for this long has gone silent, as after a partition: no reset tells of it.
-        std::chrono::milliseconds silenceLimit{900};
-        /// How long the first piece of news waits for others, since each message costs some 80 bytes of its own.
-        std::chrono::milliseconds gathering{15};
+        std::chrono::milliseconds silenceLimit{700};
+        /// Each message costs some 80 bytes and a wake-up on each side, so news waits for more.
+        NewsBuffer::Gathering gathering;
     };
 
     /// The buffer and what the hooks use outlive run().
--- a/libraries/process/relay/relayuplink.cpp
+++ b/libraries/process/relay/relayuplink.cpp
@@ -16,7 +16,7 @@
 /// A change of the leader takes about this long and isn't mended by another relay.
 constexpr std::chrono::milliseconds outdatedPatience{700};
 /// A status is told with each message; older than this, the connection is as good as lost.
-constexpr std::chrono::milliseconds statusLife{1000};
+constexpr std::chrono::milliseconds statusLife{500};
 
 } // namespace
 
@@ -83,6 +83,8 @@
             LOG(WARNING) << (stood ? "The connection to relay " : "No connection to relay ") << address << (stood ? " has ended" : "");
             lock.lock();
             this->avoid(address, failedAvoidance);
+            // What others admit isn't heard from now on.
+            this->statusHeard.reset();
         }
         this->stopped.wait_for(lock, reconnectPause, [this] { return this->stopping; });
     }
--- a/libraries/process/telemetry/jsonlogsink.h
+++ b/libraries/process/telemetry/jsonlogsink.h
@@ -1,6 +1,9 @@
 #pragma once
 
+#include "process/telemetry/linewriter.h"
+
 #include <boost/leaf/result.hpp>
+#include <nlohmann/json_fwd.hpp>
 
 #include <memory>
 #include <string>
@@ -11,12 +14,15 @@
 class JsonLogSink
 {
 public:
-    /// Appends to @p file, or writes to standard error when it is empty. Errors: TelemetryFileFailure.
+    /// Appends to @p file, or writes to standard output when it is empty. Errors: TelemetryFileFailure.
     static boost::leaf::result<std::unique_ptr<JsonLogSink>> create(const std::string &file, const std::string &vm);
     ~JsonLogSink();
     JsonLogSink(const JsonLogSink &) = delete;
     JsonLogSink &operator=(const JsonLogSink &) = delete;
 
+    /// Writes an object of the caller's, with the time and the VM added. Never blocks; see LineWriter for what is dropped.
+    void write(LineKind kind, nlohmann::json fields);
+
 private:
     class Sink;
 
--- /dev/null
+++ b/libraries/process/telemetry/requestlog.cpp
@@ -0,0 +1,75 @@
+#include "process/telemetry/requestlog.h"
+
+#include "process/telemetry/requestmetrics.h"
+
+#include <nlohmann/json.hpp>
+
+#include <utility>
+
+namespace Hyssophall {
+
+namespace {
+
+constexpr int firstError = 400;
+
+std::int64_t milliseconds(std::chrono::microseconds duration)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
+}
+
+nlohmann::json triesOf(const RequestRecord &record)
+{
+    nlohmann::json tries = nlohmann::json::array();
+    for (const TryRecord &tried : record.tries) {
+        tries.push_back({{"instance", tried.instance},
+            {"chosen_for", tried.grounds},
+            {"outcome", tryOutcomeName(tried.outcome)},
+            {"status", tried.status},
+            {"reused_connection", tried.reusedConnection},
+            {"ms", milliseconds(tried.duration)}});
+    }
+    return tries;
+}
+
+LineKind kindOf(const RequestRecord &record)
+{
+    const bool isTrouble = record.refusal || record.status >= firstError || record.tries.size() > 1;
+    return isTrouble ? LineKind::Trouble : LineKind::Success;
+}
+
+} // namespace
+
+RequestLog::RequestLog(Write write)
+    : write(std::move(write))
+{
+}
+
+void RequestLog::requestFinished(const RequestRecord &record)
+{
+    nlohmann::json line{{"event", "request"},
+        {"id", record.requestId},
+        {"trace", record.trace.traceId},
+        {"method", record.method},
+        {"route", record.route},
+        {"service", record.service},
+        {"team", record.team},
+        {"catalogue", record.catalogueVersion},
+        {"limit_ms", record.limit.count()},
+        {"status", record.status},
+        {"ms", milliseconds(record.duration)},
+        {"tries", triesOf(record)}};
+    if (record.refusal) {
+        line["refusal"] = refusalName(record.refusal->code);
+        line["outcome"] = outcomeName(record.refusal->outcome);
+        line["retry_after_ms"] = record.refusal->retryAfter.count();
+    }
+    if (!record.rateGrounds.empty()) {
+        line["rate"] = record.rateGrounds;
+    }
+    if (!record.endGrounds.empty()) {
+        line["ended_for"] = record.endGrounds;
+    }
+    this->write(kindOf(record), std::move(line));
+}
+
+} // namespace Hyssophall
--- a/libraries/request/requestrecord.h
+++ b/libraries/request/requestrecord.h
@@ -6,6 +6,7 @@
 #include "request/tracecontext.h"
 
 #include <chrono>
+#include <cstdint>
 #include <optional>
 #include <string>
 #include <vector>
@@ -16,6 +17,8 @@
 struct TryRecord {
     std::string spanId;
     std::string instance;
+    /// What was known of the instance when it was chosen, and how old that was.
+    std::string grounds;
     std::chrono::system_clock::time_point began;
     std::chrono::microseconds duration{0};
     TryOutcome outcome = TryOutcome::Neutral;
@@ -27,6 +30,12 @@
 /// One finished request, for telemetry. It never holds a key.
 struct RequestRecord {
     TraceContext trace;
+    /// The caller's X-Request-Id; empty without one.
+    std::string requestId;
+    /// Version of the catalogue that decided on the request; zero before that.
+    std::uint64_t catalogueVersion = 0;
+    /// The time that the request had, by its caller and its route.
+    std::chrono::milliseconds limit{0};
     std::string method;
     std::string path;
     /// Empty before the route is known.
@@ -40,6 +49,10 @@
     std::chrono::microseconds upstreamDuration{0};
     int status = 0;
     std::optional<Refusal> refusal;
+    /// What the decision on the team's rate went by; empty when it was granted.
+    std::string rateGrounds;
+    /// Why no further try followed a failed one.
+    std::string endGrounds;
     std::vector<TryRecord> tries;
 };
 
--- a/libraries/version/configuredcatalogue.cpp
+++ b/libraries/version/configuredcatalogue.cpp
@@ -41,6 +41,11 @@
     return this->source->version() > 0;
 }
 
+std::uint64_t ConfiguredCatalogue::version() const
+{
+    return this->source->version();
+}
+
 std::shared_ptr<const CatalogueMessages::Route> ConfiguredCatalogue::findRoute(std::string_view host, std::string_view method, std::string_view path) const
 {
     const auto routes = this->routesByHost.find(host);
--- a/libraries/version/configuredcatalogue.h
+++ b/libraries/version/configuredcatalogue.h
@@ -22,6 +22,7 @@
 
     /// True once a configuration was put; its version is above zero.
     bool isLoaded() const override;
+    std::uint64_t version() const override;
 
     /// The route of this host with the longest prefix that begins the path.
     std::shared_ptr<const CatalogueMessages::Route> findRoute(std::string_view host, std::string_view method, std::string_view path) const override;
--- a/services/hyssophalld/daemon.cpp
+++ b/services/hyssophalld/daemon.cpp
@@ -7,6 +7,7 @@
 #include "systemrandom.h"
 
 #include <glog/logging.h>
+#include <nlohmann/json.hpp>
 
 #include <thread>
 
@@ -35,9 +36,9 @@
 
 } // namespace
 
-boost::leaf::result<std::unique_ptr<Daemon>> Daemon::create(const Settings &settings)
+boost::leaf::result<std::unique_ptr<Daemon>> Daemon::create(const Settings &settings, JsonLogSink &log)
 {
-    std::unique_ptr<Daemon> daemon(new Daemon(settings));
+    std::unique_ptr<Daemon> daemon(new Daemon(settings, log));
     boost::leaf::result<void> started = daemon->start();
     if (!started) {
         return started.error();
@@ -45,8 +46,9 @@
     return daemon;
 }
 
-Daemon::Daemon(const Settings &settings)
+Daemon::Daemon(const Settings &settings, JsonLogSink &log)
     : settings(settings)
+    , requestLog([&log](LineKind kind, nlohmann::json fields) { log.write(kind, std::move(fields)); })
     , metrics(std::make_unique<RequestMetrics>())
     , store(std::make_unique<CatalogueStore>())
 {
@@ -108,9 +110,12 @@
     return {};
 }
 
-RequestPath::Parts Daemon::requestPathParts() const
+RequestPath::Parts Daemon::requestPathParts()
 {
-    std::vector<RequestObserver *> observers{this->metrics.get()};
+    std::vector<RequestObserver *> observers{this->metrics.get(), &this->requestLog};
+    if (this->parts->observer() != nullptr) {
+        observers.push_back(this->parts->observer());
+    }
     if (this->spans != nullptr) {
         observers.push_back(this->spans.get());
     }
--- a/services/hyssophalld/daemon.h
+++ b/services/hyssophalld/daemon.h
@@ -4,6 +4,8 @@
 #include "process/cataloguestore.h"
 #include "process/proxy/callerendpoint.h"
 #include "process/proxy/requestpath.h"
+#include "process/telemetry/jsonlogsink.h"
+#include "process/telemetry/requestlog.h"
 #include "process/telemetry/requestmetrics.h"
 #include "process/telemetry/spanwriter.h"
 #include "vmparts.h"
@@ -19,8 +21,8 @@
 class Daemon
 {
 public:
-    /// Starts to serve. Errors: those of FleetParts::create() or RelayParts::create(), TelemetryFileFailure, EndpointFailure.
-    static boost::leaf::result<std::unique_ptr<Daemon>> create(const Settings &settings);
+    /// Starts to serve; the log outlives the daemon. Errors: those of FleetParts::create() or RelayParts::create(), TelemetryFileFailure, EndpointFailure.
+    static boost::leaf::result<std::unique_ptr<Daemon>> create(const Settings &settings, JsonLogSink &log);
 
     /// Ends what create() began, in the opposite order; requests in flight are cut off without shutDown().
     ~Daemon();
@@ -29,18 +31,19 @@
     bool shutDown();
 
 private:
-    explicit Daemon(const Settings &settings);
+    Daemon(const Settings &settings, JsonLogSink &log);
 
     boost::leaf::result<void> start();
     boost::leaf::result<void> startParts();
     boost::leaf::result<void> startTelemetry();
     boost::leaf::result<void> startCallerEndpoint();
-    RequestPath::Parts requestPathParts() const;
+    RequestPath::Parts requestPathParts();
     void addGauges();
 
     // In the order of creation: later members use earlier ones.
     const Settings settings;
     std::atomic<bool> stopping{false};
+    RequestLog requestLog;
     std::unique_ptr<RequestMetrics> metrics;
     std::unique_ptr<SpanWriter> spans;
     std::unique_ptr<CatalogueStore> store;
--- a/services/hyssophalld/fleetparts.cpp
+++ b/services/hyssophalld/fleetparts.cpp
@@ -276,6 +276,11 @@
     return [this] { return std::make_shared<CatalogueSnapshot>(this->store.current()); };
 }
 
+RequestObserver *FleetParts::observer()
+{
+    return nullptr;
+}
+
 RetryAllowance &FleetParts::retries()
 {
     return this->retryBudget;
--- a/services/hyssophalld/fleetparts.h
+++ b/services/hyssophalld/fleetparts.h
@@ -54,6 +54,7 @@
     CapacityQueue &capacity() override;
     InstanceHealth &health() override;
     RetryAllowance &retries() override;
+    RequestObserver *observer() override;
 
     /// What /ready reports.
     Administration::Readiness readiness();
--- a/services/hyssophalld/main.cpp
+++ b/services/hyssophalld/main.cpp
@@ -129,9 +129,9 @@
     return 0;
 }
 
-boost::leaf::result<int> serveCallers(const Settings &settings, const sigset_t &signals)
+boost::leaf::result<int> serveCallers(const Settings &settings, JsonLogSink &log, const sigset_t &signals)
 {
-    BOOST_LEAF_AUTO(daemon, Daemon::create(settings));
+    BOOST_LEAF_AUTO(daemon, Daemon::create(settings, log));
     waitForStop(signals);
     daemon->shutDown();
     return 0;
@@ -143,7 +143,7 @@
     BOOST_LEAF_AUTO(settings, Settings::createFromFile(file));
     BOOST_LEAF_AUTO(log, JsonLogSink::create(settings.telemetry.logFile, settings.vm.id));
     const bool isRelay = settings.relay.enabled && settings.vm.role == Role::Control;
-    return isRelay ? serveControl(settings, signals) : serveCallers(settings, signals);
+    return isRelay ? serveControl(settings, signals) : serveCallers(settings, *log, signals);
 }
 
 } // namespace
--- a/services/hyssophalld/relayparts.cpp
+++ b/services/hyssophalld/relayparts.cpp
@@ -123,6 +123,11 @@
     return *this->node;
 }
 
+RequestObserver *RelayParts::observer()
+{
+    return this->node.get();
+}
+
 RetryAllowance &RelayParts::retries()
 {
     return this->node->retries();
--- a/services/hyssophalld/relayparts.h
+++ b/services/hyssophalld/relayparts.h
@@ -35,6 +35,7 @@
     CapacityQueue &capacity() override;
     InstanceHealth &health() override;
     RetryAllowance &retries() override;
+    RequestObserver *observer() override;
     void addGauges(RequestMetrics &metrics) override;
     void leave() override;
 
--- a/services/hyssophalld/vmparts.h
+++ b/services/hyssophalld/vmparts.h
@@ -25,6 +25,9 @@
     virtual InstanceHealth &health() = 0;
     virtual RetryAllowance &retries() = 0;
 
+    /// Told of each finished request; null when the fleet has no use for that.
+    virtual RequestObserver *observer() = 0;
+
     /// Adds gauges of this VM's part in the fleet. The metrics must not be read after the parts are gone.
     virtual void addGauges(RequestMetrics &metrics) = 0;
 
--- a/tests/unit/process/health/outcomeboardtest.cpp
+++ b/tests/unit/process/health/outcomeboardtest.cpp
@@ -218,6 +218,37 @@
         // Two of five requests fail, whatever the instance.
         request % 5 < 2 ? outcomes.set_failed(1) : outcomes.set_succeeded(1);
         board.apply(outcomes, now);
+        RelayMessages::ServiceUse use;
+        use.set_service("orders");
+        request % 5 < 2 ? use.set_unserved(1) : use.set_served(1);
+        board.apply(use, now);
+    }
+    CATCH_CHECK(used.size() >= 7);
+}
+
+// Guards against a service whose refusals, as of a team over its rate, leave most of its sound instances idle.
+CATCH_TEST_CASE("Refusals spread a service's work as failures do", "[health][ejection-floor]")
+{
+    std::mt19937_64 random(7);
+    OutcomeBoard board(optionsWith(random));
+    for (int number = 0; number < 10; ++number) {
+        board.take(registrationOf("i-" + std::to_string(number), 1, 1, static_cast<std::uint32_t>(1000 + number)));
+    }
+    std::set<std::string> used;
+    SteadyTime now = start;
+    for (int request = 0; request < 40; ++request) {
+        now += Milliseconds(40);
+        RelayMessages::ServiceUse refused;
+        refused.set_service("orders");
+        refused.set_unserved(request % 5 == 0 ? 1 : 0);
+        refused.set_served(1);
+        board.apply(refused, now);
+        const RelayMessages::Registration chosen = *board.choose("orders", {}, now);
+        used.insert(chosen.id());
+        RelayMessages::InstanceOutcomes outcomes = outcomesOf(chosen);
+        outcomes.set_started(1);
+        outcomes.set_succeeded(1);
+        board.apply(outcomes, now);
     }
     CATCH_CHECK(used.size() >= 7);
 }
--- a/tests/unit/process/limits/sharedratelimitertest.cpp
+++ b/tests/unit/process/limits/sharedratelimitertest.cpp
@@ -26,7 +26,7 @@
             hooks.visibleShare = [this, vm] {
                 return static_cast<double>(std::count(this->parts.begin(), this->parts.end(), this->parts[vm])) / static_cast<double>(this->parts.size());
             };
-            hooks.admitted = [this, vm](const std::string &team) {
+            hooks.admitted = [this, vm](const std::string &team, bool) {
                 for (std::size_t other = 0; other < this->limiters.size(); ++other) {
                     if (other != vm && this->parts[other] == this->parts[vm]) {
                         this->limiters[other]->admittedElsewhere(team, 1);
--- a/tests/unit/process/relay/relayhubtest.cpp
+++ b/tests/unit/process/relay/relayhubtest.cpp
@@ -48,7 +48,7 @@
 
     RelayMessages::News news(NewsBuffer &buffer)
     {
-        return buffer.take(std::chrono::steady_clock::now(), Milliseconds(0)).value();
+        return buffer.take(std::chrono::steady_clock::now(), {Milliseconds(0), Milliseconds(0)}).value();
     }
 
     static RelayMessages::News outcomesOf(const RelayMessages::Registration &registration)
--- a/tests/unit/process/telemetry/telemetrytest.cpp
+++ b/tests/unit/process/telemetry/telemetrytest.cpp
@@ -1,4 +1,6 @@
 #include "process/telemetry/jsonlogsink.h"
+#include "process/telemetry/linewriter.h"
+#include "process/telemetry/requestlog.h"
 #include "process/telemetry/requestmetrics.h"
 #include "process/telemetry/spanwriter.h"
 
@@ -7,6 +9,7 @@
 #include <glog/logging.h>
 #include <nlohmann/json.hpp>
 
+#include <array>
 #include <filesystem>
 #include <sstream>
 #include <unistd.h>
@@ -39,8 +42,8 @@
     record.duration = std::chrono::milliseconds(9);
     record.upstreamDuration = std::chrono::milliseconds(8);
     record.status = 200;
-    record.tries.push_back({"00000000000000bb", "one", {}, std::chrono::milliseconds(5), TryOutcome::ConnectionLost});
-    record.tries.push_back({"00000000000000cc", "two", {}, std::chrono::milliseconds(3), TryOutcome::Answered, 200});
+    record.tries.push_back({"00000000000000bb", "one", "", {}, std::chrono::milliseconds(5), TryOutcome::ConnectionLost});
+    record.tries.push_back({"00000000000000cc", "two", "", {}, std::chrono::milliseconds(3), TryOutcome::Answered, 200});
     return record;
 }
 
@@ -86,6 +89,71 @@
     CATCH_CHECK(line["vm"] == "vm-1");
 }
 
+// Guards against requests that wait for whoever reads the log, and against lines that are lost without a word.
+CATCH_TEST_CASE("A log that nobody reads is written without waiting, and tells what it dropped", "[telemetry]")
+{
+    std::array<int, 2> ends{};
+    CATCH_REQUIRE(pipe(ends.data()) == 0);
+    std::uint64_t dropped = 0;
+    {
+        LineWriter::Options options;
+        options.descriptor = ends[1];
+        options.capacity = 50;
+        options.eventsPerSecond = 100000;
+        options.successesPerSecond = 10;
+        options.clock = std::chrono::steady_clock::now;
+        options.droppedLine = [](LineKind, std::uint64_t count) { return "dropped " + std::to_string(count); };
+        LineWriter writer(options);
+        const SteadyTime began = std::chrono::steady_clock::now();
+        for (int count = 0; count < 10000; ++count) {
+            writer.write(LineKind::Event, std::string(200, 'x'));
+        }
+        CATCH_CHECK(std::chrono::steady_clock::now() - began < std::chrono::seconds(1));
+        dropped = writer.droppedLines();
+        for (int count = 0; count < 20; ++count) {
+            writer.write(LineKind::Success, "fine");
+        }
+        CATCH_CHECK(writer.droppedLines() >= dropped + 10);
+    }
+    CATCH_CHECK(dropped > 0);
+    close(ends[0]);
+    close(ends[1]);
+}
+
+// Guards against a failed request whose cause can't be found from its id.
+CATCH_TEST_CASE("The line of a request tells its id, its tries with their grounds, and why it ended", "[telemetry]")
+{
+    nlohmann::json line;
+    LineKind kind = LineKind::Event;
+    RequestLog log([&line, &kind](LineKind writtenKind, nlohmann::json fields) {
+        kind = writtenKind;
+        line = std::move(fields);
+    });
+    RequestRecord record;
+    record.requestId = "9c41d07be2a35f68";
+    record.status = 502;
+    record.catalogueVersion = 7;
+    record.refusal = Refusal{RefusalCode::UpstreamFailed, RequestOutcome::Unknown, std::chrono::milliseconds(0)};
+    record.endGrounds = "the request may have run and can't be repeated";
+    TryRecord tried;
+    tried.instance = "i-1";
+    tried.grounds = "gray=0.04 success_age_ms=120";
+    tried.outcome = TryOutcome::ConnectionLost;
+    record.tries.push_back(tried);
+    log.requestFinished(record);
+    CATCH_CHECK(kind == LineKind::Trouble);
+    CATCH_CHECK(line["id"] == "9c41d07be2a35f68");
+    CATCH_CHECK(line["catalogue"] == 7);
+    CATCH_CHECK(line["outcome"] == "unknown");
+    CATCH_CHECK(line["tries"][0]["chosen_for"] == "gray=0.04 success_age_ms=120");
+    CATCH_CHECK(line["tries"][0]["outcome"] == "connection_lost");
+    CATCH_CHECK(line["ended_for"] == record.endGrounds);
+    RequestRecord good;
+    good.status = 200;
+    log.requestFinished(good);
+    CATCH_CHECK(kind == LineKind::Success);
+}
+
 CATCH_TEST_CASE("Metrics count requests, refusals, tries and retries", "[telemetry]")
 {
     RequestMetrics metrics;
