--- a/libraries/process/relay/relayhub.cpp
+++ b/libraries/process/relay/relayhub.cpp
@@ -47,7 +47,15 @@
     std::unique_lock<std::mutex> lock(this->mutex);
     RelayMessages::News news;
     *news.add_registrations() = registration;
+    const RelayMessages::Registration *former = this->board.table().find(registration.id());
+    const bool isRenewal = former != nullptr && former->state() == registration.state()
+        && former->started_at_milliseconds() == registration.started_at_milliseconds() && former->host() == registration.host()
+        && former->port() == registration.port() && former->slots() == registration.slots();
     RelayMessages::News changed = this->takeIn(news);
+    if (isRenewal) {
+        // It tells nobody anything new, and there is one from each instance every second or two.
+        changed.clear_registrations();
+    }
     this->tellVms(changed, nullptr);
     if (needsMajority) {
         // Told again though it was known here, since the relay that heard it first may not have reached a majority.
@@ -77,11 +85,18 @@
     std::shared_ptr<RelayPeer> added;
     {
         std::lock_guard<std::mutex> lock(this->mutex);
-        if (address.address().empty() || address.address() == this->options.own.address() || this->peers.count(address.address()) > 0) {
+        if (address.address().empty() || address.address() == this->options.own.address()) {
+            return;
+        }
+        std::shared_ptr<RelayPeer> &peer = this->peers[address.address()];
+        if (peer == nullptr) {
+            peer = std::make_shared<RelayPeer>(address.address());
+            added = peer;
+        } else if (address.failure_domain().empty() || address.failure_domain() == peer->failureDomain) {
             return;
         }
-        added = std::make_shared<RelayPeer>(address);
-        this->peers[address.address()] = added;
+        // A seed's failure domain is unknown until it has greeted.
+        peer->failureDomain = address.failure_domain();
         RelayMessages::News news;
         *news.add_relays() = address;
         this->tellVms(news, nullptr);
@@ -91,8 +106,10 @@
             }
         }
     }
-    LOG(INFO) << "Relay " << address.address() << " is known";
-    this->hooks.peerFound(added);
+    if (added != nullptr) {
+        LOG(INFO) << "Relay " << address.address() << " is known";
+        this->hooks.peerFound(added);
+    }
 }
 
 std::vector<RelayMessages::RelayAddress> RelayHub::relays() const
@@ -100,7 +117,7 @@
     std::lock_guard<std::mutex> lock(this->mutex);
     std::vector<RelayMessages::RelayAddress> all{this->options.own};
     for (const std::pair<const std::string, std::shared_ptr<RelayPeer>> &entry : this->peers) {
-        all.push_back(entry.second->address);
+        all.push_back(entry.second->relayAddress());
     }
     return all;
 }
@@ -222,7 +239,7 @@
     }
     this->confirmations.notify_all();
     if (isNew) {
-        LOG(INFO) << "Relay " << peer.address.address() << " is in touch";
+        LOG(INFO) << "Relay " << peer.address << " is in touch";
     }
     for (const RelayMessages::RelayAddress &address : news.relays()) {
         this->addRelay(address);
@@ -238,7 +255,7 @@
         peer.isConnected = false;
     }
     if (wasConnected) {
-        LOG(WARNING) << "Relay " << peer.address.address() << " is out of touch";
+        LOG(WARNING) << "Relay " << peer.address << " is out of touch";
     }
 }
 
@@ -341,7 +358,7 @@
     }
     *all.add_relays() = this->options.own;
     for (const std::pair<const std::string, std::shared_ptr<RelayPeer>> &entry : this->peers) {
-        *all.add_relays() = entry.second->address;
+        *all.add_relays() = entry.second->relayAddress();
     }
     return all;
 }
--- a/libraries/process/relay/relayhub.h
+++ b/libraries/process/relay/relayhub.h
@@ -12,6 +12,7 @@
 #include <mutex>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace Hyssophall {
@@ -35,12 +36,22 @@
 
 /// Another relay, to which this relay connects.
 struct RelayPeer {
-    explicit RelayPeer(const RelayMessages::RelayAddress &address)
-        : address(address)
+    explicit RelayPeer(std::string address)
+        : address(std::move(address))
     {
     }
 
-    const RelayMessages::RelayAddress address;
+    RelayMessages::RelayAddress relayAddress() const
+    {
+        RelayMessages::RelayAddress relay;
+        relay.set_address(this->address);
+        relay.set_failure_domain(this->failureDomain);
+        return relay;
+    }
+
+    const std::string address;
+    /// Empty while unknown.
+    std::string failureDomain;
     NewsBuffer buffer;
     std::uint64_t confirmed = 0;
     bool isConnected = false;
@@ -78,7 +89,7 @@
     /// Takes a registration that came here and passes it on. Returns false when a majority of the relays had to confirm it and didn't by the deadline.
     bool publish(const RelayMessages::Registration &registration, bool needsMajority, SteadyTime deadline);
 
-    /// Adds another relay, if it is new.
+    /// Adds another relay if it is new, and its failure domain if that was unknown.
     void addRelay(const RelayMessages::RelayAddress &address);
     std::vector<RelayMessages::RelayAddress> relays() const;
 
--- a/libraries/process/relay/relaypeers.cpp
+++ b/libraries/process/relay/relaypeers.cpp
@@ -41,7 +41,7 @@
     hooks.receive = [this, peer](const RelayMessages::News &news) { this->hub.receiveFromPeer(*peer, news); };
     hooks.complete = [](RelayMessages::News &) {};
     RelayLink::Options options;
-    options.address = peer->address.address();
+    options.address = peer->address;
     options.fleetSecret = this->fleetSecret;
     options.timing = this->timing;
     connection->link = std::make_unique<RelayLink>(options, std::move(hooks));
--- a/tests/unit/process/relay/relayhubtest.cpp
+++ b/tests/unit/process/relay/relayhubtest.cpp
@@ -157,3 +157,32 @@
     CATCH_CHECK(fixture.news(third->buffer).configuration().version() == 3);
     CATCH_CHECK(fixture.news(fixture.first->buffer).registrations(0).state() == RelayMessages::REGISTRATION_STATE_DRAINING);
 }
+
+// Guards against VMs that stay with a relay of another failure domain since the domain of a seed was never told.
+CATCH_TEST_CASE("The failure domain of a relay that was known as a seed is told once it greets", "[relay]")
+{
+    HubFixture fixture;
+    RelayMessages::News greeting;
+    greeting.mutable_greeting()->set_vm("relay-2");
+    greeting.mutable_greeting()->set_relay_address("10.0.0.2:7000");
+    greeting.mutable_greeting()->set_failure_domain("b");
+    fixture.hub->connect(greeting);
+    const RelayMessages::News told = fixture.news(fixture.first->buffer);
+    CATCH_REQUIRE(told.relays_size() == 1);
+    CATCH_CHECK(told.relays(0).failure_domain() == "b");
+    CATCH_CHECK(fixture.peers.size() == 2);
+}
+
+// Guards against renewals of every instance that cross failure domains every second.
+CATCH_TEST_CASE("A renewal that changes nothing is passed on to nobody", "[relay]")
+{
+    HubFixture fixture;
+    fixture.hub->publish(registrationOf("i-1", 1, 1), false, SteadyTime());
+    fixture.news(fixture.first->buffer);
+    fixture.news(fixture.peers[0]->buffer);
+    fixture.hub->publish(registrationOf("i-1", 1, 2), false, SteadyTime());
+    CATCH_CHECK(fixture.news(fixture.first->buffer).registrations().empty());
+    CATCH_CHECK(fixture.news(fixture.peers[0]->buffer).registrations().empty());
+    fixture.hub->publish(registrationOf("i-1", 2, 1), false, SteadyTime());
+    CATCH_CHECK(fixture.news(fixture.first->buffer).registrations_size() == 1);
+}
