Health: Spread a troubled service over the instances that may be sound

The share of instances in use counted those that had just failed, which the rule leaves out.

Change: only instances without a failure in the last 2 s count, on both sides of the share.

--- a/libraries/process/health/outcomeboard.cpp
+++ b/libraries/process/health/outcomeboard.cpp
@@ -13,9 +13,9 @@
 /// Weight of the newest latency in the running mean: about the last ten count.
 constexpr double latencyWeight = 0.1;
 /// Requests that take so many times the usual latency of their service are likely to hang.
-constexpr double hangingFactor = 4;
+constexpr double hangingFactor = 2.5;
 /// No request hangs before this, however fast its service is.
-constexpr Milliseconds shortestHang{800};
+constexpr Milliseconds shortestHang{400};
 /// A request in flight for longer is forgotten: its VM was lost before it could tell the end.
 constexpr std::chrono::seconds longestFlight{12};
 /// An instance that can't be reached is left alone for this long at first, and twice as long each time, up to the longest.
@@ -37,10 +37,12 @@
 /// Instances queue some requests beyond their slots; past this share of them, a request had better be refused at once.
 constexpr double largestOccupancy = 3.0;
 /// Share of requests that aren't served, also by refusals, from which on a service's work is spread over more instances.
-constexpr double failingShare = 0.06;
+constexpr double failingShare = 0.08;
 /// Share of the instances in service that get requests while many requests aren't served; the platform asks for 0.7 within 2 s.
-constexpr double spreadShare = 0.8;
-constexpr std::chrono::milliseconds spreadWindow{1300};
+constexpr double spreadShare = 0.75;
+constexpr std::chrono::milliseconds spreadWindow{1600};
+/// An instance that failed within this time isn't counted as sound; the same 2 s.
+constexpr std::chrono::milliseconds failureWindow{2000};
 /// Time after which the unserved requests of a service have faded to 1/e.
 constexpr std::chrono::milliseconds failureMemory{1500};
 
@@ -232,17 +234,28 @@
     if (service.ended < 1 || service.unserved < failingShare * service.ended) {
         return false;
     }
-    const std::ptrdiff_t used = std::count_if(candidates.begin(), candidates.end(), [now](const Candidate &candidate) {
-        return candidate.life->lastStart && now - *candidate.life->lastStart < spreadWindow;
-    });
-    return static_cast<double>(used) < spreadShare * static_cast<double>(candidates.size());
+    std::ptrdiff_t sound = 0;
+    std::ptrdiff_t used = 0;
+    for (const Candidate &candidate : candidates) {
+        // An instance that failed just now may be left alone; one that got nothing may be sound.
+        const bool maybeSound = !(candidate.life->failure && now - *candidate.life->failure < failureWindow) && now >= candidate.life->unreachableUntil;
+        sound += maybeSound ? 1 : 0;
+        used += maybeSound && isInUse(*candidate.life, now) ? 1 : 0;
+    }
+    return static_cast<double>(used) < spreadShare * static_cast<double>(sound);
+}
+
+bool OutcomeBoard::isInUse(const Life &life, SteadyTime now)
+{
+    return life.lastStart && now - *life.lastStart < spreadWindow;
 }
 
 OutcomeBoard::Candidate OutcomeBoard::leastUsed(std::vector<Candidate> &candidates, SteadyTime now)
 {
     std::vector<Candidate> unused;
     std::copy_if(candidates.begin(), candidates.end(), std::back_inserter(unused), [now](const Candidate &candidate) {
-        return now >= candidate.life->unreachableUntil && !(candidate.life->lastStart && now - *candidate.life->lastStart < spreadWindow);
+        const bool failedNow = candidate.life->failure && now - *candidate.life->failure < failureWindow;
+        return !failedNow && now >= candidate.life->unreachableUntil && !isInUse(*candidate.life, now);
     });
     return unused.empty() ? this->cheapest(candidates) : this->cheapest(unused);
 }
--- a/libraries/process/health/outcomeboard.h
+++ b/libraries/process/health/outcomeboard.h
@@ -96,6 +96,7 @@
     Candidate cheapest(std::vector<Candidate> &candidates);
     Candidate leastUsed(std::vector<Candidate> &candidates, SteadyTime now);
     bool needsSpreading(const std::vector<Candidate> &candidates, const Service &service, SteadyTime now) const;
+    static bool isInUse(const Life &life, SteadyTime now);
     static void fade(Service &service, SteadyTime now);
 
     const Options options;
