--- a/libraries/process/relay/controlnode.cpp
+++ b/libraries/process/relay/controlnode.cpp
@@ -1,5 +1,7 @@
 #include "process/relay/controlnode.h"
 
+#include "process/control/posixdisk.h"
+
 #include <boost/leaf/handle_errors.hpp>
 #include <glog/logging.h>
 #include <xxhash.h>
@@ -20,6 +22,10 @@
 /// Relays exchange news across failure domains, where each byte costs: failures travel at once, and counts that only add up travel as often
 /// as requests usually last.
 constexpr NewsBuffer::Gathering peerGathering{std::chrono::milliseconds(10), std::chrono::milliseconds(150)};
+/// More than the small writes that may still fit on a disk that is as good as full.
+constexpr std::size_t probeBytes = 64 * 1024;
+/// A replica that halts at each start, whatever its disk takes, must not make the process start over and over.
+constexpr std::chrono::seconds shortestRun{10};
 constexpr std::chrono::milliseconds peerHeartbeat{250};
 
 SteadyTime steadyNow()
@@ -40,9 +46,9 @@
 
 } // namespace
 
-ControlNode::ControlNode(const Settings &settings, RandomSource random)
+ControlNode::ControlNode(const Settings &settings, Hooks hooks)
     : settings(settings)
-    , random(std::move(random))
+    , hooks(std::move(hooks))
     , ownAddress(settings.listen.fleet.address())
     , startedAt(steadyNow())
     , configuration(std::make_shared<const CatalogueMessages::Configuration>())
@@ -63,9 +69,9 @@
     this->ownedGroup.reset();
 }
 
-boost::leaf::result<std::unique_ptr<ControlNode>> ControlNode::create(const Settings &settings, RandomSource random)
+boost::leaf::result<std::unique_ptr<ControlNode>> ControlNode::create(const Settings &settings, Hooks hooks)
 {
-    std::unique_ptr<ControlNode> node(new ControlNode(settings, std::move(random)));
+    std::unique_ptr<ControlNode> node(new ControlNode(settings, std::move(hooks)));
     BOOST_LEAF_CHECK(node->start());
     return node;
 }
@@ -79,7 +85,7 @@
     hubOptions.own.set_address(this->ownAddress);
     hubOptions.own.set_failure_domain(this->settings.vm.failureDomain);
     hubOptions.majority = this->settings.control.toleratedLosses + 1;
-    hubOptions.board.random = this->random;
+    hubOptions.board.random = this->hooks.random;
     hubOptions.clock = steadyNow;
     RelayHub::Hooks hubHooks;
     hubHooks.isControlInTouch = [this] {
@@ -95,7 +101,7 @@
     ControlGroup::Hooks groupHooks;
     // This kind of fleet has no roster.
     groupHooks.isRosterSettled = [] { return true; };
-    groupHooks.random = this->random;
+    groupHooks.random = this->hooks.random;
     BOOST_LEAF_ASSIGN(this->ownedGroup, ControlGroup::create(this->settings, *this->machine, groupHooks));
     this->group = this->ownedGroup.get();
     this->proposer = std::make_unique<RemoteChangeProposer>(this->proposerHooks());
@@ -176,7 +182,7 @@
 {
     CatalogueMessages::Change barrier;
     barrier.set_read_barrier(true);
-    const std::optional<ControlMessages::ChangeOutcome> outcome = this->propose(barrier, "read-" + std::to_string(this->random()), deadline);
+    const std::optional<ControlMessages::ChangeOutcome> outcome = this->propose(barrier, "read-" + std::to_string(this->hooks.random()), deadline);
     if (!outcome || outcome->result() != ControlMessages::ChangeOutcome::RESULT_ACCEPTED) {
         return nullptr;
     }
@@ -242,11 +248,33 @@
 void ControlNode::keepInGroup()
 {
     while (!this->stopping) {
+        this->restartIfDiskIsBack();
         this->carryOut(GroupFormation::decide(this->view()));
         std::this_thread::sleep_for(keeperInterval);
     }
 }
 
+void ControlNode::restartIfDiskIsBack()
+{
+    if (steadyNow() - this->startedAt < shortestRun || this->replicaStatus().role() != "halted") {
+        return;
+    }
+    // The same operations as those of the log, so that a full disk is told from one that has room again.
+    PosixDisk disk(this->settings.vm.dataFolder + "/probe");
+    const bool isBack = boost::leaf::try_handle_all(
+        [&disk]() -> boost::leaf::result<bool> {
+            BOOST_LEAF_CHECK(disk.append("probe", std::string(probeBytes, 'x')));
+            BOOST_LEAF_CHECK(disk.sync("probe"));
+            BOOST_LEAF_CHECK(disk.remove("probe"));
+            return true;
+        },
+        [] { return false; });
+    if (isBack) {
+        LOG(WARNING) << "The disk takes writes again; the process restarts to read what it holds";
+        this->hooks.restartProcess();
+    }
+}
+
 GroupFormation::View ControlNode::view()
 {
     GroupFormation::View seen;
--- a/libraries/process/relay/controlnode.h
+++ b/libraries/process/relay/controlnode.h
@@ -13,6 +13,7 @@
 
 #include <atomic>
 #include <condition_variable>
+#include <functional>
 #include <memory>
 #include <mutex>
 #include <optional>
@@ -25,8 +26,14 @@
 class ControlNode
 {
 public:
+    struct Hooks {
+        RandomSource random;
+        /// Has the process end and start again: what a disk holds after a failed operation is only known by reading it again.
+        std::function<void()> restartProcess;
+    };
+
     /// Opens the fleet port and starts all threads. Errors: StorageFault, FleetPortUnavailable.
-    static boost::leaf::result<std::unique_ptr<ControlNode>> create(const Settings &settings, RandomSource random);
+    static boost::leaf::result<std::unique_ptr<ControlNode>> create(const Settings &settings, Hooks hooks);
     ~ControlNode();
     ControlNode(const ControlNode &) = delete;
     ControlNode &operator=(const ControlNode &) = delete;
@@ -50,10 +57,11 @@
     ControlMessages::StatusReply replicaStatus();
 
 private:
-    ControlNode(const Settings &settings, RandomSource random);
+    ControlNode(const Settings &settings, Hooks hooks);
 
     boost::leaf::result<void> start();
     void keepInGroup();
+    void restartIfDiskIsBack();
     GroupFormation::View view();
     void carryOut(const GroupFormation::Decision &decision);
     std::optional<ControlMessages::ChangeOutcome> propose(const CatalogueMessages::Change &change, const std::string &changeId, SteadyTime deadline);
@@ -61,7 +69,7 @@
     RemoteChangeProposer::Hooks proposerHooks();
 
     const Settings settings;
-    const RandomSource random;
+    const Hooks hooks;
     const std::string ownAddress;
     SteadyTime startedAt;
     std::mutex mutex;
--- a/libraries/process/settings/settings.h
+++ b/libraries/process/settings/settings.h
@@ -39,7 +39,7 @@
     std::string address() const;
 };
 
-/// All settings of a daemon. docs/operations.md lists them with their defaults.
+/// All settings of a daemon. docs/OPERATIONS.md lists them with their defaults.
 struct Settings {
     struct Vm {
         std::string id;
@@ -85,7 +85,7 @@
         /// What sending a request to another failure domain is worth avoiding, in thousandths of a failed request.
         std::size_t crossDomainCost = 150;
     };
-    /// Bounds that the deployment sets; see docs/operations.md.
+    /// Bounds that the deployment sets; see docs/OPERATIONS.md.
     struct Bounds {
         double retryRatio = 0.1;
         /// Retries a service may get beyond the ratio, in each window, over all VMs.
--- a/services/hyssophalld/controldaemon.cpp
+++ b/services/hyssophalld/controldaemon.cpp
@@ -4,7 +4,8 @@
 
 #include <glog/logging.h>
 
-#include <algorithm>
+#include <csignal>
+#include <unistd.h>
 
 namespace Hyssophall {
 
@@ -23,7 +24,7 @@
 
 boost::leaf::result<void> ControlDaemon::start()
 {
-    BOOST_LEAF_ASSIGN(this->node, ControlNode::create(this->settings, systemRandom));
+    BOOST_LEAF_ASSIGN(this->node, ControlNode::create(this->settings, {systemRandom, [] { kill(getpid(), SIGTERM); }}));
     this->addGauges();
     this->interface = std::make_unique<Platform::ControlInterface>(this->interfaceHooks());
     BOOST_LEAF_ASSIGN(this->registrations,
