Relay: Start control VMs from a copy of the last configuration

Change: a control VM keeps a checked copy of the last configuration that was in force and gives it to its VMs at the start; reads still need the log.

--- a/bench/naiveproxy/main.cpp
+++ b/bench/naiveproxy/main.cpp
@@ -88,7 +88,8 @@
     LocalHealth health(readInstances(absl::GetFlag(FLAGS_instances)), systemRandom());
     UpstreamClient client({});
     RetryBudget retries;
-    RequestPath path({[lookup] { return lookup; }, lease, limiter, claims, capacity, health, client, retries, std::chrono::steady_clock::now, systemRandom, {}}, {});
+    RequestPath path(
+        {[lookup] { return lookup; }, lease, limiter, claims, capacity, health, client, retries, std::chrono::steady_clock::now, systemRandom, {}}, {});
     CallerEndpoint::Options options;
     options.endpoint = {"127.0.0.1", absl::GetFlag(FLAGS_port)};
     BOOST_LEAF_AUTO(endpoint, CallerEndpoint::create(options, [&path, &health](const CallerRequest &request) {
--- a/libraries/connection/upstreamconnection.cpp
+++ b/libraries/connection/upstreamconnection.cpp
@@ -244,7 +244,8 @@
     }
 };
 
-std::unique_ptr<UpstreamConnection> UpstreamConnection::create(const std::string &host, std::uint16_t port, std::size_t maximumAnswerBytes, std::chrono::milliseconds connectTimeout)
+std::unique_ptr<UpstreamConnection> UpstreamConnection::create(
+    const std::string &host, std::uint16_t port, std::size_t maximumAnswerBytes, std::chrono::milliseconds connectTimeout)
 {
     initializeLibrary();
     CURL *easy = curl_easy_init();
@@ -252,7 +253,8 @@
         return nullptr;
     }
     const std::string bracketed = host.find(':') == std::string::npos ? host : "[" + host + "]";
-    std::unique_ptr<Handle> handle = std::make_unique<Handle>(easy, "http://" + bracketed + ":" + std::to_string(port) + "/", maximumAnswerBytes, connectTimeout);
+    std::unique_ptr<Handle> handle
+        = std::make_unique<Handle>(easy, "http://" + bracketed + ":" + std::to_string(port) + "/", maximumAnswerBytes, connectTimeout);
     return std::unique_ptr<UpstreamConnection>(new UpstreamConnection(std::move(handle)));
 }
 
--- a/libraries/connection/upstreamconnection.h
+++ b/libraries/connection/upstreamconnection.h
@@ -17,7 +17,8 @@
 class UpstreamConnection
 {
 public:
-    static std::unique_ptr<UpstreamConnection> create(const std::string &host, std::uint16_t port, std::size_t maximumAnswerBytes, std::chrono::milliseconds connectTimeout);
+    static std::unique_ptr<UpstreamConnection> create(
+        const std::string &host, std::uint16_t port, std::size_t maximumAnswerBytes, std::chrono::milliseconds connectTimeout);
     ~UpstreamConnection();
     UpstreamConnection(const UpstreamConnection &) = delete;
     UpstreamConnection &operator=(const UpstreamConnection &) = delete;
--- a/libraries/process/administration/administrationserver.cpp
+++ b/libraries/process/administration/administrationserver.cpp
@@ -116,8 +116,7 @@
 {
 }
 
-leaf::result<std::unique_ptr<AdministrationServer>> AdministrationServer::create(
-    Handler handler, const Endpoint &endpoint, std::size_t maximumConnections)
+leaf::result<std::unique_ptr<AdministrationServer>> AdministrationServer::create(Handler handler, const Endpoint &endpoint, std::size_t maximumConnections)
 {
     std::unique_ptr<AdministrationServer> server(new AdministrationServer(std::move(handler)));
     if (!server->start(endpoint, maximumConnections)) {
--- a/libraries/process/cataloguefile.cpp
+++ b/libraries/process/cataloguefile.cpp
@@ -118,9 +118,9 @@
 {
 }
 
-leaf::result<void> CatalogueFile::write(const Catalogue &catalogue) const
+leaf::result<void> CatalogueFile::write(const CatalogueMessages::Snapshot &snapshot) const
 {
-    const std::string body = catalogue.snapshot().SerializeAsString();
+    const std::string body = snapshot.SerializeAsString();
     const std::string content = std::string(magic) + encodeNumber(body.size()) + encodeNumber(XXH64(body.data(), body.size(), 0)) + body;
     const std::string unfinished = this->path + ".new";
     const bool isWritten = writeSynced(unfinished, content) && std::rename(unfinished.c_str(), this->path.c_str()) == 0 && syncFolder(this->folder);
--- a/libraries/process/cataloguefile.h
+++ b/libraries/process/cataloguefile.h
@@ -38,7 +38,7 @@
     explicit CatalogueFile(const std::string &dataFolder);
 
     /// Errors: CatalogueFileError.
-    boost::leaf::result<void> write(const Catalogue &catalogue) const;
+    boost::leaf::result<void> write(const CatalogueMessages::Snapshot &snapshot) const;
 
     /// Errors: CatalogueFileError.
     boost::leaf::result<CatalogueMessages::Snapshot> read() const;
--- a/libraries/process/cataloguekeeper.cpp
+++ b/libraries/process/cataloguekeeper.cpp
@@ -72,7 +72,7 @@
 
 void CatalogueKeeper::write(const Catalogue &catalogue) const
 {
-    leaf::try_handle_all([&]() { return this->copy.write(catalogue); },
+    leaf::try_handle_all([&]() { return this->copy.write(catalogue.snapshot()); },
         [this](const CatalogueFileError &error) { this->report(error); },
         [this]() {
             this->report(CatalogueFileError{CatalogueFileError::Reason::InputOutput, this->copy.file(), 0});
--- a/libraries/process/health/lostrequests.cpp
+++ b/libraries/process/health/lostrequests.cpp
@@ -27,9 +27,8 @@
     if (found == this->losses.end()) {
         return false;
     }
-    const std::ptrdiff_t recent = std::count_if(found->second.begin(), found->second.end(), [now](const std::pair<const std::uint32_t, SteadyTime> &loss) {
-        return now - loss.second <= memory;
-    });
+    const std::ptrdiff_t recent = std::count_if(
+        found->second.begin(), found->second.end(), [now](const std::pair<const std::uint32_t, SteadyTime> &loss) { return now - loss.second <= memory; });
     return static_cast<std::size_t>(recent) >= instancesToJudge;
 }
 
--- a/libraries/process/limits/sharedratelimiter.cpp
+++ b/libraries/process/limits/sharedratelimiter.cpp
@@ -48,7 +48,9 @@
     return {RateDecision::Kind::Granted, std::chrono::milliseconds(0)};
 }
 
-void SharedRateLimiter::giveBack(const std::string &) {}
+void SharedRateLimiter::giveBack(const std::string &)
+{
+}
 
 void SharedRateLimiter::admittedElsewhere(const std::string &team, std::uint32_t count)
 {
--- a/libraries/process/relay/controlnode.cpp
+++ b/libraries/process/relay/controlnode.cpp
@@ -52,6 +52,7 @@
     , ownAddress(settings.listen.fleet.address())
     , startedAt(steadyNow())
     , configuration(std::make_shared<const CatalogueMessages::Configuration>())
+    , copy(settings.vm.dataFolder)
     , clients(std::make_shared<ControlClients>(settings.fleet.secret))
 {
 }
@@ -94,6 +95,7 @@
     };
     hubHooks.peerFound = [this](const std::shared_ptr<RelayPeer> &peer) { this->peers->add(peer); };
     this->hub = std::make_unique<RelayHub>(std::move(hubOptions), std::move(hubHooks));
+    this->startFromCopy();
     this->peers = std::make_unique<RelayPeers>(*this->hub, this->settings.fleet.secret, toPeers);
     this->relayService = std::make_unique<RelayService>(*this->hub, this->settings.fleet.secret, RelayExchange::Timing());
     this->machine = std::make_unique<ConfigurationMachine>(
@@ -144,6 +146,10 @@
     {
         std::lock_guard<std::mutex> lock(this->mutex);
         former = this->configuration->version();
+        if (next->version() <= former) {
+            // The log is applied again after a start, from before what the copy held.
+            return;
+        }
         this->configuration = next;
     }
     this->configurationChanged.notify_all();
@@ -151,8 +157,7 @@
     LOG(INFO) << "Configuration " << next->version() << " is in force after " << former;
 }
 
-std::optional<ControlMessages::ChangeOutcome> ControlNode::propose(
-    const CatalogueMessages::Change &change, const std::string &changeId, SteadyTime deadline)
+std::optional<ControlMessages::ChangeOutcome> ControlNode::propose(const CatalogueMessages::Change &change, const std::string &changeId, SteadyTime deadline)
 {
     ControlMessages::CatalogueChange proposed;
     proposed.set_change_id(changeId);
@@ -198,9 +203,8 @@
     const std::optional<RelayMessages::Registration> known = this->hub->findInstance(registration.id());
     const bool isChange = !known || known->state() != registration.state() || known->started_at_milliseconds() != registration.started_at_milliseconds();
     if (isChange) {
-        LOG(INFO) << "Instance " << registration.id() << " of service " << registration.service() << " at " << registration.host() << ":"
-                  << registration.port() << " registers as " << RelayMessages::RegistrationState_Name(registration.state()) << " with sequence "
-                  << registration.sequence();
+        LOG(INFO) << "Instance " << registration.id() << " of service " << registration.service() << " at " << registration.host() << ":" << registration.port()
+                  << " registers as " << RelayMessages::RegistrationState_Name(registration.state()) << " with sequence " << registration.sequence();
     }
     const bool done = this->hub->publish(registration, isLeaving, deadline);
     if (!done) {
@@ -218,8 +222,7 @@
         gone = *known;
     } else {
         // Lives of this id that started before are over.
-        const std::chrono::milliseconds now
-            = std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::system_clock::now().time_since_epoch());
+        const std::chrono::milliseconds now = std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::system_clock::now().time_since_epoch());
         gone.set_id(id);
         gone.set_started_at_milliseconds(static_cast<std::uint64_t>(now.count()));
     }
@@ -249,11 +252,46 @@
 {
     while (!this->stopping) {
         this->restartIfDiskIsBack();
+        this->keepCopy();
         this->carryOut(GroupFormation::decide(this->view()));
         std::this_thread::sleep_for(keeperInterval);
     }
 }
 
+void ControlNode::startFromCopy()
+{
+    boost::leaf::try_handle_all(
+        [this]() -> boost::leaf::result<void> {
+            BOOST_LEAF_AUTO(snapshot, this->copy.read());
+            this->copiedVersion = snapshot.configuration().version();
+            this->takeConfiguration(std::make_shared<const CatalogueMessages::Configuration>(snapshot.configuration()));
+            return {};
+        },
+        [](const CatalogueFileError &error) {
+            if (error.reason != CatalogueFileError::Reason::Missing) {
+                LOG(WARNING) << "The copy of the configuration at " << error.file << " can't be used; waiting for the control log";
+            }
+        },
+        [] { LOG(WARNING) << "The copy of the configuration can't be used; waiting for the control log"; });
+}
+
+void ControlNode::keepCopy()
+{
+    CatalogueMessages::Snapshot snapshot;
+    {
+        std::lock_guard<std::mutex> lock(this->mutex);
+        if (this->configuration->version() <= this->copiedVersion) {
+            return;
+        }
+        *snapshot.mutable_configuration() = *this->configuration;
+    }
+    // Not tried again after a failure: the next version is written anew, and the log holds this one.
+    this->copiedVersion = snapshot.configuration().version();
+    boost::leaf::try_handle_all([this, &snapshot] { return this->copy.write(snapshot); },
+        [](const CatalogueFileError &error) { LOG(WARNING) << "The copy of the configuration at " << error.file << " can't be written"; },
+        [] { LOG(WARNING) << "The copy of the configuration can't be written"; });
+}
+
 void ControlNode::restartIfDiskIsBack()
 {
     if (steadyNow() - this->startedAt < shortestRun || this->replicaStatus().role() != "halted") {
@@ -314,8 +352,7 @@
         return;
     case GroupFormation::Step::Bootstrap:
         LOG(INFO) << "Forming the control group of " << decision.addresses.size() << " VMs";
-        boost::leaf::try_handle_all(
-            [this, &decision] { return this->ownedGroup->bootstrap(decision.addresses, steadyNow() + bootstrapTimeout); },
+        boost::leaf::try_handle_all([this, &decision] { return this->ownedGroup->bootstrap(decision.addresses, steadyNow() + bootstrapTimeout); },
             [](const BootstrapRefused &refused) { LOG(WARNING) << "The control group can't be formed yet because of " << refused.address; },
             [] { LOG(WARNING) << "The control group can't be formed yet"; });
         return;
--- a/libraries/process/relay/controlnode.h
+++ b/libraries/process/relay/controlnode.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "process/cataloguefile.h"
 #include "process/control/configurationmachine.h"
 #include "process/control/controlgroup.h"
 #include "process/control/groupformation.h"
@@ -62,6 +63,8 @@
     boost::leaf::result<void> start();
     void keepInGroup();
     void restartIfDiskIsBack();
+    void startFromCopy();
+    void keepCopy();
     GroupFormation::View view();
     void carryOut(const GroupFormation::Decision &decision);
     std::optional<ControlMessages::ChangeOutcome> propose(const CatalogueMessages::Change &change, const std::string &changeId, SteadyTime deadline);
@@ -75,6 +78,9 @@
     std::mutex mutex;
     std::condition_variable configurationChanged;
     std::shared_ptr<const CatalogueMessages::Configuration> configuration;
+    /// A copy of the last configuration that was in force here: the log tells what is in force only once a leader is elected.
+    const CatalogueFile copy;
+    std::uint64_t copiedVersion = 0;
     std::atomic<ControlGroup *> group{nullptr};
     std::unique_ptr<RelayHub> hub;
     std::unique_ptr<RelayPeers> peers;
--- a/libraries/process/relay/newsbuffer.cpp
+++ b/libraries/process/relay/newsbuffer.cpp
@@ -58,8 +58,7 @@
     const bool hasFailure = std::any_of(news.outcomes().begin(), news.outcomes().end(), [](const RelayMessages::InstanceOutcomes &outcomes) {
         return outcomes.failed() + outcomes.rejected() + outcomes.unreachable() > 0;
     });
-    const bool hasScarceTeam
-        = std::any_of(news.teams().begin(), news.teams().end(), [](const RelayMessages::TeamUse &use) { return use.scarce(); });
+    const bool hasScarceTeam = std::any_of(news.teams().begin(), news.teams().end(), [](const RelayMessages::TeamUse &use) { return use.scarce(); });
     return hasFailure || hasScarceTeam || news.has_configuration() || !news.registrations().empty() || !news.lost_requests().empty() || !news.vms().empty();
 }
 
@@ -130,8 +129,8 @@
 bool NewsBuffer::isEmpty() const
 {
     return this->outcomes.empty() && this->teams.empty() && this->services.empty() && !this->pending.has_configuration()
-        && this->pending.registrations().empty() && this->pending.summaries().empty() && this->pending.lost_requests().empty()
-        && this->pending.relays().empty() && this->pending.vms().empty();
+        && this->pending.registrations().empty() && this->pending.summaries().empty() && this->pending.lost_requests().empty() && this->pending.relays().empty()
+        && this->pending.vms().empty();
 }
 
 } // namespace Hyssophall
--- a/libraries/process/relay/relayhub.cpp
+++ b/libraries/process/relay/relayhub.cpp
@@ -279,8 +279,9 @@
         this->vmsSeen[vm] = now;
     }
     std::erase_if(this->vmsSeen, [now](const std::pair<const std::string, SteadyTime> &entry) { return now - entry.second > vmMemory; });
-    const std::ptrdiff_t connected = std::count_if(
-        this->peers.begin(), this->peers.end(), [](const std::pair<const std::string, std::shared_ptr<RelayPeer>> &entry) { return entry.second->isConnected; });
+    const std::ptrdiff_t connected = std::count_if(this->peers.begin(),
+        this->peers.end(),
+        [](const std::pair<const std::string, std::shared_ptr<RelayPeer>> &entry) { return entry.second->isConnected; });
     RelayMessages::RelayStatus status;
     status.set_current(controlInTouch && static_cast<std::size_t>(connected) + 1 >= this->options.majority);
     status.set_visible_vms(static_cast<std::uint32_t>(visible.size()));
@@ -291,8 +292,9 @@
 std::size_t RelayHub::connectedPeers() const
 {
     std::lock_guard<std::mutex> lock(this->mutex);
-    return static_cast<std::size_t>(std::count_if(
-        this->peers.begin(), this->peers.end(), [](const std::pair<const std::string, std::shared_ptr<RelayPeer>> &entry) { return entry.second->isConnected; }));
+    return static_cast<std::size_t>(std::count_if(this->peers.begin(),
+        this->peers.end(),
+        [](const std::pair<const std::string, std::shared_ptr<RelayPeer>> &entry) { return entry.second->isConnected; }));
 }
 
 std::optional<RelayMessages::Registration> RelayHub::findInstance(const std::string &id) const
--- a/libraries/process/relay/relaylink.cpp
+++ b/libraries/process/relay/relaylink.cpp
@@ -42,8 +42,7 @@
 
 bool RelayLink::run(const RelayMessages::News &first, NewsBuffer &outgoing)
 {
-    const std::shared_ptr<grpc::Channel> channel
-        = grpc::CreateCustomChannel(this->options.address, grpc::InsecureChannelCredentials(), channelArguments());
+    const std::shared_ptr<grpc::Channel> channel = grpc::CreateCustomChannel(this->options.address, grpc::InsecureChannelCredentials(), channelArguments());
     if (!channel->WaitForConnected(after(this->options.connectLimit))) {
         return false;
     }
--- a/libraries/process/relay/relayservice.cpp
+++ b/libraries/process/relay/relayservice.cpp
@@ -23,8 +23,7 @@
     grpc::Status Exchange(grpc::ServerContext *context, ServerStream *stream) override
     {
         const auto presented = context->client_metadata().find(FleetCredential::metadataName);
-        if (presented == context->client_metadata().end()
-            || !this->credential.matches(std::string_view(presented->second.data(), presented->second.size()))) {
+        if (presented == context->client_metadata().end() || !this->credential.matches(std::string_view(presented->second.data(), presented->second.size()))) {
             return grpc::Status(grpc::StatusCode::UNAUTHENTICATED, "the fleet's credential is missing");
         }
         RelayMessages::News first;
--- a/libraries/process/relay/relayuplink.cpp
+++ b/libraries/process/relay/relayuplink.cpp
@@ -113,8 +113,8 @@
     {
         std::lock_guard<std::mutex> lock(this->mutex);
         for (const RelayMessages::RelayAddress &address : news.relays()) {
-            const auto known = std::find_if(
-                this->relays.begin(), this->relays.end(), [&address](const Relay &relay) { return relay.address == address.address(); });
+            const auto known
+                = std::find_if(this->relays.begin(), this->relays.end(), [&address](const Relay &relay) { return relay.address == address.address(); });
             if (known == this->relays.end()) {
                 this->relays.push_back({address.address(), address.failure_domain(), SteadyTime()});
             } else if (!address.failure_domain().empty()) {
@@ -154,8 +154,8 @@
     const auto isNear = [this](const Relay &relay) { return relay.failureDomain == this->options.failureDomain; };
     const bool isAtHome = std::any_of(
         this->relays.begin(), this->relays.end(), [this, isNear](const Relay &relay) { return relay.address == this->connectedTo && isNear(relay); });
-    const bool hasHome = std::any_of(
-        this->relays.begin(), this->relays.end(), [now, isNear](const Relay &relay) { return isNear(relay) && relay.avoidedUntil <= now; });
+    const bool hasHome
+        = std::any_of(this->relays.begin(), this->relays.end(), [now, isNear](const Relay &relay) { return isNear(relay) && relay.avoidedUntil <= now; });
     if (!isAtHome && hasHome) {
         LOG(INFO) << "Moving from relay " << this->connectedTo << " to one of this failure domain";
         this->link->cancel();
@@ -164,9 +164,8 @@
 
 void RelayUplink::moveOnIfOutdated(SteadyTime now)
 {
-    const bool hasOther = std::any_of(this->relays.begin(), this->relays.end(), [this, now](const Relay &relay) {
-        return relay.address != this->connectedTo && relay.avoidedUntil <= now;
-    });
+    const bool hasOther = std::any_of(
+        this->relays.begin(), this->relays.end(), [this, now](const Relay &relay) { return relay.address != this->connectedTo && relay.avoidedUntil <= now; });
     if (now - *this->outdatedSince >= outdatedPatience && hasOther) {
         this->avoid(this->connectedTo, outdatedAvoidance);
         this->link->cancel();
--- a/libraries/process/telemetry/requestmetrics.cpp
+++ b/libraries/process/telemetry/requestmetrics.cpp
@@ -115,8 +115,7 @@
     metrics.registry.increment(requestsName, {{"route", route}, {"code", std::to_string(record.status)}, {"outcome", outcome}});
     metrics.registry.observe(durationName, {{"route", route}}, std::chrono::duration<double>(record.duration).count());
     if (record.refusal) {
-        metrics.registry.increment(
-            refusalsName, {{"code", std::string(refusalName(record.refusal->code))}, {"team", metrics.teams.limited(record.team)}});
+        metrics.registry.increment(refusalsName, {{"code", std::string(refusalName(record.refusal->code))}, {"team", metrics.teams.limited(record.team)}});
     } else {
         metrics.registry.observe(addedName, {}, std::chrono::duration<double>(record.duration - record.upstreamDuration).count());
     }
--- a/libraries/version/configuredcatalogue.cpp
+++ b/libraries/version/configuredcatalogue.cpp
@@ -11,7 +11,8 @@
 
 bool takesMethod(const CatalogueMessages::Route &route, std::string_view method)
 {
-    return route.methods().empty() || std::any_of(route.methods().begin(), route.methods().end(), [method](const std::string &taken) { return taken == method; });
+    return route.methods().empty()
+        || std::any_of(route.methods().begin(), route.methods().end(), [method](const std::string &taken) { return taken == method; });
 }
 
 } // namespace
--- a/services/hyssophalld/controldaemon.cpp
+++ b/services/hyssophalld/controldaemon.cpp
@@ -51,8 +51,9 @@
     hooks.putConfiguration
         = [this](const CatalogueMessages::Configuration &configuration, SteadyTime deadline) { return this->node->putConfiguration(configuration, deadline); };
     hooks.readConfiguration = [this](SteadyTime deadline) { return this->node->readConfiguration(deadline); };
-    hooks.registerInstance
-        = [this](const Platform::RelayMessages::Registration &registration, SteadyTime deadline) { return this->node->registerInstance(registration, deadline); };
+    hooks.registerInstance = [this](const Platform::RelayMessages::Registration &registration, SteadyTime deadline) {
+        return this->node->registerInstance(registration, deadline);
+    };
     hooks.removeInstance = [this](const std::string &id, SteadyTime deadline) { return this->node->removeInstance(id, deadline); };
     hooks.isServiceKnown = [this](const std::string &service) { return this->node->isServiceKnown(service); };
     return hooks;
@@ -63,8 +64,9 @@
     this->metrics->addGauge("hyssophall_relay_current", "1 while this relay hears a majority of the relays and the leader of the control group.", [this] {
         return this->node->relayStatus().current() ? 1.0 : 0.0;
     });
-    this->metrics->addGauge(
-        "hyssophall_visible_vms", "VMs connected to the relays that this relay hears.", [this] { return static_cast<double>(this->node->relayStatus().visible_vms()); });
+    this->metrics->addGauge("hyssophall_visible_vms", "VMs connected to the relays that this relay hears.", [this] {
+        return static_cast<double>(this->node->relayStatus().visible_vms());
+    });
     this->metrics->addGauge(
         "hyssophall_known_vms", "VMs connected to any relay lately.", [this] { return static_cast<double>(this->node->relayStatus().known_vms()); });
     this->metrics->addGauge("hyssophall_configuration_version", "Version of the configuration in force.", [this] {
--- a/services/hyssophalld/fleetparts.cpp
+++ b/services/hyssophalld/fleetparts.cpp
@@ -207,7 +207,9 @@
     configuration.servingLeaseExpiry = 2 * this->settings.fleet.servingLease;
     this->api = std::make_unique<Administration::AdministrationApi>(this->administrationHooks(), configuration);
     BOOST_LEAF_ASSIGN(this->administration,
-        Administration::AdministrationServer::create([this](const Administration::HttpRequest &request) { return this->api->handle(request); }, this->settings.listen.administration, this->settings.listen.maximumConnections));
+        Administration::AdministrationServer::create([this](const Administration::HttpRequest &request) { return this->api->handle(request); },
+            this->settings.listen.administration,
+            this->settings.listen.maximumConnections));
     return {};
 }
 
--- a/services/hyssophalld/relayparts.cpp
+++ b/services/hyssophalld/relayparts.cpp
@@ -38,9 +38,13 @@
         return {};
     }
 
-    void finish(const std::string &, const std::string &, const std::string &, const hyssophall::fleet::v1::ClaimOutcome &, SteadyTime) override {}
+    void finish(const std::string &, const std::string &, const std::string &, const hyssophall::fleet::v1::ClaimOutcome &, SteadyTime) override
+    {
+    }
 
-    void release(const std::string &, const std::string &, const std::string &) override {}
+    void release(const std::string &, const std::string &, const std::string &) override
+    {
+    }
 };
 
 /// The choice of instances knows what is in flight on all VMs and refuses by itself when all are full.
@@ -56,7 +60,9 @@
     class OpenPermit : public Permit
     {
     public:
-        void finish(CapacitySignal, std::chrono::microseconds) override {}
+        void finish(CapacitySignal, std::chrono::microseconds) override
+        {
+        }
     };
 };
 
@@ -138,8 +144,7 @@
     metrics.addGauge("hyssophall_relay_current", "1 while this VM's relay hears a majority of the relays and the leader of the control group.", [this] {
         return this->node->uplink().isCurrent() ? 1.0 : 0.0;
     });
-    metrics.addGauge(
-        "hyssophall_visible_share", "Share of the fleet's VMs that this VM hears of.", [this] { return this->node->uplink().visibleShare(); });
+    metrics.addGauge("hyssophall_visible_share", "Share of the fleet's VMs that this VM hears of.", [this] { return this->node->uplink().visibleShare(); });
     metrics.addGauge("hyssophall_catalogue_version", "Version of the catalogue in force.", [this] {
         return static_cast<double>(this->node->catalogue()->configuration().version());
     });
--- a/tests/fuzz/socketfuzztest.cpp
+++ b/tests/fuzz/socketfuzztest.cpp
@@ -2,11 +2,11 @@
 #include "fuzz/mutator.h"
 #include "process/administration/administrationserver.h"
 #include "process/proxy/callerendpoint.h"
+#include "support/rawcaller.h"
+#include "support/rawupstream.h"
 #include "unit/process/administration/administrationmocks.h"
 #include "unit/process/administration/freeport.h"
 #include "unit/process/proxy/pathmocks.h"
-#include "support/rawcaller.h"
-#include "support/rawupstream.h"
 
 #include <catch2/catch.hpp>
 
@@ -107,8 +107,8 @@
 {
     ApiFixture fixture;
     const unsigned short port = freePort();
-    const boost::leaf::result<std::unique_ptr<Administration::AdministrationServer>> server
-        = Administration::AdministrationServer::create([&fixture](const Administration::HttpRequest &request) { return fixture.api.handle(request); }, Endpoint{"127.0.0.1", port}, 64);
+    const boost::leaf::result<std::unique_ptr<Administration::AdministrationServer>> server = Administration::AdministrationServer::create(
+        [&fixture](const Administration::HttpRequest &request) { return fixture.api.handle(request); }, Endpoint{"127.0.0.1", port}, 64);
     CATCH_REQUIRE(server);
     attack(port, 11);
     CATCH_REQUIRE(statusOf(port, "GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n") == "HTTP/1.1 200 OK");
--- a/tests/fuzz/storagefuzztest.cpp
+++ b/tests/fuzz/storagefuzztest.cpp
@@ -114,7 +114,7 @@
 {
     const std::string folder = newFolder();
     const CatalogueFile file(folder);
-    CATCH_REQUIRE(file.write(*Catalogue::createEmpty()));
+    CATCH_REQUIRE(file.write(Catalogue::createEmpty()->snapshot()));
     std::ifstream stream(file.file(), std::ios::binary);
     const std::string intact((std::istreambuf_iterator<char>(stream)), std::istreambuf_iterator<char>());
     Mutator mutator(5);
--- a/tests/fuzz/textfuzztest.cpp
+++ b/tests/fuzz/textfuzztest.cpp
@@ -106,7 +106,8 @@
         const TraceContext trace = TraceContext::create(&text, [] { return 5; });
         CATCH_REQUIRE(trace.traceId.size() == 32);
         CATCH_REQUIRE(trace.traceparent(trace.spanId).size() == 55);
-        const std::optional<std::chrono::milliseconds> timeout = requestTimeout({{"X-Request-Timeout-Ms", text}}, "X-Request-Timeout-Ms", std::chrono::seconds(10));
+        const std::optional<std::chrono::milliseconds> timeout
+            = requestTimeout({{"X-Request-Timeout-Ms", text}}, "X-Request-Timeout-Ms", std::chrono::seconds(10));
         CATCH_REQUIRE((!timeout || (timeout->count() > 0 && *timeout <= maximumRequestTimeout)));
         callerKeyHash({{"Authorization", text}});
         CATCH_REQUIRE(targetPath(text).size() <= text.size());
--- a/tests/integration/hyssophallctltest.cpp
+++ b/tests/integration/hyssophallctltest.cpp
@@ -26,7 +26,8 @@
 public:
     ControlFixture()
         : endpoint{"127.0.0.1", freePort()}
-        , server(AdministrationServer::create([this](const Administration::HttpRequest &request) { return this->api.api.handle(request); }, this->endpoint, 16).value())
+        , server(AdministrationServer::create([this](const Administration::HttpRequest &request) { return this->api.api.handle(request); }, this->endpoint, 16)
+                     .value())
         , keyFile((std::filesystem::temp_directory_path() / ("hyssophall-key-" + std::to_string(this->endpoint.port))).string())
     {
         std::ofstream(this->keyFile) << "alice-key\n";
--- a/tests/integration/relayedfleettest.cpp
+++ b/tests/integration/relayedfleettest.cpp
@@ -204,6 +204,26 @@
     CATCH_REQUIRE(Harness::waitUntil(3s, [&fleet] { return fleet.answersEverywhere("key-12", 200); }));
 }
 
+// Guards against an outage that lasts until a leader is elected: what was in force can be served before that.
+CATCH_TEST_CASE("A fleet that was killed as a whole serves its last configuration before it has a leader", "[integration][relay][config-in-force]")
+{
+    RelayedFleet fleet;
+    CATCH_REQUIRE(fleet.putConfiguration(4, "key-4", {0, 1, 2}));
+    CATCH_REQUIRE(fleet.registerUpstream(1, "ready", 1) == 200);
+    CATCH_REQUIRE(Harness::waitUntil(3s, [&fleet] { return fleet.answersEverywhere("key-4", 200); }));
+    std::this_thread::sleep_for(1s);
+    for (int number = 0; number < RelayedFleet::controls + RelayedFleet::entries; ++number) {
+        fleet.kill(number);
+    }
+    // Alone, a control VM has no leader.
+    fleet.start(2, false);
+    fleet.start(RelayedFleet::controls, false);
+    CATCH_REQUIRE(Harness::waitUntil(5s, [&fleet] { return fleet.registerUpstream(2, "ready", 2) == 200; }));
+    CATCH_REQUIRE(Harness::waitUntil(5s, [&fleet] { return fleet.call(0, "key-4").status == 200; }));
+    CATCH_CHECK(fleet.control(2, "GET", "/v1/config").status == 503);
+    CATCH_CHECK(fleet.call(0, "key-5").status == 401);
+}
+
 // Guards against an acknowledged drain after which requests still reach the instance, and an acknowledgement that nobody else has heard.
 CATCH_TEST_CASE("A draining instance is acknowledged by a majority alone and gets no requests from any VM", "[integration][relay][leaving-upstream]")
 {
--- a/tests/unit/process/administration/administrationservertest.cpp
+++ b/tests/unit/process/administration/administrationservertest.cpp
@@ -41,7 +41,8 @@
 {
     ApiFixture fixture;
     const Endpoint endpoint{"127.0.0.1", freePort()};
-    boost::leaf::result<std::unique_ptr<AdministrationServer>> server = AdministrationServer::create([&fixture](const Administration::HttpRequest &request) { return fixture.api.handle(request); }, endpoint, 16);
+    boost::leaf::result<std::unique_ptr<AdministrationServer>> server
+        = AdministrationServer::create([&fixture](const Administration::HttpRequest &request) { return fixture.api.handle(request); }, endpoint, 16);
     CATCH_REQUIRE(server);
     CATCH_REQUIRE(send(endpoint, "GET", "/v1/vm").body.find("\"incarnation\":\"99\"") != std::string::npos);
     CATCH_REQUIRE(send(endpoint, "GET", "/v1/version").status == 200);
@@ -56,6 +57,8 @@
     CATCH_REQUIRE(send(endpoint, "POST", "/v1/changes", largest).status == 422);
     CATCH_REQUIRE(send(endpoint, "POST", "/v1/changes", largest + " ").status == 413);
     // The port is in use now.
-    CATCH_REQUIRE_FALSE(AdministrationServer::create([&fixture](const Administration::HttpRequest &request) { return fixture.api.handle(request); }, endpoint, 16));
-    CATCH_REQUIRE_FALSE(AdministrationServer::create([&fixture](const Administration::HttpRequest &request) { return fixture.api.handle(request); }, Endpoint{"nowhere", 1}, 16));
+    CATCH_REQUIRE_FALSE(
+        AdministrationServer::create([&fixture](const Administration::HttpRequest &request) { return fixture.api.handle(request); }, endpoint, 16));
+    CATCH_REQUIRE_FALSE(AdministrationServer::create(
+        [&fixture](const Administration::HttpRequest &request) { return fixture.api.handle(request); }, Endpoint{"nowhere", 1}, 16));
 }
--- a/tests/unit/process/proxy/callerendpointtest.cpp
+++ b/tests/unit/process/proxy/callerendpointtest.cpp
@@ -1,9 +1,9 @@
 #include "process/proxy/callerendpoint.h"
 
 #include "connection/upstreamclient.h"
-#include "unit/process/proxy/pathmocks.h"
 #include "support/rawcaller.h"
 #include "support/rawupstream.h"
+#include "unit/process/proxy/pathmocks.h"
 
 #include <boost/leaf/handle_errors.hpp>
 #include <catch2/catch.hpp>
--- a/tests/unit/process/proxy/misbehavingupstreamtest.cpp
+++ b/tests/unit/process/proxy/misbehavingupstreamtest.cpp
@@ -1,6 +1,6 @@
 #include "connection/upstreamclient.h"
-#include "unit/process/proxy/pathmocks.h"
 #include "support/rawupstream.h"
+#include "unit/process/proxy/pathmocks.h"
 
 #include <catch2/catch.hpp>
 #include <xxhash.h>
