Relay: Move home only to a relay that is known to be in touch

A replica that was being caught up also called itself current.

A replica is in touch only when it holds what its leader had committed.

--- a/libraries/process/control/raftfollower.cpp
+++ b/libraries/process/control/raftfollower.cpp
@@ -31,6 +31,7 @@
         return reply;
     }
     reply.set_term(this->currentTerm);
+    this->leaderCommitted = request.committed_index();
     const std::uint64_t previous = request.previous().index();
     const bool matches
         = previous < this->replicaLog.snapshotIndex() || this->replicaLog.termAt(previous) == std::optional<std::uint64_t>(request.previous().term());
--- a/libraries/process/control/raftreplica.cpp
+++ b/libraries/process/control/raftreplica.cpp
@@ -118,7 +118,8 @@
 
 bool RaftReplica::isInTouch() const
 {
-    return !this->halted && this->hearsLeader();
+    const bool isCaughtUp = this->currentRole == Role::Leader || this->committed >= this->leaderCommitted;
+    return !this->halted && this->hearsLeader() && isCaughtUp;
 }
 
 RaftReplica::Role RaftReplica::role() const
--- a/libraries/process/control/raftreplica.h
+++ b/libraries/process/control/raftreplica.h
@@ -98,7 +98,7 @@
     bool isVoting() const;
     bool isHalted() const;
 
-    /// Whether this replica leads with a majority, or heard from the leader within the election timeout.
+    /// Whether this replica leads with a majority, or heard from the leader within the election timeout and holds all that it had committed then.
     bool isInTouch() const;
     Role role() const;
     std::uint64_t term() const;
@@ -171,6 +171,8 @@
     std::uint64_t currentTerm;
     std::string votedFor;
     std::uint64_t committed = 0;
+    /// What the leader had committed when it was last heard.
+    std::uint64_t leaderCommitted = 0;
     bool halted = false;
 
     Role currentRole = Role::Follower;
--- a/libraries/process/relay/newsbuffer.cpp
+++ b/libraries/process/relay/newsbuffer.cpp
@@ -59,7 +59,8 @@
         return outcomes.failed() + outcomes.rejected() + outcomes.unreachable() > 0;
     });
     const bool hasScarceTeam = std::any_of(news.teams().begin(), news.teams().end(), [](const RelayMessages::TeamUse &use) { return use.scarce(); });
-    return hasFailure || hasScarceTeam || news.has_configuration() || !news.registrations().empty() || !news.lost_requests().empty() || !news.vms().empty();
+    return hasFailure || hasScarceTeam || news.has_configuration() || !news.registrations().empty() || !news.lost_requests().empty() || !news.vms().empty()
+        || !news.relays().empty();
 }
 
 void NewsBuffer::wake()
--- a/libraries/process/relay/relayhub.cpp
+++ b/libraries/process/relay/relayhub.cpp
@@ -98,7 +98,7 @@
         // A seed's failure domain is unknown until it has greeted.
         peer->failureDomain = address.failure_domain();
         RelayMessages::News news;
-        *news.add_relays() = address;
+        *news.add_relays() = peer->relayAddress();
         this->tellVms(news, nullptr);
         for (const std::shared_ptr<RelaySubscriber> &subscriber : this->subscribers) {
             if (subscriber->isRelay()) {
@@ -232,6 +232,9 @@
         std::lock_guard<std::mutex> lock(this->mutex);
         isNew = !peer.isConnected;
         peer.isConnected = true;
+        if (isNew) {
+            this->tellRelay(peer);
+        }
         peer.confirmed = std::max(peer.confirmed, news.confirmed());
         RelayMessages::News registrations;
         *registrations.mutable_registrations() = news.registrations();
@@ -253,6 +256,9 @@
         std::lock_guard<std::mutex> lock(this->mutex);
         wasConnected = peer.isConnected;
         peer.isConnected = false;
+        if (wasConnected) {
+            this->tellRelay(peer);
+        }
     }
     if (wasConnected) {
         LOG(WARNING) << "Relay " << peer.address << " is out of touch";
@@ -339,6 +345,13 @@
     }
 }
 
+void RelayHub::tellRelay(const RelayPeer &peer)
+{
+    RelayMessages::News news;
+    *news.add_relays() = peer.relayAddress();
+    this->tellVms(news, nullptr);
+}
+
 void RelayHub::noteVm(const std::string &vm, bool present)
 {
     this->vmsSeen[vm] = this->options.clock();
@@ -359,6 +372,7 @@
         *all.add_summaries() = summary;
     }
     *all.add_relays() = this->options.own;
+    all.mutable_relays(all.relays_size() - 1)->set_in_touch(true);
     for (const std::pair<const std::string, std::shared_ptr<RelayPeer>> &entry : this->peers) {
         *all.add_relays() = entry.second->relayAddress();
     }
--- a/libraries/process/relay/relayhub.h
+++ b/libraries/process/relay/relayhub.h
@@ -46,6 +46,7 @@
         RelayMessages::RelayAddress relay;
         relay.set_address(this->address);
         relay.set_failure_domain(this->failureDomain);
+        relay.set_in_touch(this->isConnected);
         return relay;
     }
 
@@ -115,6 +116,7 @@
     RelayMessages::News takeIn(const RelayMessages::News &news);
     void tellVms(const RelayMessages::News &news, const RelaySubscriber *except);
     void tellPeers(const RelayMessages::News &news);
+    void tellRelay(const RelayPeer &peer);
     void noteVm(const std::string &vm, bool present);
     RelayMessages::News everything() const;
 
--- a/libraries/process/relay/relayuplink.cpp
+++ b/libraries/process/relay/relayuplink.cpp
@@ -9,8 +9,6 @@
 namespace {
 
 constexpr std::chrono::milliseconds reconnectPause{30};
-/// A relay that failed is tried again after the others.
-constexpr std::chrono::milliseconds failedAvoidance{1000};
 /// A relay that lost the others may have them back as soon as their leader is elected.
 constexpr std::chrono::milliseconds outdatedAvoidance{3000};
 /// A change of the leader takes about this long and isn't mended by another relay.
@@ -23,10 +21,8 @@
 RelayUplink::RelayUplink(Options options, Hooks hooks)
     : options(std::move(options))
     , hooks(std::move(hooks))
+    , choice(this->options.failureDomain, this->options.seeds)
 {
-    for (const std::string &seed : this->options.seeds) {
-        this->relays.push_back({seed, "", SteadyTime()});
-    }
     this->thread = std::thread([this] { this->keepConnected(); });
 }
 
@@ -66,7 +62,7 @@
 {
     std::unique_lock<std::mutex> lock(this->mutex);
     while (!this->stopping) {
-        const std::string address = this->nextRelay();
+        const std::string address = this->choice.next(this->hooks.clock(), this->hooks.random);
         if (!address.empty()) {
             RelayLink::Options linkOptions;
             linkOptions.address = address;
@@ -82,7 +78,7 @@
             const bool stood = this->link->run(this->hooks.greet(), this->outgoing);
             LOG(WARNING) << (stood ? "The connection to relay " : "No connection to relay ") << address << (stood ? " has ended" : "");
             lock.lock();
-            this->avoid(address, failedAvoidance);
+            this->choice.noteFailure(address, this->hooks.clock());
             // What others admit isn't heard from now on.
             this->statusHeard.reset();
         }
@@ -90,36 +86,12 @@
     }
 }
 
-std::string RelayUplink::nextRelay()
-{
-    const SteadyTime now = this->hooks.clock();
-    // Lower is better: those not avoided, then the own failure domain, then by chance.
-    std::string best;
-    std::pair<SteadyTime, std::uint64_t> bestRank;
-    for (const Relay &relay : this->relays) {
-        const bool isNear = relay.failureDomain == this->options.failureDomain;
-        const std::uint64_t chance = this->hooks.random() >> 2U;
-        const std::pair<SteadyTime, std::uint64_t> rank{std::max(now, relay.avoidedUntil), isNear ? chance : chance + (1ULL << 63U)};
-        if (best.empty() || rank < bestRank) {
-            best = relay.address;
-            bestRank = rank;
-        }
-    }
-    return best;
-}
-
 void RelayUplink::receive(const RelayMessages::News &news)
 {
     {
         std::lock_guard<std::mutex> lock(this->mutex);
         for (const RelayMessages::RelayAddress &address : news.relays()) {
-            const auto known
-                = std::find_if(this->relays.begin(), this->relays.end(), [&address](const Relay &relay) { return relay.address == address.address(); });
-            if (known == this->relays.end()) {
-                this->relays.push_back({address.address(), address.failure_domain(), SteadyTime()});
-            } else if (!address.failure_domain().empty()) {
-                known->failureDomain = address.failure_domain();
-            }
+            this->choice.learn(address);
         }
         if (news.has_status()) {
             this->takeStatus(news.status());
@@ -139,7 +111,8 @@
     this->statusHeard = now;
     if (newStatus.current()) {
         this->outdatedSince.reset();
-        this->moveNearer();
+        this->choice.noteSuccess(this->connectedTo);
+        this->moveHome(now);
         return;
     }
     if (!this->outdatedSince) {
@@ -148,15 +121,9 @@
     this->moveOnIfOutdated(now);
 }
 
-void RelayUplink::moveNearer()
+void RelayUplink::moveHome(SteadyTime now)
 {
-    const SteadyTime now = this->hooks.clock();
-    const auto isNear = [this](const Relay &relay) { return relay.failureDomain == this->options.failureDomain; };
-    const bool isAtHome = std::any_of(
-        this->relays.begin(), this->relays.end(), [this, isNear](const Relay &relay) { return relay.address == this->connectedTo && isNear(relay); });
-    const bool hasHome
-        = std::any_of(this->relays.begin(), this->relays.end(), [now, isNear](const Relay &relay) { return isNear(relay) && relay.avoidedUntil <= now; });
-    if (!isAtHome && hasHome) {
+    if (this->choice.shouldMoveHome(this->connectedTo, now)) {
         LOG(INFO) << "Moving from relay " << this->connectedTo << " to one of this failure domain";
         this->link->cancel();
     }
@@ -164,21 +131,10 @@
 
 void RelayUplink::moveOnIfOutdated(SteadyTime now)
 {
-    const bool hasOther = std::any_of(
-        this->relays.begin(), this->relays.end(), [this, now](const Relay &relay) { return relay.address != this->connectedTo && relay.avoidedUntil <= now; });
-    if (now - *this->outdatedSince >= outdatedPatience && hasOther) {
-        this->avoid(this->connectedTo, outdatedAvoidance);
+    if (now - *this->outdatedSince >= outdatedPatience && this->choice.hasOther(this->connectedTo, now)) {
+        this->choice.avoid(this->connectedTo, outdatedAvoidance, now);
         this->link->cancel();
     }
 }
 
-void RelayUplink::avoid(const std::string &address, std::chrono::milliseconds duration)
-{
-    for (Relay &relay : this->relays) {
-        if (relay.address == address) {
-            relay.avoidedUntil = std::max(relay.avoidedUntil, this->hooks.clock() + duration);
-        }
-    }
-}
-
 } // namespace Hyssophall
--- a/libraries/process/relay/relayuplink.h
+++ b/libraries/process/relay/relayuplink.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "process/relay/relaychoice.h"
 #include "process/relay/relaylink.h"
 
 #include <condition_variable>
@@ -54,21 +55,12 @@
     bool isCurrent() const;
 
 private:
-    struct Relay {
-        std::string address;
-        std::string failureDomain;
-        /// Not tried before, after it failed.
-        SteadyTime avoidedUntil;
-    };
-
     void keepConnected();
-    std::string nextRelay();
     void receive(const RelayMessages::News &news);
     void takeStatus(const RelayMessages::RelayStatus &status);
     // These are called with the mutex held.
-    void moveNearer();
+    void moveHome(SteadyTime now);
     void moveOnIfOutdated(SteadyTime now);
-    void avoid(const std::string &address, std::chrono::milliseconds duration);
 
     const Options options;
     const Hooks hooks;
@@ -76,7 +68,7 @@
     mutable std::mutex mutex;
     std::condition_variable stopped;
     bool stopping = false;
-    std::vector<Relay> relays;
+    RelayChoice choice;
     std::string connectedTo;
     std::unique_ptr<RelayLink> link;
     RelayMessages::RelayStatus status;
