hyssophallctl: Explain a request from collected logs

Cause: the lines that explain a failed request are spread over the logs of all VMs.

Change: 'explain REQUEST-ID FILE...' prints the request's line, those of other requests on the same instances, and what its VMs came to believe, within 5 s.

--- a/tools/hyssophallctl/main.cpp
+++ b/tools/hyssophallctl/main.cpp
@@ -1,5 +1,6 @@
 #include "cataloguecommands.h"
 #include "controlcommands.h"
+#include "explaincommand.h"
 #include "readcommands.h"
 #include "session.h"
 
@@ -53,6 +54,7 @@
   catalogue
   instances SERVICE
   ready                        asks the first address alone
+  explain REQUEST-ID [FILE...] the request's story from logs, or from standard input
 
 Flags:
   --address=HOST:PORT,...      administration addresses (127.0.0.1:8081)
@@ -160,6 +162,9 @@
 
 ExitCode runProgram(const Words &words)
 {
+    if (!words.empty() && words.front() == "explain") {
+        return explain(Words(words.begin() + 1, words.end()), absl::GetFlag(FLAGS_json));
+    }
     const std::optional<std::string> key = readOperatorKey();
     if (!key) {
         return Session::refuse("--operator-key-file must name a readable file with the operator's key in its first line");
