Relay: Leave a relay that hears no other

Cause: a relay that is cut off tells its VMs that it hears none of the others, and a VM looked only for relays that are heard when it wanted to move on, so it stayed.

--- a/libraries/process/relay/relaychoice.h
+++ b/libraries/process/relay/relaychoice.h
@@ -32,7 +32,7 @@
     /// The relay is left alone though it answers, since it is out of date.
     void avoid(const std::string &address, std::chrono::milliseconds duration, SteadyTime now);
 
-    /// Whether another relay can be tried at once.
+    /// Whether another relay can be tried at once. A relay that is cut off hears none of the others, so its word on them doesn't count.
     bool hasOther(const std::string &address, SteadyTime now) const;
 
     /// Whether the VM is connected across failure domains while a relay of its own is known to be in touch.
--- a/tests/unit/process/relay/relaychoicetest.cpp
+++ b/tests/unit/process/relay/relaychoicetest.cpp
@@ -38,6 +38,14 @@
     CATCH_CHECK(choice.shouldMoveHome("far:1", start + std::chrono::seconds(1)));
 }
 
+// Guards against a VM that stays with a relay that is cut off, since that relay says that it hears no other.
+CATCH_TEST_CASE("A relay that hears no other is left for another one", "[relay]")
+{
+    RelayChoice choice("c", {"one:1", "two:1"});
+    choice.learn(relayOf("two:1", "a", false));
+    CATCH_CHECK(choice.hasOther("one:1", start));
+}
+
 // Guards against attempts at a lost relay that take up the time in which others could be heard.
 CATCH_TEST_CASE("A relay that fails is left alone longer each time until it works", "[relay]")
 {
