--- a/libraries/process/control/controlproposals.cpp
+++ b/libraries/process/control/controlproposals.cpp
@@ -184,7 +184,8 @@
 bool ControlGroup::isInTouch() const
 {
     std::lock_guard<std::mutex> lock(this->mutex);
-    return this->replica->isInTouch();
+    // What is committed and not applied yet isn't in force here.
+    return this->replica->isInTouch() && this->appliedIndex >= this->replica->committedIndex();
 }
 
 bool ControlGroup::holdsChange(const std::string &changeId) const
--- a/libraries/process/relay/relaychoice.cpp
+++ b/libraries/process/relay/relaychoice.cpp
@@ -79,9 +79,8 @@
 
 bool RelayChoice::hasOther(const std::string &address, SteadyTime now) const
 {
-    return std::any_of(this->relays.begin(), this->relays.end(), [&address, now](const Relay &relay) {
-        return relay.address != address && relay.avoidedUntil <= now;
-    });
+    return std::any_of(
+        this->relays.begin(), this->relays.end(), [&address, now](const Relay &relay) { return relay.address != address && relay.avoidedUntil <= now; });
 }
 
 bool RelayChoice::shouldMoveHome(const std::string &connectedTo, SteadyTime now) const
--- a/libraries/process/telemetry/requeststory.cpp
+++ b/libraries/process/telemetry/requeststory.cpp
@@ -108,9 +108,8 @@
         text << line.value("message", line.value("event", line.dump()));
         return text.str();
     }
-    text << "request " << line.value("id", "") << " of " << line.value("team", "") << " on " << line.value("route", "") << " -> "
-         << line.value("status", 0) << " after " << line.value("ms", 0) << " ms of " << line.value("limit_ms", 0) << ", configuration "
-         << line.value("catalogue", 0);
+    text << "request " << line.value("id", "") << " of " << line.value("team", "") << " on " << line.value("route", "") << " -> " << line.value("status", 0)
+         << " after " << line.value("ms", 0) << " ms of " << line.value("limit_ms", 0) << ", configuration " << line.value("catalogue", 0);
     if (line.contains("refusal")) {
         text << ", " << line.value("refusal", "") << " (" << line.value("outcome", "") << ")";
     }
