--- a/libraries/process/relay/controlnode.cpp
+++ b/libraries/process/relay/controlnode.cpp
@@ -233,7 +233,7 @@
 bool ControlNode::isServiceKnown(const std::string &name)
 {
     std::lock_guard<std::mutex> lock(this->mutex);
-    const auto &services = this->configuration->services();
+    const google::protobuf::RepeatedPtrField<CatalogueMessages::Service> &services = this->configuration->services();
     return this->configuration->version() == 0
         || std::any_of(services.begin(), services.end(), [&name](const CatalogueMessages::Service &service) { return service.name() == name; });
 }
