Limits: Keep retries within the budget while the fleet falls apart

A VM that was cut off went on counting the whole fleet's requests of the last 10 s as the ground of its own retries.

Change: a VM that hears less than 0.9 of the fleet goes by its own requests and its own part of the slack; 0.55 of the budget is used together, 0.35 alone. Spreading begins at 5 % over 1 s.

--- a/libraries/process/health/outcomeboard.cpp
+++ b/libraries/process/health/outcomeboard.cpp
@@ -37,14 +37,14 @@
 /// Instances queue some requests beyond their slots; past this share of them, a request had better be refused at once.
 constexpr double largestOccupancy = 3.0;
 /// Share of requests that aren't served, also by refusals, from which on a service's work is spread over more instances.
-constexpr double failingShare = 0.08;
+constexpr double failingShare = 0.05;
 /// Share of the instances in service that get requests while many requests aren't served; the platform asks for 0.7 within 2 s.
 constexpr double spreadShare = 0.75;
 constexpr std::chrono::milliseconds spreadWindow{1600};
 /// An instance that failed within this time isn't counted as sound; the same 2 s.
 constexpr std::chrono::milliseconds failureWindow{2000};
 /// Time after which the unserved requests of a service have faded to 1/e.
-constexpr std::chrono::milliseconds failureMemory{1500};
+constexpr std::chrono::milliseconds failureMemory{1000};
 
 std::int64_t ageOf(const std::optional<SteadyTime> &time, SteadyTime now)
 {
--- a/libraries/process/limits/sharedretrybudget.cpp
+++ b/libraries/process/limits/sharedretrybudget.cpp
@@ -6,8 +6,12 @@
 
 namespace {
 
-/// Part of the allowance that is used: the rest covers retries that other VMs decide on before they hear of each other.
-constexpr double usedPart = 0.7;
+/// Parts of the allowance that are used while the VMs hear each other and while they don't. Both may fall into one window, and what is left
+/// covers retries that VMs decide on before they hear of each other.
+constexpr double usedPartTogether = 0.55;
+constexpr double usedPartAlone = 0.35;
+/// A VM that hears less of the fleet goes by what it knows of itself.
+constexpr double togetherShare = 0.9;
 constexpr std::chrono::milliseconds sliceLength{250};
 
 } // namespace
@@ -22,33 +26,45 @@
 {
     {
         std::lock_guard<std::mutex> lock(this->mutex);
-        ++this->sliceOf(service, now).requests;
+        Slice &current = this->sliceOf(service, now);
+        ++current.requests;
+        ++current.ownRequests;
     }
     this->hooks.used(service, 1, 0);
 }
 
 bool SharedRetryBudget::tryTake(const std::string &service, SteadyTime now)
 {
-    const double share = this->hooks.visibleShare();
     {
         std::lock_guard<std::mutex> lock(this->mutex);
         Slice &current = this->sliceOf(service, now);
-        std::uint64_t requests = 0;
-        std::uint64_t retries = 0;
-        for (const Slice &slice : this->slices[service]) {
-            requests += slice.requests;
-            retries += slice.retries;
-        }
-        const double allowed = usedPart * (this->options.ratio * static_cast<double>(requests) + this->options.slack * share);
-        if (static_cast<double>(retries) + 1 > allowed) {
+        if (!this->isWithinBudget(this->slices[service])) {
             return false;
         }
         ++current.retries;
+        ++current.ownRetries;
     }
     this->hooks.used(service, 0, 1);
     return true;
 }
 
+bool SharedRetryBudget::isWithinBudget(const std::deque<Slice> &window) const
+{
+    Slice sum;
+    for (const Slice &slice : window) {
+        sum.requests += slice.requests;
+        sum.retries += slice.retries;
+        sum.ownRequests += slice.ownRequests;
+        sum.ownRetries += slice.ownRetries;
+    }
+    const double together = usedPartTogether * (this->options.ratio * static_cast<double>(sum.requests) + this->options.slack);
+    if (this->hooks.visibleShare() >= togetherShare) {
+        return static_cast<double>(sum.retries) + 1 <= together;
+    }
+    const double alone = usedPartAlone * (this->options.ratio * static_cast<double>(sum.ownRequests) + this->options.slack * this->hooks.ownShare());
+    return static_cast<double>(sum.ownRetries) + 1 <= alone;
+}
+
 void SharedRetryBudget::usedElsewhere(const std::string &service, std::uint32_t requests, std::uint32_t retries, SteadyTime now)
 {
     std::lock_guard<std::mutex> lock(this->mutex);
@@ -64,7 +80,7 @@
         all.pop_front();
     }
     if (all.empty() || now - all.back().began >= sliceLength) {
-        all.push_back({now, 0, 0});
+        all.push_back({now, 0, 0, 0, 0});
     }
     return all.back();
 }
--- a/libraries/process/limits/sharedretrybudget.h
+++ b/libraries/process/limits/sharedretrybudget.h
@@ -14,7 +14,8 @@
 /**
  * Bounds the retries of all VMs together, for each service by its own requests.
  *
- * Each VM counts what it hears of the others. Like SharedRateLimiter, one that doesn't hear them all keeps to its share. Thread-safe.
+ * Each VM counts what it hears of the others. One that doesn't hear them all goes by its own requests and its own part of the slack.
+ * Thread-safe.
  */
 class SharedRetryBudget : public RetryAllowance
 {
@@ -28,7 +29,10 @@
     };
 
     struct Hooks {
+        /// Share of the fleet's VMs that this VM hears of, at most 1.
         std::function<double()> visibleShare;
+        /// What part of the fleet this VM is.
+        std::function<double()> ownShare;
         /// Tells the other VMs of requests and retries of a service.
         std::function<void(const std::string &, std::uint32_t requests, std::uint32_t retries)> used;
     };
@@ -46,8 +50,12 @@
         SteadyTime began;
         std::uint64_t requests = 0;
         std::uint64_t retries = 0;
+        /// This VM's part of both.
+        std::uint64_t ownRequests = 0;
+        std::uint64_t ownRetries = 0;
     };
 
+    bool isWithinBudget(const std::deque<Slice> &window) const;
     Slice &sliceOf(const std::string &service, SteadyTime now);
 
     const Options options;
--- a/libraries/process/relay/entrynode.cpp
+++ b/libraries/process/relay/entrynode.cpp
@@ -100,6 +100,7 @@
     this->limiter = std::make_unique<SharedRateLimiter>(std::move(limiterHooks));
     SharedRetryBudget::Hooks retryHooks;
     retryHooks.visibleShare = [this] { return this->relayUplink->visibleShare(); };
+    retryHooks.ownShare = [this] { return this->relayUplink->ownShare(); };
     retryHooks.used = [this](const std::string &service, std::uint32_t requests, std::uint32_t retried) {
         RelayMessages::News news;
         RelayMessages::ServiceUse &use = *news.add_services();
--- a/libraries/process/relay/relayuplink.cpp
+++ b/libraries/process/relay/relayuplink.cpp
@@ -52,6 +52,12 @@
     return isHeard ? std::clamp(this->status.visible_vms() / known, 1 / known, 1.0) : 1 / known;
 }
 
+double RelayUplink::ownShare() const
+{
+    std::lock_guard<std::mutex> lock(this->mutex);
+    return 1.0 / std::max<std::uint32_t>(1, this->status.known_vms());
+}
+
 bool RelayUplink::isCurrent() const
 {
     std::lock_guard<std::mutex> lock(this->mutex);
--- a/libraries/process/relay/relayuplink.h
+++ b/libraries/process/relay/relayuplink.h
@@ -51,6 +51,9 @@
     /// Share of the fleet's VMs that this VM hears of through its relay; its own part of the fleet while it is cut off.
     double visibleShare() const;
 
+    /// What part of the fleet this VM is.
+    double ownShare() const;
+
     /// Whether the relay was heard from lately and knows the latest.
     bool isCurrent() const;
 
