--- a/libraries/process/relay/entrynode.cpp
+++ b/libraries/process/relay/entrynode.cpp
@@ -95,7 +95,7 @@
         use.set_team(team);
         use.set_admitted(1);
         use.set_scarce(isScarce);
-        this->relayUplink->tell(news);
+        this->relayUplink->send(news);
     };
     this->limiter = std::make_unique<SharedRateLimiter>(std::move(limiterHooks));
     SharedRetryBudget::Hooks retryHooks;
@@ -107,7 +107,7 @@
         use.set_service(service);
         use.set_requests(requests);
         use.set_retries(retried);
-        this->relayUplink->tell(news);
+        this->relayUplink->send(news);
     };
     this->retryBudget = std::make_unique<SharedRetryBudget>(retryOptions(settings), std::move(retryHooks));
     RelayUplink::Options options;
@@ -170,7 +170,7 @@
         instance.set_port(chosen->port());
         instance.set_incarnation(chosen->started_at_milliseconds());
     }
-    this->relayUplink->tell(news);
+    this->relayUplink->send(news);
     return instance;
 }
 
@@ -192,7 +192,7 @@
         std::lock_guard<std::mutex> lock(this->mutex);
         this->board.apply(counts, this->clock());
     }
-    this->relayUplink->tell(news);
+    this->relayUplink->send(news);
 }
 
 bool EntryNode::isPoison(std::uint64_t fingerprint) const
@@ -215,7 +215,7 @@
         std::lock_guard<std::mutex> lock(this->mutex);
         this->board.apply(use, this->clock());
     }
-    this->relayUplink->tell(news);
+    this->relayUplink->send(news);
 }
 
 std::string EntryNode::explain(const std::string &instanceId) const
--- a/libraries/process/relay/relayhub.cpp
+++ b/libraries/process/relay/relayhub.cpp
@@ -39,7 +39,7 @@
     RelayMessages::News news;
     *news.mutable_configuration() = *this->configuration;
     // Peers get it through the control log.
-    this->tellVms(news, nullptr);
+    this->sendToVms(news, nullptr);
 }
 
 bool RelayHub::publish(const RelayMessages::Registration &registration, bool needsMajority, SteadyTime deadline)
@@ -51,12 +51,12 @@
     const bool isRenewal = former != nullptr && former->state() == registration.state()
         && former->started_at_milliseconds() == registration.started_at_milliseconds() && former->host() == registration.host()
         && former->port() == registration.port() && former->slots() == registration.slots();
-    RelayMessages::News changed = this->takeIn(news);
+    RelayMessages::News changed = this->merge(news);
     if (isRenewal) {
         // It tells nobody anything new, and there is one from each instance every second or two.
         changed.clear_registrations();
     }
-    this->tellVms(changed, nullptr);
+    this->sendToVms(changed, nullptr);
     if (needsMajority) {
         // Told again though it was known here, since the relay that heard it first may not have reached a majority.
         const RelayMessages::Registration *known = this->board.table().find(registration.id());
@@ -68,7 +68,7 @@
     for (const std::pair<const std::string, std::shared_ptr<RelayPeer>> &entry : this->peers) {
         awaited[entry.first] = entry.second->buffer.nextSequence();
     }
-    this->tellPeers(changed);
+    this->sendToPeers(changed);
     if (!needsMajority) {
         return true;
     }
@@ -99,7 +99,7 @@
         peer->failureDomain = address.failure_domain();
         RelayMessages::News news;
         *news.add_relays() = peer->relayAddress();
-        this->tellVms(news, nullptr);
+        this->sendToVms(news, nullptr);
         for (const std::shared_ptr<RelaySubscriber> &subscriber : this->subscribers) {
             if (subscriber->isRelay()) {
                 subscriber->buffer.add(news);
@@ -156,10 +156,10 @@
 {
     {
         std::lock_guard<std::mutex> lock(this->mutex);
-        const RelayMessages::News changed = this->takeIn(news);
-        this->tellVms(changed, &subscriber);
+        const RelayMessages::News changed = this->merge(news);
+        this->sendToVms(changed, &subscriber);
         if (!subscriber.isRelay()) {
-            this->tellPeers(changed);
+            this->sendToPeers(changed);
         }
         for (const RelayMessages::VmPresence &vm : news.vms()) {
             if (vm.present()) {
@@ -233,12 +233,12 @@
         isNew = !peer.isConnected;
         peer.isConnected = true;
         if (isNew) {
-            this->tellRelay(peer);
+            this->sendRelayState(peer);
         }
         peer.confirmed = std::max(peer.confirmed, news.confirmed());
         RelayMessages::News registrations;
         *registrations.mutable_registrations() = news.registrations();
-        this->tellVms(this->takeIn(registrations), nullptr);
+        this->sendToVms(this->merge(registrations), nullptr);
     }
     this->confirmations.notify_all();
     if (isNew) {
@@ -257,7 +257,7 @@
         wasConnected = peer.isConnected;
         peer.isConnected = false;
         if (wasConnected) {
-            this->tellRelay(peer);
+            this->sendRelayState(peer);
         }
     }
     if (wasConnected) {
@@ -310,7 +310,7 @@
     return found == nullptr ? std::nullopt : std::optional<RelayMessages::Registration>(*found);
 }
 
-RelayMessages::News RelayHub::takeIn(const RelayMessages::News &news)
+RelayMessages::News RelayHub::merge(const RelayMessages::News &news)
 {
     const SteadyTime now = this->options.clock();
     RelayMessages::News changed;
@@ -329,7 +329,7 @@
     return changed;
 }
 
-void RelayHub::tellVms(const RelayMessages::News &news, const RelaySubscriber *except)
+void RelayHub::sendToVms(const RelayMessages::News &news, const RelaySubscriber *except)
 {
     for (const std::shared_ptr<RelaySubscriber> &subscriber : this->subscribers) {
         if (!subscriber->isRelay() && subscriber.get() != except) {
@@ -338,18 +338,18 @@
     }
 }
 
-void RelayHub::tellPeers(const RelayMessages::News &news)
+void RelayHub::sendToPeers(const RelayMessages::News &news)
 {
     for (const std::pair<const std::string, std::shared_ptr<RelayPeer>> &entry : this->peers) {
         entry.second->buffer.add(news);
     }
 }
 
-void RelayHub::tellRelay(const RelayPeer &peer)
+void RelayHub::sendRelayState(const RelayPeer &peer)
 {
     RelayMessages::News news;
     *news.add_relays() = peer.relayAddress();
-    this->tellVms(news, nullptr);
+    this->sendToVms(news, nullptr);
 }
 
 void RelayHub::noteVm(const std::string &vm, bool present)
@@ -359,7 +359,7 @@
     RelayMessages::VmPresence &presence = *news.add_vms();
     presence.set_vm(vm);
     presence.set_present(present);
-    this->tellPeers(news);
+    this->sendToPeers(news);
 }
 
 RelayMessages::News RelayHub::everything() const
--- a/libraries/process/relay/relayhub.h
+++ b/libraries/process/relay/relayhub.h
@@ -113,10 +113,10 @@
 
 private:
     // These are called with the mutex held.
-    RelayMessages::News takeIn(const RelayMessages::News &news);
-    void tellVms(const RelayMessages::News &news, const RelaySubscriber *except);
-    void tellPeers(const RelayMessages::News &news);
-    void tellRelay(const RelayPeer &peer);
+    RelayMessages::News merge(const RelayMessages::News &news);
+    void sendToVms(const RelayMessages::News &news, const RelaySubscriber *except);
+    void sendToPeers(const RelayMessages::News &news);
+    void sendRelayState(const RelayPeer &peer);
     void noteVm(const std::string &vm, bool present);
     RelayMessages::News everything() const;
 
--- a/libraries/process/relay/relayuplink.cpp
+++ b/libraries/process/relay/relayuplink.cpp
@@ -39,7 +39,7 @@
     this->thread.join();
 }
 
-void RelayUplink::tell(const RelayMessages::News &news)
+void RelayUplink::send(const RelayMessages::News &news)
 {
     this->outgoing.add(news);
 }
--- a/libraries/process/relay/relayuplink.h
+++ b/libraries/process/relay/relayuplink.h
@@ -46,7 +46,7 @@
     RelayUplink &operator=(const RelayUplink &) = delete;
 
     /// News for the relay.
-    void tell(const RelayMessages::News &news);
+    void send(const RelayMessages::News &news);
 
     /// Share of the fleet's VMs that this VM hears of through its relay; its own part of the fleet while it is cut off.
     double visibleShare() const;
--- a/libraries/process/telemetry/jsonlogsink.cpp
+++ b/libraries/process/telemetry/jsonlogsink.cpp
@@ -21,8 +21,8 @@
     switch (kind) {
     case LineKind::Event:
         return "event";
-    case LineKind::Trouble:
-        return "trouble";
+    case LineKind::Failure:
+        return "failure";
     case LineKind::Success:
         break;
     }
--- a/libraries/process/telemetry/linewriter.cpp
+++ b/libraries/process/telemetry/linewriter.cpp
@@ -20,7 +20,7 @@
     , lines(this->options.capacity)
     , second(this->options.clock())
 {
-    for (const LineKind kind : {LineKind::Event, LineKind::Trouble, LineKind::Success}) {
+    for (const LineKind kind : {LineKind::Event, LineKind::Failure, LineKind::Success}) {
         this->budgets[kind].left = this->perSecond(kind);
     }
     this->thread = std::thread([this] { this->run(); });
@@ -71,8 +71,8 @@
     switch (kind) {
     case LineKind::Event:
         return this->options.eventsPerSecond;
-    case LineKind::Trouble:
-        return this->options.troublesPerSecond;
+    case LineKind::Failure:
+        return this->options.failuresPerSecond;
     case LineKind::Success:
         break;
     }
--- a/libraries/process/telemetry/linewriter.h
+++ b/libraries/process/telemetry/linewriter.h
@@ -18,7 +18,7 @@
     /// A change of what the process believes, a start, a stop, a warning or an error.
     Event,
     /// A request that was refused or failed, or that was tried more than once.
-    Trouble,
+    Failure,
     /// A request that went well.
     Success,
 };
@@ -37,7 +37,7 @@
         std::size_t capacity = 2000;
         /// Lines a second of each kind. A VM serves some hundred requests a second at most, and each line costs about 30 us.
         std::size_t eventsPerSecond = 300;
-        std::size_t troublesPerSecond = 200;
+        std::size_t failuresPerSecond = 200;
         std::size_t successesPerSecond = 50;
         SteadyClock clock;
         /// The line that tells how many lines of a kind were dropped.
--- a/libraries/process/telemetry/requestlog.cpp
+++ b/libraries/process/telemetry/requestlog.cpp
@@ -33,8 +33,8 @@
 
 LineKind kindOf(const RequestRecord &record)
 {
-    const bool isTrouble = record.refusal || record.status >= firstError || record.tries.size() > 1;
-    return isTrouble ? LineKind::Trouble : LineKind::Success;
+    const bool isFailure = record.refusal || record.status >= firstError || record.tries.size() > 1;
+    return isFailure ? LineKind::Failure : LineKind::Success;
 }
 
 } // namespace
--- a/tests/unit/process/telemetry/telemetrytest.cpp
+++ b/tests/unit/process/telemetry/telemetrytest.cpp
@@ -141,7 +141,7 @@
     tried.outcome = TryOutcome::ConnectionLost;
     record.tries.push_back(tried);
     log.requestFinished(record);
-    CATCH_CHECK(kind == LineKind::Trouble);
+    CATCH_CHECK(kind == LineKind::Failure);
     CATCH_CHECK(line["id"] == "9c41d07be2a35f68");
     CATCH_CHECK(line["catalogue"] == 7);
     CATCH_CHECK(line["outcome"] == "unknown");
