Relay: Watch for silence on a thread that never writes

Read from the code: a write to a lost peer blocks while its windows are full, and the thread that writes was the one that looked for silence; the first message was written before it began.

Change: a thread of its own watches each stream from the start and cancels it.

--- a/libraries/process/relay/relayexchange.cpp
+++ b/libraries/process/relay/relayexchange.cpp
@@ -7,6 +7,9 @@
 
 namespace {
 
+/// How often silence is looked for within its limit.
+constexpr int watchesPerLimit = 5;
+
 SteadyTime steadyNow()
 {
     return std::chrono::steady_clock::now();
@@ -26,29 +29,50 @@
 {
     this->lastHeard = steadyNow().time_since_epoch().count();
     std::thread sender([this] { this->sendUntilEnded(); });
+    std::thread watch([this] { this->watchUntilEnded(); });
     RelayMessages::News news;
     while (this->stream.read(news)) {
         this->lastHeard = steadyNow().time_since_epoch().count();
         this->hooks.receive(news);
         news.Clear();
     }
-    this->ended = true;
+    {
+        std::lock_guard<std::mutex> lock(this->mutex);
+        this->ended = true;
+    }
+    this->endedChanged.notify_all();
     this->outgoing.wake();
     sender.join();
+    watch.join();
 }
 
-void RelayExchange::sendUntilEnded()
+void RelayExchange::greet(RelayMessages::News news)
+{
+    this->first = std::move(news);
+}
+
+void RelayExchange::watchUntilEnded()
 {
+    std::unique_lock<std::mutex> lock(this->mutex);
     while (!this->ended) {
-        std::optional<RelayMessages::News> news = this->outgoing.take(steadyNow() + this->timing.heartbeat, this->timing.gathering);
+        this->endedChanged.wait_for(lock, this->timing.silenceLimit / watchesPerLimit, [this] { return this->ended.load(); });
         const SteadyTime heard{SteadyTime::duration(this->lastHeard)};
-        if (!news || this->ended || steadyNow() - heard > this->timing.silenceLimit) {
-            break;
+        if (!this->ended && steadyNow() - heard > this->timing.silenceLimit) {
+            this->stream.cancel();
         }
-        this->hooks.complete(*news);
-        if (!this->stream.write(*news)) {
+    }
+}
+
+void RelayExchange::sendUntilEnded()
+{
+    bool isOpen = !this->first || this->stream.write(*this->first);
+    while (isOpen && !this->ended) {
+        std::optional<RelayMessages::News> news = this->outgoing.take(steadyNow() + this->timing.heartbeat, this->timing.gathering);
+        if (!news || this->ended) {
             break;
         }
+        this->hooks.complete(*news);
+        isOpen = this->stream.write(*news);
     }
     this->stream.cancel();
 }
--- a/libraries/process/relay/relayexchange.h
+++ b/libraries/process/relay/relayexchange.h
@@ -4,11 +4,15 @@
 
 #include <atomic>
 #include <chrono>
+#include <condition_variable>
 #include <functional>
+#include <mutex>
+#include <optional>
 
 namespace Hyssophall {
 
-/// The work on one stream of news, the same at both ends: one thread sends what is in a buffer, the caller's thread takes in what comes.
+/// The work on one stream of news, the same at both ends: one thread sends what is in a buffer, one watches for silence, and the caller's
+/// thread takes in what comes. Writing blocks for as long as a lost peer's windows are full, so the sender can't be the one that watches.
 class RelayExchange
 {
 public:
@@ -38,16 +42,23 @@
     /// The buffer and what the hooks use outlive run().
     RelayExchange(NewsBuffer &outgoing, Stream stream, Hooks hooks, Timing timing);
 
+    /// Sends @p first before anything else.
+    void greet(RelayMessages::News first);
+
     /// Returns once the stream has ended, was silent for too long, or the buffer was closed.
     void run();
 
 private:
     void sendUntilEnded();
+    void watchUntilEnded();
 
     NewsBuffer &outgoing;
     const Stream stream;
     const Hooks hooks;
     const Timing timing;
+    std::optional<RelayMessages::News> first;
+    std::mutex mutex;
+    std::condition_variable endedChanged;
     std::atomic<bool> ended{false};
     std::atomic<SteadyTime::rep> lastHeard{0};
 };
--- a/libraries/process/relay/relaylink.cpp
+++ b/libraries/process/relay/relaylink.cpp
@@ -57,13 +57,19 @@
     running.context.AddMetadata(FleetCredential::metadataName, this->options.fleetSecret);
     const std::unique_ptr<RelayMessages::Relay::Stub> stub = RelayMessages::Relay::NewStub(channel);
     const std::unique_ptr<grpc::ClientReaderWriter<RelayMessages::News, RelayMessages::News>> stream = stub->Exchange(&running.context);
-    const bool stood = stream->Write(first);
-    if (stood) {
+    bool stood = false;
+    {
         RelayExchange::Stream ends;
-        ends.read = [&stream](RelayMessages::News &news) { return stream->Read(&news); };
+        ends.read = [&stream, &stood](RelayMessages::News &news) {
+            const bool isRead = stream->Read(&news);
+            stood = stood || isRead;
+            return isRead;
+        };
         ends.write = [&stream](const RelayMessages::News &news) { return stream->Write(news); };
         ends.cancel = [&running] { running.context.TryCancel(); };
-        RelayExchange(outgoing, std::move(ends), this->hooks, this->options.timing).run();
+        RelayExchange exchange(outgoing, std::move(ends), this->hooks, this->options.timing);
+        exchange.greet(first);
+        exchange.run();
     }
     running.context.TryCancel();
     stream->Finish();
--- a/libraries/process/relay/relaylink.h
+++ b/libraries/process/relay/relaylink.h
@@ -24,7 +24,7 @@
 
     RelayLink(Options options, RelayExchange::Hooks hooks);
 
-    /// Connects, sends @p first and then what is in @p outgoing. Returns when the connection has ended; false when it never stood.
+    /// Connects, sends @p first and then what is in @p outgoing. Returns when the connection has ended; false when nothing ever came on it.
     bool run(const RelayMessages::News &first, NewsBuffer &outgoing);
 
     /// Ends run() from another thread, also one that begins later.
