--- a/libraries/process/health/outcomeboard.cpp
+++ b/libraries/process/health/outcomeboard.cpp
@@ -36,8 +36,9 @@
 constexpr double fullCost = 1.0;
 /// Instances queue some requests beyond their slots; past this share of them, a request had better be refused at once.
 constexpr double largestOccupancy = 3.0;
-/// Share of requests that aren't served, also by refusals, from which on a service's work is spread over more instances.
-constexpr double failingShare = 0.05;
+/// Share of requests that aren't served, also by refusals, from which on a service's work is spread over more instances. Low, since requests
+/// that hang are known as unserved only at their end, seconds after the rule counts them.
+constexpr double failingShare = 0.02;
 /// Share of the instances in service that get requests while many requests aren't served; the platform asks for 0.7 within 2 s.
 constexpr double spreadShare = 0.75;
 constexpr std::chrono::milliseconds spreadWindow{1600};
