--- a/bench/latency/openparts.h
+++ b/bench/latency/openparts.h
@@ -72,9 +72,9 @@
         this->instance.set_port(port);
     }
 
-    std::optional<hyssophall::fleet::v1::Instance> choose(const std::string &, bool, const std::set<std::string> &tried) override
+    std::optional<hyssophall::fleet::v1::Instance> choose(const Hyssophall::InstanceQuery &query) override
     {
-        return tried.empty() ? std::optional<hyssophall::fleet::v1::Instance>(this->instance) : std::nullopt;
+        return query.tried.empty() ? std::optional<hyssophall::fleet::v1::Instance>(this->instance) : std::nullopt;
     }
 
     void finish(const hyssophall::fleet::v1::Instance &, Hyssophall::TryOutcome, std::chrono::microseconds, std::uint64_t) override
--- a/bench/naiveproxy/localhealth.cpp
+++ b/bench/naiveproxy/localhealth.cpp
@@ -21,9 +21,9 @@
 {
 }
 
-std::optional<FleetMessages::Instance> LocalHealth::choose(const std::string &service, bool, const std::set<std::string> &tried)
+std::optional<FleetMessages::Instance> LocalHealth::choose(const Hyssophall::InstanceQuery &query)
 {
-    const auto found = this->services.find(service);
+    const auto found = this->services.find(query.service);
     if (found == this->services.end()) {
         return std::nullopt;
     }
@@ -31,7 +31,7 @@
     const Hyssophall::SteadyTime now = std::chrono::steady_clock::now();
     for (std::size_t count = 0; count < found->second.size(); ++count) {
         const FleetMessages::Instance &instance = found->second[this->nextTurn++ % found->second.size()];
-        if (!tried.contains(instance.id()) && this->states[instance.id()].ejectedUntil <= now) {
+        if (!query.tried.contains(instance.id()) && this->states[instance.id()].ejectedUntil <= now) {
             return instance;
         }
     }
--- a/bench/naiveproxy/localhealth.h
+++ b/bench/naiveproxy/localhealth.h
@@ -21,7 +21,7 @@
 
     LocalHealth(Services services, std::uint64_t firstTurn);
 
-    std::optional<FleetMessages::Instance> choose(const std::string &service, bool idempotent, const std::set<std::string> &tried) override;
+    std::optional<FleetMessages::Instance> choose(const Hyssophall::InstanceQuery &query) override;
     void finish(const FleetMessages::Instance &instance, Hyssophall::TryOutcome outcome, std::chrono::microseconds latency, std::uint64_t fingerprint) override;
     bool isPoison(std::uint64_t fingerprint) const override;
 
--- a/libraries/connection/upstreamclient.cpp
+++ b/libraries/connection/upstreamclient.cpp
@@ -2,6 +2,8 @@
 
 #include "connection/connectprobe.h"
 
+#include <algorithm>
+
 namespace Hyssophall {
 
 UpstreamClient::UpstreamClient(const Options &options)
@@ -15,10 +17,13 @@
     const std::shared_ptr<ConnectionPool> pool = this->poolOf({call.host, call.port});
     std::unique_ptr<UpstreamConnection> connection = call.idempotent && !call.newConnection ? pool->take(began) : nullptr;
     SteadyTime deadline = call.deadline;
-    if (connection != nullptr) {
-        // A reused connection may have gone silent; half of the time is kept for another try.
+    if (call.idempotent && call.mayFollow && call.patienceEnd) {
+        deadline = std::min(deadline, *call.patienceEnd);
+    } else if (connection != nullptr && call.mayFollow) {
+        // A kept connection may have gone silent; half of the time is left for another try.
         deadline = began + (call.deadline - began) / 2;
-    } else {
+    }
+    if (connection == nullptr) {
         connection = UpstreamConnection::create(call.host, call.port, this->options.maximumAnswerBytes, this->options.connectTimeout);
     }
     UpstreamResult result;
--- a/libraries/connection/upstreamsender.h
+++ b/libraries/connection/upstreamsender.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <string>
 
 namespace Hyssophall {
@@ -24,6 +25,10 @@
     /// Sent as X-Request-Id; an answer with another one is refused as crossed.
     std::string requestId;
     SteadyTime deadline;
+    /// When to end this try in favour of another one, if before the deadline. Without it, a try on a kept connection gets half of the time.
+    std::optional<SteadyTime> patienceEnd;
+    /// Whether another try may follow this one.
+    bool mayFollow = true;
     /// Called once the connection stands, right before the first byte; false keeps the request from being sent. May be empty.
     std::function<bool()> mayBeSent;
     /// Asked several times a second while an idempotent request is in flight; true ends the try. May be empty.
--- a/libraries/process/health/healthmonitor.cpp
+++ b/libraries/process/health/healthmonitor.cpp
@@ -34,21 +34,21 @@
 {
 }
 
-std::optional<FleetMessages::Instance> HealthMonitor::choose(const std::string &service, bool idempotent, const std::set<std::string> &tried)
+std::optional<FleetMessages::Instance> HealthMonitor::choose(const InstanceQuery &query)
 {
-    const std::shared_ptr<const InstanceDirectory::Instances> known = this->directory.instances(service);
+    const std::shared_ptr<const InstanceDirectory::Instances> known = this->directory.instances(query.service);
     std::lock_guard<std::mutex> lock(this->mutex);
     const SteadyTime now = this->options.clock();
-    std::vector<const KnownInstance *> choices = this->candidates(*known, tried, false);
+    std::vector<const KnownInstance *> choices = this->candidates(*known, query.tried, false);
     if (choices.empty()) {
         // An ejected instance may still answer; refusing the request surely fails it.
-        choices = this->candidates(*known, tried, true);
+        choices = this->candidates(*known, query.tried, true);
     }
     if (choices.empty()) {
         return std::nullopt;
     }
-    SeenInstances &seen = this->seenOfService(service, *known, now);
-    if (!idempotent) {
+    SeenInstances &seen = this->seenOfService(query.service, *known, now);
+    if (!query.idempotent) {
         // A request that can't be retried isn't risked on an instance that fails often, if there is another.
         const auto isAvoided
             = [this, &seen, now](const KnownInstance *choice) { return this->seenOf(seen, choice->instance, now).score.failureShare() > avoidedFailureShare; };
@@ -57,7 +57,7 @@
         }
     }
     const KnownInstance *chosen = choices[this->draw(choices.size())];
-    const bool explores = idempotent && this->options.random() % explorationInterval == 0;
+    const bool explores = query.idempotent && this->options.random() % explorationInterval == 0;
     if (!explores) {
         chosen = this->better(seen, chosen, choices[this->draw(choices.size())], now);
     }
--- a/libraries/process/health/healthmonitor.h
+++ b/libraries/process/health/healthmonitor.h
@@ -40,7 +40,7 @@
     /// @p directory outlives the monitor.
     HealthMonitor(Options options, const InstanceDirectory &directory);
 
-    std::optional<FleetMessages::Instance> choose(const std::string &service, bool idempotent, const std::set<std::string> &tried) override;
+    std::optional<FleetMessages::Instance> choose(const InstanceQuery &query) override;
     void finish(const FleetMessages::Instance &instance, TryOutcome outcome, std::chrono::microseconds latency, std::uint64_t fingerprint) override;
     bool isPoison(std::uint64_t fingerprint) const override;
 
--- a/libraries/process/health/instancehealth.h
+++ b/libraries/process/health/instancehealth.h
@@ -1,11 +1,12 @@
 #pragma once
 
 #include "process/fleet/instancedirectory.h"
+#include "process/health/instancequery.h"
 #include "process/hooks.h"
 
+#include <chrono>
 #include <cstdint>
 #include <optional>
-#include <set>
 #include <string>
 
 namespace Hyssophall {
@@ -34,8 +35,14 @@
 public:
     virtual ~InstanceHealth() = default;
 
-    /// Chooses an instance for a try, avoiding those in @p tried; nothing when none is left. Counts it as in flight.
-    virtual std::optional<hyssophall::fleet::v1::Instance> choose(const std::string &service, bool idempotent, const std::set<std::string> &tried) = 0;
+    /// Chooses an instance for a try; nothing when none is left. Counts it as in flight.
+    virtual std::optional<hyssophall::fleet::v1::Instance> choose(const InstanceQuery &query) = 0;
+
+    /// How long a try of an idempotent request may take before another instance is tried; nothing when that isn't known.
+    virtual std::optional<std::chrono::milliseconds> patience(const std::string &) const
+    {
+        return std::nullopt;
+    }
 
     /// Ends the try that choose() began. @p fingerprint is the request's. After a lost connection this waits for the owner of the fingerprint,
     /// 100 ms at most, so that a poison request is known as such before it is tried again.
--- a/libraries/process/health/outcomeboard.cpp
+++ b/libraries/process/health/outcomeboard.cpp
@@ -20,15 +20,18 @@
 constexpr std::chrono::seconds longestFlight{12};
 /// An instance that can't be reached is left alone for this long at first, and twice as long each time, up to the longest.
 constexpr std::chrono::milliseconds firstUnreachableHold{500};
-constexpr std::chrono::milliseconds longestUnreachableHold{8000};
+constexpr std::chrono::milliseconds longestUnreachableHold{2000};
 /// An instance that was full has a free slot again about half a usual request later.
 constexpr std::chrono::milliseconds fullHold{150};
 /// Each request in flight on an instance that may be gray would be lost with it, too.
 constexpr double companyCost = 0.5;
+/// What a failed try costs that another one may follow: some time, and a part of the retry budget.
+constexpr double repeatableFailureCost = 0.25;
+constexpr double bytesOfKilobyte = 1024;
 /// Prefers idle instances among those with free slots, since instances slow down when they are nearly full.
 constexpr double busyCost = 0.02;
-/// A request that waits for a slot takes up to twice as long; few miss their target by that.
-constexpr double waitingCost = 0.25;
+/// A request that waits for a slot waits for a third of a usual request at first; few miss their target by that.
+constexpr double waitingCost = 0.1;
 /// An instance at twice the latency of its service costs as much as this chance of a failure.
 constexpr double slownessCost = 0.15;
 constexpr double largestSlownessCost = 0.6;
@@ -36,8 +39,8 @@
 constexpr double fullCost = 1.0;
 /// Instances queue some requests beyond their slots; past this share of them, a request had better be refused at once.
 constexpr double largestOccupancy = 3.0;
-/// Share of requests that aren't served, also by refusals, from which on a service's work is spread over more instances. Low, since requests
-/// that hang are known as unserved only at their end, seconds after the rule counts them.
+/// Share of requests that aren't served, also by refusals, from which on a service's work is spread over more instances. Low, since what other
+/// VMs couldn't serve is known later than the rule counts it.
 constexpr double failingShare = 0.02;
 /// Share of the instances in service that get requests while many requests aren't served; the platform asks for 0.7 within 2 s.
 constexpr double spreadShare = 0.75;
@@ -166,21 +169,23 @@
     return all;
 }
 
-std::optional<RelayMessages::Registration> OutcomeBoard::choose(const std::string &serviceName, const std::set<std::string> &tried, SteadyTime now)
+std::optional<RelayMessages::Registration> OutcomeBoard::choose(const InstanceQuery &query, std::size_t answerBytes, SteadyTime now)
 {
-    Service &service = this->services[serviceName];
+    const Stakes stakes = this->stakesOf(query, answerBytes);
+    Service &service = this->services[query.service];
     fade(service, now);
     std::vector<Candidate> candidates;
     for (const std::pair<const std::string, RelayMessages::Registration> &entry : this->instances.all()) {
         const RelayMessages::Registration &registration = entry.second;
-        if (registration.service() != serviceName || registration.state() != RelayMessages::REGISTRATION_STATE_READY || tried.count(registration.id()) > 0) {
+        if (registration.service() != query.service || registration.state() != RelayMessages::REGISTRATION_STATE_READY
+            || query.tried.contains(registration.id())) {
             continue;
         }
         Life &life = this->lives[InstanceTable::handleOf(registration)];
         this->countHanging(life, service, now);
         const double slots = std::max<std::uint32_t>(1, registration.slots());
         if (static_cast<double>(life.starts.size()) < largestOccupancy * slots) {
-            candidates.push_back({&registration, &life, this->costOf(registration, life, service, now)});
+            candidates.push_back({&registration, &life, this->costOf(registration, life, service, stakes, now)});
         }
     }
     if (candidates.empty()) {
@@ -190,7 +195,16 @@
     return *chosen.registration;
 }
 
-void OutcomeBoard::countHanging(Life &life, const Service &service, SteadyTime now)
+OutcomeBoard::Stakes OutcomeBoard::stakesOf(const InstanceQuery &query, std::size_t answerBytes) const
+{
+    Stakes stakes;
+    stakes.failure = query.idempotent && query.mayFollow ? repeatableFailureCost : 1;
+    const double kilobytes = static_cast<double>(query.requestBytes + answerBytes) / bytesOfKilobyte;
+    stakes.crossing = this->options.crossDomainCost + this->options.crossDomainCostOfKilobyte * kilobytes;
+    return stakes;
+}
+
+void OutcomeBoard::countHanging(Life &life, Service &service, SteadyTime now)
 {
     while (!life.starts.empty() && now - life.starts.front() > longestFlight) {
         life.starts.pop_front();
@@ -199,22 +213,26 @@
     const Milliseconds limit = std::max(shortestHang, service.latency * hangingFactor);
     while (life.hanging < life.starts.size() && now - life.starts[life.hanging] > limit) {
         ++life.hanging;
+        // Long before its end, such a request is as good as unserved.
+        service.unserved += 1;
+        service.ended += 1;
         life.gray.addFailure(now, this->options.model);
         life.failure = now;
     }
 }
 
-double OutcomeBoard::costOf(const RelayMessages::Registration &registration, const Life &life, const Service &service, SteadyTime now) const
+double OutcomeBoard::costOf(
+    const RelayMessages::Registration &registration, const Life &life, const Service &service, const Stakes &stakes, SteadyTime now) const
 {
     const double gray = life.gray.probability(now, this->options.model);
     const double inFlight = static_cast<double>(life.starts.size());
     const double slots = std::max<std::uint32_t>(1, registration.slots());
-    double cost = gray * this->options.model.grayFailureShare + gray * companyCost * inFlight + busyCost * inFlight;
+    double cost = stakes.failure * gray * (this->options.model.grayFailureShare + companyCost * inFlight) + busyCost * inFlight;
     cost += waitingCost * std::max(0.0, inFlight + 1 - slots);
     if (life.latency.count() > 0 && service.latency.count() > 0) {
         cost += std::clamp(slownessCost * (life.latency / service.latency - 1.3), 0.0, largestSlownessCost);
     }
-    cost += registration.failure_domain() == this->options.ownFailureDomain ? 0 : this->options.crossDomainCost;
+    cost += registration.failure_domain() == this->options.ownFailureDomain ? 0 : stakes.crossing;
     cost += now < life.fullUntil ? fullCost : 0;
     // Only when nothing else is left.
     cost += now < life.unreachableUntil ? 10 : 0;
--- a/libraries/process/health/outcomeboard.h
+++ b/libraries/process/health/outcomeboard.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "process/health/grayestimate.h"
+#include "process/health/instancequery.h"
 #include "process/hooks.h"
 #include "process/relay/instancetable.h"
 
@@ -10,7 +11,6 @@
 #include <deque>
 #include <map>
 #include <optional>
-#include <set>
 #include <string>
 #include <vector>
 
@@ -20,7 +20,8 @@
  * What all VMs' requests tell about the instances, and the choice of an instance for the next request.
  *
  * The choice takes the instance with the lowest expected cost, in parts of a failed request: the chance that it is gray, the wait behind the
- * requests that are in flight there, and the way to another failure domain. A service that fails much work is spread over more
+ * requests that are in flight there, and the bytes to another failure domain. A request that may be tried again risks little with its first
+ * tries, so these also show which instances are sound. A service that fails much work is spread over more
  * instances, since nobody knows the sound ones among those that get no requests. Not thread-safe.
  */
 class OutcomeBoard
@@ -28,8 +29,9 @@
 public:
     struct Options {
         std::string ownFailureDomain;
-        /// What a request to another failure domain costs, in parts of a failed request.
-        double crossDomainCost = 0.15;
+        /// What a request to another failure domain costs, and each kilobyte of it and its answer, in parts of a failed request.
+        double crossDomainCost = 0.02;
+        double crossDomainCostOfKilobyte = 0.02;
         GrayEstimate::Model model;
         RandomSource random;
     };
@@ -51,8 +53,8 @@
     /// What is known of each instance that isn't gone, for a VM that connects.
     std::vector<RelayMessages::InstanceSummary> summaries(SteadyTime now) const;
 
-    /// Chooses an instance of the service, avoiding those in @p tried; nothing when none can take a request. The choice isn't counted yet.
-    std::optional<RelayMessages::Registration> choose(const std::string &service, const std::set<std::string> &tried, SteadyTime now);
+    /// Chooses an instance for a request whose answer usually has @p answerBytes; nothing when none can take it. The choice isn't counted yet.
+    std::optional<RelayMessages::Registration> choose(const InstanceQuery &query, std::size_t answerBytes, SteadyTime now);
 
     /// What spoke for and against an instance, for the log: "gray=0.04 in_flight=1 success_age_ms=120 failure_age_ms=-1".
     std::string explain(const std::string &instanceId, SteadyTime now) const;
@@ -91,8 +93,15 @@
         double cost = 0;
     };
 
-    void countHanging(Life &life, const Service &service, SteadyTime now);
-    double costOf(const RelayMessages::Registration &registration, const Life &life, const Service &service, SteadyTime now) const;
+    /// What a request loses by the choice of an instance, in parts of a failed request.
+    struct Stakes {
+        double failure = 1;
+        double crossing = 0;
+    };
+
+    Stakes stakesOf(const InstanceQuery &query, std::size_t answerBytes) const;
+    void countHanging(Life &life, Service &service, SteadyTime now);
+    double costOf(const RelayMessages::Registration &registration, const Life &life, const Service &service, const Stakes &stakes, SteadyTime now) const;
     Candidate cheapest(std::vector<Candidate> &candidates);
     Candidate leastUsed(std::vector<Candidate> &candidates, SteadyTime now);
     bool needsSpreading(const std::vector<Candidate> &candidates, const Service &service, SteadyTime now) const;
--- a/libraries/process/limits/sharedratelimiter.cpp
+++ b/libraries/process/limits/sharedratelimiter.cpp
@@ -12,39 +12,46 @@
 constexpr std::chrono::milliseconds longestRetryAfter{5000};
 /// Requests that others admitted before this VM could know put a bucket below zero, by this much at most.
 constexpr double largestDebtInSeconds = 1;
-/// Below this share of its burst, a team is likely to reach its limit, so that the others must know at once what was admitted.
+/// Below this share of its limit, a team is likely to reach it, so that the others must know at once what was admitted.
 constexpr double scarceShare = 0.6;
+/// A VM that hears less of the fleet has parts too small to be spread over a window.
+constexpr double togetherShare = 0.9;
+/// Part of the deployment's tolerance that VMs use which hear nobody. They keep their own count exactly, and the rest covers VMs that were
+/// added meanwhile.
+constexpr double tolerancePart = 0.7;
 
 } // namespace
 
-SharedRateLimiter::SharedRateLimiter(Hooks hooks)
-    : hooks(std::move(hooks))
+SharedRateLimiter::SharedRateLimiter(Options options, Hooks hooks)
+    : options(options)
+    , hooks(std::move(hooks))
 {
 }
 
-RateDecision SharedRateLimiter::acquire(const std::string &team, SteadyTime)
+RateDecision SharedRateLimiter::acquire(const std::string &name, SteadyTime)
 {
-    const TeamRate whole = this->hooks.rateOf(team);
+    const TeamRate whole = this->hooks.rateOf(name);
     if (whole.rate <= 0) {
         return {RateDecision::Kind::Granted, std::chrono::milliseconds(0)};
     }
-    const TeamRate rate = this->ownPart(whole);
+    const double visibleShare = this->hooks.visibleShare();
     bool isScarce = false;
     {
         std::lock_guard<std::mutex> lock(this->mutex);
-        Bucket &bucket = this->bucketOf(team, rate, this->hooks.clock());
-        if (bucket.tokens < 1) {
-            const std::chrono::duration<double> wait((1 - bucket.tokens) / rate.rate);
-            const std::chrono::milliseconds retryAfter = std::chrono::duration_cast<std::chrono::milliseconds>(wait);
+        const SteadyTime now = this->hooks.clock();
+        Team &team = this->teamOf(name);
+        const Room room = this->roomOf(team, whole, visibleShare, now);
+        if (room.tokens < 1) {
             return {RateDecision::Kind::RateLimited,
-                std::clamp(retryAfter, shortestRetryAfter, longestRetryAfter),
-                "tokens=" + std::to_string(bucket.tokens) + " rate=" + std::to_string(rate.rate) + " burst=" + std::to_string(rate.burst)
-                    + " visible_share=" + std::to_string(rate.rate / whole.rate)};
+                std::clamp(room.wait, shortestRetryAfter, longestRetryAfter),
+                "tokens=" + std::to_string(room.tokens) + " rate=" + std::to_string(whole.rate) + " burst=" + std::to_string(whole.burst)
+                    + " visible_share=" + std::to_string(visibleShare)};
         }
-        bucket.tokens -= 1;
-        isScarce = bucket.tokens < scarceShare * rate.burst;
+        team.bucket.tokens -= 1;
+        team.window.add(1, visibleShare, now);
+        isScarce = room.tokens - 1 < scarceShare * room.burst;
     }
-    this->hooks.admitted(team, isScarce);
+    this->hooks.admitted(name, isScarce);
     return {RateDecision::Kind::Granted, std::chrono::milliseconds(0)};
 }
 
@@ -52,35 +59,71 @@
 {
 }
 
-void SharedRateLimiter::admittedElsewhere(const std::string &team, std::uint32_t count)
+void SharedRateLimiter::admittedElsewhere(const std::string &name, std::uint32_t count)
 {
-    const TeamRate whole = this->hooks.rateOf(team);
+    const TeamRate whole = this->hooks.rateOf(name);
     if (whole.rate <= 0) {
         return;
     }
-    const TeamRate rate = this->ownPart(whole);
+    const double visibleShare = this->hooks.visibleShare();
     std::lock_guard<std::mutex> lock(this->mutex);
-    Bucket &bucket = this->bucketOf(team, rate, this->hooks.clock());
-    bucket.tokens = std::max(bucket.tokens - count, -largestDebtInSeconds * rate.rate);
+    const SteadyTime now = this->hooks.clock();
+    Team &team = this->teamOf(name);
+    this->roomInBucket(team.bucket, whole, visibleShare, now);
+    team.bucket.tokens = std::max(team.bucket.tokens - count, -largestDebtInSeconds * visibleShare * whole.rate);
+    team.window.add(count, visibleShare, now);
 }
 
-TeamRate SharedRateLimiter::ownPart(const TeamRate &whole) const
+bool SharedRateLimiter::isWindowed() const
 {
-    const double share = this->hooks.visibleShare();
-    // A VM that is alone must still be able to admit a request.
-    return {whole.rate * share, std::max(1.0, whole.burst * share)};
+    return this->options.window.count() > 0;
+}
+
+SharedRateLimiter::Team &SharedRateLimiter::teamOf(const std::string &name)
+{
+    // Without windows, their counts are kept and not used.
+    const std::chrono::milliseconds window = this->isWindowed() ? this->options.window : std::chrono::milliseconds(1000);
+    return this->teams.try_emplace(name, window).first->second;
 }
 
-SharedRateLimiter::Bucket &SharedRateLimiter::bucketOf(const std::string &team, const TeamRate &rate, SteadyTime now)
+SharedRateLimiter::Room SharedRateLimiter::roomOf(Team &team, const TeamRate &whole, double visibleShare, SteadyTime now) const
 {
-    Bucket &bucket = this->buckets[team];
+    const Room inBucket = this->roomInBucket(team.bucket, whole, visibleShare, now);
+    if (!this->isWindowed()) {
+        return inBucket;
+    }
+    const Room inWindow = this->roomInWindow(team.window, whole, visibleShare, now);
+    return visibleShare < togetherShare || inWindow.tokens < inBucket.tokens ? inWindow : inBucket;
+}
+
+SharedRateLimiter::Room SharedRateLimiter::roomInBucket(Bucket &bucket, const TeamRate &whole, double visibleShare, SteadyTime now) const
+{
+    const std::chrono::duration<double> window = this->options.window;
+    const double rate = visibleShare * (whole.rate + (this->isWindowed() ? whole.burst / window.count() : 0));
+    // A VM that is alone must still be able to admit a request.
+    const double burst = std::max(1.0, visibleShare * whole.burst);
     if (bucket.isNew) {
-        bucket = {rate.burst, now, false};
+        bucket = {burst, now, false};
     }
     const std::chrono::duration<double> passed = now - bucket.filled;
-    bucket.tokens = std::min(rate.burst, bucket.tokens + rate.rate * passed.count());
+    bucket.tokens = std::min(burst, bucket.tokens + rate * passed.count());
     bucket.filled = now;
-    return bucket;
+    const std::chrono::duration<double> wait(std::max(0.0, (1 - bucket.tokens) / rate));
+    return {bucket.tokens, burst, std::chrono::duration_cast<std::chrono::milliseconds>(wait)};
+}
+
+SharedRateLimiter::Room SharedRateLimiter::roomInWindow(AdmissionWindow &window, const TeamRate &whole, double visibleShare, SteadyTime now) const
+{
+    const std::chrono::duration<double> length = this->options.window;
+    const double ownShare = this->hooks.ownShare();
+    double limit = visibleShare * (whole.rate * length.count() + whole.burst);
+    if (visibleShare <= ownShare) {
+        limit = limit * (1 + tolerancePart * this->options.overage) + ownShare * tolerancePart * this->options.slack;
+    }
+    limit = std::max(1.0, limit);
+    const double left = limit - window.charged(whole, visibleShare, now);
+    const std::chrono::milliseconds wait = left >= 1 ? std::chrono::milliseconds(0) : window.timeUntilFreed(1 - left, whole, visibleShare, now);
+    return {left, limit, wait};
 }
 
 } // namespace Hyssophall
--- a/libraries/process/proxy/requestpath.cpp
+++ b/libraries/process/proxy/requestpath.cpp
@@ -180,6 +180,7 @@
     record.path = targetPath(request.http.target);
     record.duration = std::chrono::duration_cast<std::chrono::microseconds>(this->parts.clock() - request.arrival);
     record.status = answer.http.status;
+    record.answerBytes = answer.http.body.size();
     record.refusal = answer.refusal;
     for (RequestObserver *observer : this->parts.observers) {
         observer->requestFinished(record);
--- a/libraries/process/proxy/upstreamtries.cpp
+++ b/libraries/process/proxy/upstreamtries.cpp
@@ -50,7 +50,7 @@
     state.result.answer = refusalAnswer({RefusalCode::NoInstance, RequestOutcome::NotRun, std::chrono::seconds(1)});
     this->budget.addRequest(context.service, this->clock());
     while (state.goesOn) {
-        const std::optional<hyssophall::fleet::v1::Instance> instance = this->health.choose(context.service, context.isIdempotent(), state.tried);
+        const std::optional<hyssophall::fleet::v1::Instance> instance = this->health.choose(this->queryOf(context, state));
         if (!instance) {
             record.endGrounds = "no instance can take the request";
             break;
@@ -61,6 +61,35 @@
     return std::move(state.result);
 }
 
+InstanceQuery UpstreamTries::queryOf(const RequestContext &context, const State &state) const
+{
+    InstanceQuery query;
+    query.service = context.service;
+    query.route = context.route->name();
+    query.idempotent = context.isIdempotent();
+    query.mayFollow = mayFollow(context, state);
+    query.requestBytes = context.request->http.body.size();
+    query.tried = state.tried;
+    return query;
+}
+
+bool UpstreamTries::mayFollow(const RequestContext &context, const State &state)
+{
+    const int attempts = static_cast<int>(context.route->maximum_attempts());
+    return context.isIdempotent() && (attempts == 0 || state.sent + 1 < attempts) && state.sent < TryVerdict::maximumRetries;
+}
+
+std::optional<SteadyTime> UpstreamTries::patienceEnd(const RequestContext &context, SteadyTime now) const
+{
+    const std::optional<std::chrono::milliseconds> patience = this->health.patience(context.route->name());
+    if (!patience) {
+        return std::nullopt;
+    }
+    // Half of the patience is more than a request usually takes, so another try gets that much.
+    const SteadyTime end = std::min(now + *patience, context.deadline - *patience / 2);
+    return end < now + *patience / 2 ? std::nullopt : std::optional<SteadyTime>(end);
+}
+
 void UpstreamTries::tryOnce(const RequestContext &context, const hyssophall::fleet::v1::Instance &instance, RequestRecord &record, State &state)
 {
     TryRecord tried;
@@ -150,6 +179,8 @@
     const std::string *callersId = names.forwardsRequestId ? findHeader(context.request->http.headers, "X-Request-Id") : nullptr;
     call.requestId = callersId == nullptr ? record.trace.traceId + spanId : *callersId;
     call.deadline = context.deadline;
+    call.mayFollow = mayFollow(context, state);
+    call.patienceEnd = this->patienceEnd(context, this->clock());
     call.isAbandoned = context.request->isAbandoned;
     call.mayBeSent = [this, &context, &state] {
         if (context.request->isAbandoned && context.request->isAbandoned()) {
--- a/libraries/process/proxy/upstreamtries.h
+++ b/libraries/process/proxy/upstreamtries.h
@@ -6,6 +6,7 @@
 #include "request/retryallowance.h"
 #include "request/tryverdict.h"
 
+#include <optional>
 #include <set>
 
 namespace Hyssophall {
@@ -47,6 +48,10 @@
 
     void tryOnce(const RequestContext &context, const hyssophall::fleet::v1::Instance &instance, RequestRecord &record, State &state);
     void judge(const RequestContext &context, RequestRecord &record, const UpstreamResult &result, const TryVerdict &verdict, State &state);
+    InstanceQuery queryOf(const RequestContext &context, const State &state) const;
+    /// Whether the route and the number of tries so far allow another try of an idempotent request after the next one.
+    static bool mayFollow(const RequestContext &context, const State &state);
+    std::optional<SteadyTime> patienceEnd(const RequestContext &context, SteadyTime now) const;
     bool mayBePoison(const RequestContext &context, const State &state) const;
     UpstreamCall createCall(const RequestContext &context,
         const hyssophall::fleet::v1::Instance &instance,
--- a/libraries/process/relay/entrynode.cpp
+++ b/libraries/process/relay/entrynode.cpp
@@ -17,10 +17,20 @@
     OutcomeBoard::Options options;
     options.ownFailureDomain = settings.vm.failureDomain;
     options.crossDomainCost = static_cast<double>(settings.relay.crossDomainCost) / thousandths;
+    options.crossDomainCostOfKilobyte = static_cast<double>(settings.relay.crossDomainCostOfKilobyte) / thousandths;
     options.random = random;
     return options;
 }
 
+SharedRateLimiter::Options limiterOptions(const Settings &settings)
+{
+    SharedRateLimiter::Options options;
+    options.window = settings.bounds.rateWindow;
+    options.overage = settings.bounds.rateOverage;
+    options.slack = static_cast<double>(settings.bounds.rateSlack);
+    return options;
+}
+
 SharedRetryBudget::Options retryOptions(const Settings &settings)
 {
     SharedRetryBudget::Options options;
@@ -85,6 +95,7 @@
     SharedRateLimiter::Hooks limiterHooks;
     limiterHooks.clock = this->clock;
     limiterHooks.visibleShare = [this] { return this->relayUplink->visibleShare(); };
+    limiterHooks.ownShare = [this] { return this->relayUplink->ownShare(); };
     limiterHooks.rateOf = [this](const std::string &name) {
         const std::shared_ptr<const CatalogueMessages::Team> team = this->catalogue()->findTeam(name);
         return team == nullptr ? TeamRate() : TeamRate{team->rate(), team->burst()};
@@ -97,7 +108,7 @@
         use.set_scarce(isScarce);
         this->relayUplink->send(news);
     };
-    this->limiter = std::make_unique<SharedRateLimiter>(std::move(limiterHooks));
+    this->limiter = std::make_unique<SharedRateLimiter>(limiterOptions(settings), std::move(limiterHooks));
     SharedRetryBudget::Hooks retryHooks;
     retryHooks.visibleShare = [this] { return this->relayUplink->visibleShare(); };
     retryHooks.ownShare = [this] { return this->relayUplink->ownShare(); };
@@ -150,7 +161,7 @@
     return *this->relayUplink;
 }
 
-std::optional<hyssophall::fleet::v1::Instance> EntryNode::choose(const std::string &service, bool, const std::set<std::string> &tried)
+std::optional<hyssophall::fleet::v1::Instance> EntryNode::choose(const InstanceQuery &query)
 {
     RelayMessages::News news;
     RelayMessages::InstanceOutcomes &counts = *news.add_outcomes();
@@ -158,7 +169,7 @@
     hyssophall::fleet::v1::Instance instance;
     {
         std::lock_guard<std::mutex> lock(this->mutex);
-        const std::optional<RelayMessages::Registration> chosen = this->board.choose(service, tried, this->clock());
+        const std::optional<RelayMessages::Registration> chosen = this->board.choose(query, this->routeStatistics.answerBytes(query.route), this->clock());
         if (!chosen) {
             return std::nullopt;
         }
@@ -174,6 +185,12 @@
     return instance;
 }
 
+std::optional<std::chrono::milliseconds> EntryNode::patience(const std::string &route) const
+{
+    std::lock_guard<std::mutex> lock(this->mutex);
+    return this->routeStatistics.patience(route);
+}
+
 void EntryNode::finish(const hyssophall::fleet::v1::Instance &instance, TryOutcome outcome, std::chrono::microseconds latency, std::uint64_t fingerprint)
 {
     RelayMessages::News news;
@@ -214,6 +231,9 @@
     {
         std::lock_guard<std::mutex> lock(this->mutex);
         this->board.apply(use, this->clock());
+        if (isServed && !record.tries.empty()) {
+            this->routeStatistics.add(record.route, record.tries.back().duration, record.answerBytes);
+        }
     }
     this->relayUplink->send(news);
 }
--- a/libraries/process/relay/entrynode.h
+++ b/libraries/process/relay/entrynode.h
@@ -5,6 +5,7 @@
 #include "process/health/instancehealth.h"
 #include "process/health/lostrequests.h"
 #include "process/health/outcomeboard.h"
+#include "process/health/routestatistics.h"
 #include "process/limits/capacityqueue.h"
 #include "process/limits/sharedratelimiter.h"
 #include "process/limits/sharedretrybudget.h"
@@ -38,7 +39,8 @@
     bool isServing() const;
     const RelayUplink &uplink() const;
 
-    std::optional<hyssophall::fleet::v1::Instance> choose(const std::string &service, bool idempotent, const std::set<std::string> &tried) override;
+    std::optional<hyssophall::fleet::v1::Instance> choose(const InstanceQuery &query) override;
+    std::optional<std::chrono::milliseconds> patience(const std::string &route) const override;
     void finish(const hyssophall::fleet::v1::Instance &instance, TryOutcome outcome, std::chrono::microseconds latency, std::uint64_t fingerprint) override;
     bool isPoison(std::uint64_t fingerprint) const override;
     /// Tells the other VMs how the request ended.
@@ -55,6 +57,7 @@
     const SteadyClock clock;
     mutable std::mutex mutex;
     OutcomeBoard board;
+    RouteStatistics routeStatistics;
     std::shared_ptr<const ConfiguredCatalogue> inForce;
     LostRequests lostRequests;
     std::unique_ptr<SharedRateLimiter> limiter;
--- a/libraries/process/settings/settings.h
+++ b/libraries/process/settings/settings.h
@@ -82,8 +82,10 @@
         bool enabled = false;
         /// Addresses on control VMs; their hosts are asked at the port of listen.fleet.
         std::vector<std::string> seeds;
-        /// What sending a request to another failure domain is worth avoiding, in thousandths of a failed request.
-        std::size_t crossDomainCost = 150;
+        /// What sending a request to another failure domain is worth avoiding, and each kilobyte of the request and its answer, in
+        /// thousandths of a failed request.
+        std::size_t crossDomainCost = 20;
+        std::size_t crossDomainCostOfKilobyte = 20;
     };
     /// Bounds that the deployment sets; see docs/OPERATIONS.md.
     struct Bounds {
@@ -91,6 +93,11 @@
         /// Retries a service may get beyond the ratio, in each window, over all VMs.
         std::size_t retrySlack = 30;
         std::chrono::seconds retryWindow{10};
+        /// Windows over which teams' limits count; zero: limits are buckets that fill at the rate.
+        std::chrono::seconds rateWindow{0};
+        /// What a team may get beyond its limit in a window without breaking the deployment's promise.
+        double rateOverage = 0;
+        std::size_t rateSlack = 0;
         /// Whether a VM that may be out of date refuses requests that need a key.
         bool failClosed = false;
     };
--- a/libraries/request/requestrecord.h
+++ b/libraries/request/requestrecord.h
@@ -6,6 +6,7 @@
 #include "request/tracecontext.h"
 
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -48,6 +49,7 @@
     /// The part of the duration that passed in tries on upstreams.
     std::chrono::microseconds upstreamDuration{0};
     int status = 0;
+    std::size_t answerBytes = 0;
     std::optional<Refusal> refusal;
     /// What the decision on the team's rate went by; empty when it was granted.
     std::string rateGrounds;
--- a/tests/unit/process/health/healthmonitortest.cpp
+++ b/tests/unit/process/health/healthmonitortest.cpp
@@ -14,6 +14,15 @@
 
 namespace {
 
+InstanceQuery queryOf(bool idempotent, const std::set<std::string> &tried = {})
+{
+    InstanceQuery query;
+    query.service = "reads";
+    query.idempotent = idempotent;
+    query.tried = tried;
+    return query;
+}
+
 /// A monitor over one service with the test's clock and random numbers from a seed.
 struct Fixture {
     explicit Fixture(int instances, unsigned int seed = 1)
@@ -33,7 +42,7 @@
 
     std::string send(TryOutcome outcome, std::chrono::microseconds latency, std::uint64_t fingerprint = 1, bool idempotent = true)
     {
-        const std::optional<FleetMessages::Instance> instance = this->monitor->choose("reads", idempotent, {});
+        const std::optional<FleetMessages::Instance> instance = this->monitor->choose(queryOf(idempotent));
         CATCH_REQUIRE(instance.has_value());
         this->monitor->finish(*instance, outcome, latency, fingerprint);
         return instance->id();
@@ -60,7 +69,7 @@
     std::map<std::string, int> sent;
     int failures = 0;
     for (int request = 0; request < 1000; ++request) {
-        const std::optional<FleetMessages::Instance> instance = fixture.monitor->choose("reads", true, {});
+        const std::optional<FleetMessages::Instance> instance = fixture.monitor->choose(queryOf(true));
         const bool fails = instance->id() == "reads-04";
         failures += fails ? 1 : 0;
         fixture.monitor->finish(*instance, fails ? TryOutcome::ServerError : TryOutcome::Answered, 5ms, 1);
@@ -76,7 +85,7 @@
 {
     Fixture fixture(4);
     for (int request = 0; request < 400; ++request) {
-        const std::optional<FleetMessages::Instance> instance = fixture.monitor->choose("reads", true, {});
+        const std::optional<FleetMessages::Instance> instance = fixture.monitor->choose(queryOf(true));
         fixture.monitor->finish(*instance, instance->id() == "reads-02" ? TryOutcome::TimedOut : TryOutcome::Answered, 5ms, 1);
     }
     for (int request = 0; request < 400; ++request) {
@@ -92,8 +101,8 @@
     for (int request = 0; request < 100; ++request) {
         CATCH_REQUIRE(fixture.send(TryOutcome::Answered, 5ms) == "reads-02");
     }
-    CATCH_REQUIRE(fixture.monitor->choose("reads", true, {"reads-02"})->id() == "reads-01");
-    CATCH_REQUIRE_FALSE(fixture.monitor->choose("reads", true, {"reads-01", "reads-02"}).has_value());
+    CATCH_REQUIRE(fixture.monitor->choose(queryOf(true, {"reads-02"}))->id() == "reads-01");
+    CATCH_REQUIRE_FALSE(fixture.monitor->choose(queryOf(true, {"reads-01", "reads-02"})).has_value());
 }
 
 CATCH_TEST_CASE("A request that fells two instances is poison and isn't charged to them", "[poison]")
@@ -101,7 +110,7 @@
     Fixture fixture(4);
     const FleetMessages::Instance first = fixture.directory.byService["reads"][0].instance;
     const FleetMessages::Instance second = fixture.directory.byService["reads"][1].instance;
-    fixture.monitor->choose("reads", true, {});
+    fixture.monitor->choose(queryOf(true));
     fixture.monitor->finish(first, TryOutcome::ConnectionLost, 5ms, 77);
     CATCH_REQUIRE(fixture.poisonFound == 0);
     fixture.monitor->finish(second, TryOutcome::ConnectionLost, 5ms, 77);
@@ -134,7 +143,7 @@
 {
     Fixture fixture(2);
     const FleetMessages::Instance first = fixture.directory.byService["reads"][0].instance;
-    fixture.monitor->choose("reads", true, {});
+    fixture.monitor->choose(queryOf(true));
     fixture.monitor->finish(first, TryOutcome::ConnectionLost, 5ms, 91);
     CATCH_REQUIRE(fixture.collectAll().empty());
     fixture.now += 3s;
@@ -150,7 +159,7 @@
     std::set<std::string> slowOnes;
     for (int round = 0; round < 2; ++round) {
         for (int request = 0; request < 600; ++request) {
-            const std::optional<FleetMessages::Instance> instance = fixture.monitor->choose("reads", true, {});
+            const std::optional<FleetMessages::Instance> instance = fixture.monitor->choose(queryOf(true));
             const bool slow = instance->id() == "reads-01" || instance->id() == "reads-05";
             fixture.monitor->finish(*instance, TryOutcome::Answered, slow ? 80ms : 5ms, 1);
         }
@@ -174,7 +183,7 @@
     Fixture fixture(4);
     std::size_t hanging = 0;
     for (int request = 0; request < 200; ++request) {
-        const std::optional<FleetMessages::Instance> instance = fixture.monitor->choose("reads", true, {});
+        const std::optional<FleetMessages::Instance> instance = fixture.monitor->choose(queryOf(true));
         if (instance->id() == "reads-03" && request > 100) {
             ++hanging;
         } else {
--- a/tests/unit/process/health/outcomeboardtest.cpp
+++ b/tests/unit/process/health/outcomeboardtest.cpp
@@ -25,6 +25,15 @@
     return options;
 }
 
+/// An order: it can't be repeated, and nothing is known of its size.
+InstanceQuery queryOf(const std::set<std::string> &tried = {})
+{
+    InstanceQuery query;
+    query.service = "orders";
+    query.tried = tried;
+    return query;
+}
+
 RelayMessages::InstanceOutcomes outcomesOf(const RelayMessages::Registration &registration)
 {
     RelayMessages::InstanceOutcomes outcomes;
@@ -57,7 +66,7 @@
         for (SteadyTime now = start; now < end; now += std::chrono::duration_cast<SteadyTime::duration>(std::chrono::duration<double>(pause(this->random)))) {
             this->tell(now);
             const std::optional<RelayMessages::Registration> chosen
-                = blind ? *this->board.table().find("i-" + std::to_string(this->random() % this->phases.size())) : this->board.choose("orders", {}, now);
+                = blind ? *this->board.table().find("i-" + std::to_string(this->random() % this->phases.size())) : this->board.choose(queryOf(), 0, now);
             if (!chosen) {
                 continue;
             }
@@ -145,12 +154,12 @@
     good = outcomesOf(near);
     good.set_succeeded(1);
     board.apply(good, start);
-    CATCH_CHECK(board.choose("orders", {}, start)->id() == "near");
+    CATCH_CHECK(board.choose(queryOf(), 0, start)->id() == "near");
     RelayMessages::InstanceOutcomes busy = outcomesOf(near);
     busy.set_started(3);
     board.apply(busy, start);
-    CATCH_CHECK(board.choose("orders", {}, start)->id() == "far");
-    CATCH_CHECK(board.choose("orders", {"far"}, start)->id() == "near");
+    CATCH_CHECK(board.choose(queryOf(), 0, start)->id() == "far");
+    CATCH_CHECK(board.choose(queryOf({"far"}), 0, start)->id() == "near");
 }
 
 // Guards against requests to instances that drain or are gone, and against a choice where every instance is full.
@@ -163,15 +172,15 @@
     RelayMessages::InstanceOutcomes started = outcomesOf(instance);
     started.set_started(9);
     board.apply(started, start);
-    CATCH_CHECK_FALSE(board.choose("orders", {}, start));
+    CATCH_CHECK_FALSE(board.choose(queryOf(), 0, start));
     RelayMessages::InstanceOutcomes ended = outcomesOf(instance);
     ended.set_succeeded(9);
     board.apply(ended, start);
-    CATCH_CHECK(board.choose("orders", {}, start));
+    CATCH_CHECK(board.choose(queryOf(), 0, start));
     instance.set_sequence(2);
     instance.set_state(RelayMessages::REGISTRATION_STATE_DRAINING);
     board.take(instance);
-    CATCH_CHECK_FALSE(board.choose("orders", {}, start));
+    CATCH_CHECK_FALSE(board.choose(queryOf(), 0, start));
 }
 
 // Guards against an instance that accepts requests and never answers: it must be avoided before they time out.
@@ -191,7 +200,7 @@
     started.set_started(1);
     board.apply(started, start);
     for (int second = 1; second <= 4; ++second) {
-        CATCH_CHECK(board.choose("orders", {}, start + std::chrono::seconds(second))->id() == "i-2");
+        CATCH_CHECK(board.choose(queryOf(), 0, start + std::chrono::seconds(second))->id() == "i-2");
         RelayMessages::InstanceOutcomes good = outcomesOf(instances[1]);
         good.set_succeeded(1);
         good.set_latency_milliseconds(200);
@@ -211,7 +220,7 @@
     SteadyTime now = start;
     for (int request = 0; request < 60; ++request) {
         now += Milliseconds(30);
-        const RelayMessages::Registration chosen = *board.choose("orders", {}, now);
+        const RelayMessages::Registration chosen = *board.choose(queryOf(), 0, now);
         RelayMessages::InstanceOutcomes outcomes = outcomesOf(chosen);
         outcomes.set_started(1);
         // Two of five requests fail, all of them on four of the instances.
@@ -245,7 +254,7 @@
         refused.set_unserved(request % 5 == 0 ? 1 : 0);
         refused.set_served(1);
         board.apply(refused, now);
-        const RelayMessages::Registration chosen = *board.choose("orders", {}, now);
+        const RelayMessages::Registration chosen = *board.choose(queryOf(), 0, now);
         used.insert(chosen.id());
         RelayMessages::InstanceOutcomes outcomes = outcomesOf(chosen);
         outcomes.set_started(1);
@@ -254,3 +263,87 @@
     }
     CATCH_CHECK(used.size() >= 7);
 }
+
+// Guards against crossing failure domains, where each byte costs, for requests that could just as well be tried again nearby.
+CATCH_TEST_CASE("A request that may be tried again stays in its failure domain and shows which instances there are sound", "[health][gray]")
+{
+    std::mt19937_64 random(8);
+    OutcomeBoard board(optionsWith(random));
+    RelayMessages::Registration far = registrationOf("far", 1, 1, 1);
+    far.set_failure_domain("b");
+    RelayMessages::Registration near = registrationOf("near", 1, 1, 2);
+    near.set_failure_domain("a");
+    board.take(far);
+    board.take(near);
+    RelayMessages::InstanceOutcomes good = outcomesOf(far);
+    good.set_succeeded(1);
+    board.apply(good, start);
+    InstanceQuery query = queryOf();
+    CATCH_CHECK(board.choose(query, 6000, start)->id() == "far");
+    query.idempotent = true;
+    query.mayFollow = true;
+    CATCH_CHECK(board.choose(query, 6000, start)->id() == "near");
+    // The last try is risked no more than one that can't be repeated.
+    query.mayFollow = false;
+    CATCH_CHECK(board.choose(query, 6000, start)->id() == "far");
+}
+
+// Guards against choosing by the failure domain alone: large answers cost more on the way than small ones.
+CATCH_TEST_CASE("The size of a request and its answer decides whether a busier instance nearby is better", "[health][gray]")
+{
+    std::mt19937_64 random(9);
+    OutcomeBoard board(optionsWith(random));
+    RelayMessages::Registration far = registrationOf("far", 1, 1, 1);
+    far.set_failure_domain("b");
+    RelayMessages::Registration near = registrationOf("near", 1, 1, 2);
+    near.set_failure_domain("a");
+    for (const RelayMessages::Registration &instance : {far, near}) {
+        board.take(instance);
+        RelayMessages::InstanceOutcomes good = outcomesOf(instance);
+        good.set_started(4);
+        good.set_succeeded(4);
+        board.apply(good, start);
+    }
+    RelayMessages::InstanceOutcomes busy = outcomesOf(near);
+    busy.set_started(2);
+    board.apply(busy, start);
+    CATCH_CHECK(board.choose(queryOf(), 400, start)->id() == "far");
+    CATCH_CHECK(board.choose(queryOf(), 20000, start)->id() == "near");
+}
+
+// Guards against spreading work only when requests that hang have ended, seconds after callers began to wait.
+CATCH_TEST_CASE("Requests that hang spread a service's work before they end", "[health][ejection-floor]")
+{
+    std::mt19937_64 random(10);
+    OutcomeBoard board(optionsWith(random));
+    std::vector<RelayMessages::Registration> instances;
+    for (int number = 0; number < 10; ++number) {
+        instances.push_back(registrationOf("i-" + std::to_string(number), 1, 1, static_cast<std::uint32_t>(1000 + number)));
+        board.take(instances.back());
+    }
+    RelayMessages::InstanceOutcomes good = outcomesOf(instances[1]);
+    good.set_started(1);
+    good.set_succeeded(1);
+    good.set_latency_milliseconds(100);
+    board.apply(good, start);
+    RelayMessages::InstanceOutcomes hanging = outcomesOf(instances[0]);
+    hanging.set_started(2);
+    board.apply(hanging, start);
+    std::set<std::string> used;
+    SteadyTime now = start + std::chrono::milliseconds(600);
+    for (int request = 0; request < 40; ++request) {
+        now += Milliseconds(30);
+        const RelayMessages::Registration chosen = *board.choose(queryOf(), 0, now);
+        used.insert(chosen.id());
+        RelayMessages::InstanceOutcomes outcomes = outcomesOf(chosen);
+        outcomes.set_started(1);
+        outcomes.set_succeeded(1);
+        outcomes.set_latency_milliseconds(100);
+        board.apply(outcomes, now);
+        RelayMessages::ServiceUse use;
+        use.set_service("orders");
+        use.set_served(1);
+        board.apply(use, now);
+    }
+    CATCH_CHECK(used.size() >= 7);
+}
--- a/tests/unit/process/limits/sharedratelimitertest.cpp
+++ b/tests/unit/process/limits/sharedratelimitertest.cpp
@@ -2,6 +2,7 @@
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
 #include <memory>
 #include <random>
 #include <vector>
@@ -16,7 +17,7 @@
 class LimitedFleet
 {
 public:
-    explicit LimitedFleet(std::size_t vms)
+    explicit LimitedFleet(std::size_t vms, const SharedRateLimiter::Options &options = {})
         : parts(vms, 0)
     {
         for (std::size_t vm = 0; vm < vms; ++vm) {
@@ -26,6 +27,7 @@
             hooks.visibleShare = [this, vm] {
                 return static_cast<double>(std::count(this->parts.begin(), this->parts.end(), this->parts[vm])) / static_cast<double>(this->parts.size());
             };
+            hooks.ownShare = [this] { return 1 / static_cast<double>(this->parts.size()); };
             hooks.admitted = [this, vm](const std::string &team, bool) {
                 for (std::size_t other = 0; other < this->limiters.size(); ++other) {
                     if (other != vm && this->parts[other] == this->parts[vm]) {
@@ -33,7 +35,7 @@
                     }
                 }
             };
-            this->limiters.push_back(std::make_unique<SharedRateLimiter>(std::move(hooks)));
+            this->limiters.push_back(std::make_unique<SharedRateLimiter>(options, std::move(hooks)));
         }
     }
 
@@ -44,17 +46,43 @@
         for (int request = 0; request < seconds * perSecond; ++request) {
             this->now += std::chrono::microseconds(1000000 / perSecond);
             const std::size_t vm = random() % this->limiters.size();
-            admitted += this->limiters[vm]->acquire("red", this->now).kind == RateDecision::Kind::Granted ? 1 : 0;
+            const bool isGranted = this->limiters[vm]->acquire("red", this->now).kind == RateDecision::Kind::Granted;
+            admitted += isGranted ? 1 : 0;
+            if (isGranted) {
+                this->grants.push_back(this->now);
+            }
         }
         return admitted;
     }
 
+    /// Most requests that were admitted within any window of this length.
+    std::size_t mostIn(std::chrono::seconds window) const
+    {
+        std::size_t most = 0;
+        for (std::size_t first = 0, next = 0; first < this->grants.size(); ++first) {
+            while (next < this->grants.size() && this->grants[next] - this->grants[first] < window) {
+                ++next;
+            }
+            most = std::max(most, next - first);
+        }
+        return most;
+    }
+
     SteadyTime now = start;
+    std::vector<SteadyTime> grants;
     /// The part of the fleet in which each VM is.
     std::vector<int> parts;
     std::vector<std::unique_ptr<SharedRateLimiter>> limiters;
 };
 
+/// A window as a deployment may set it, without any tolerance.
+SharedRateLimiter::Options fiveSecondWindows()
+{
+    SharedRateLimiter::Options options;
+    options.window = std::chrono::seconds(5);
+    return options;
+}
+
 } // namespace
 
 // Guards against a team that gets more than its rate and burst by spreading its requests over VMs.
@@ -94,3 +122,64 @@
         CATCH_CHECK(admitted <= 40 * 10 + 20 + cutOff);
     }
 }
+
+// Guards against refusing what a deployment that counts limits over windows owes to a team.
+CATCH_TEST_CASE("A team that asks for more gets its rate and burst in each window", "[fleet-limit]")
+{
+    std::mt19937_64 random(3);
+    LimitedFleet fleet(48, fiveSecondWindows());
+    const int admitted = fleet.admit(30, 200, random);
+    // The rate for 30 s, and the burst in each of six windows.
+    CATCH_CHECK(admitted >= 0.97 * (40 * 30 + 20 * 6));
+    CATCH_CHECK(fleet.mostIn(std::chrono::seconds(5)) <= 40 * 5 + 20 + 1);
+}
+
+// Guards against a flood that uses a window's limit up at once, so that the team gets nothing for the rest of the window.
+CATCH_TEST_CASE("A flooding team is served evenly over its windows", "[fleet-limit]")
+{
+    std::mt19937_64 random(4);
+    LimitedFleet fleet(48, fiveSecondWindows());
+    fleet.admit(10, 400, random);
+    for (int second = 0; second < 10; ++second) {
+        CATCH_CAPTURE(second);
+        CATCH_CHECK(fleet.admit(1, 400, random) >= 20);
+    }
+}
+
+// Guards against a divided fleet whose parts together exceed the limit, at the cut, during it and when it heals.
+CATCH_TEST_CASE("The parts of a divided fleet keep to the limit in each window", "[fleet-limit]")
+{
+    std::mt19937_64 random(5);
+    for (const int cutOff : {1, 12, 24, 43}) {
+        const bool hearEachOther = cutOff == 24;
+        LimitedFleet fleet(48, fiveSecondWindows());
+        // The balancer's usual load, then a flood right after the cut.
+        fleet.admit(10, 25, random);
+        for (int vm = 0; vm < cutOff; ++vm) {
+            fleet.parts[static_cast<std::size_t>(vm)] = hearEachOther ? 1 : vm + 1;
+        }
+        fleet.admit(8, 400, random);
+        std::fill(fleet.parts.begin(), fleet.parts.end(), 0);
+        fleet.admit(8, 400, random);
+        CATCH_CAPTURE(cutOff);
+        // The platform's tolerance: a tenth and 20 requests.
+        CATCH_CHECK(fleet.mostIn(std::chrono::seconds(5)) <= (40 * 5 + 20) * 1.1 + 20);
+    }
+}
+
+// Guards against false refusals on VMs that hear nobody: the usual load of a team must mostly fit into their parts.
+CATCH_TEST_CASE("A team inside its rate is mostly served by VMs that are alone", "[fleet-limit]")
+{
+    std::mt19937_64 random(6);
+    SharedRateLimiter::Options options = fiveSecondWindows();
+    options.overage = 0.1;
+    options.slack = 20;
+    LimitedFleet fleet(48, options);
+    fleet.admit(10, 25, random);
+    for (std::size_t vm = 0; vm < 43; ++vm) {
+        fleet.parts[vm] = static_cast<int>(vm) + 1;
+    }
+    CATCH_CHECK(fleet.admit(10, 25, random) >= 0.85 * 250);
+    fleet.admit(10, 400, random);
+    CATCH_CHECK(fleet.mostIn(std::chrono::seconds(5)) <= (40 * 5 + 20) * 1.1 + 20);
+}
--- a/tests/unit/process/proxy/pathmocks.h
+++ b/tests/unit/process/proxy/pathmocks.h
@@ -152,10 +152,10 @@
         }
     }
 
-    std::optional<hyssophall::fleet::v1::Instance> choose(const std::string &, bool, const std::set<std::string> &tried) override
+    std::optional<hyssophall::fleet::v1::Instance> choose(const Hyssophall::InstanceQuery &query) override
     {
         for (const hyssophall::fleet::v1::Instance &instance : this->instances) {
-            if (tried.count(instance.id()) == 0) {
+            if (query.tried.count(instance.id()) == 0) {
                 ++this->inFlight;
                 return instance;
             }
