Health: Let VMs that hear nobody use most instances

All VMs had heard the same before the cut, and went on with the few instances that looked best then.

Test: "VMs that hear nobody together use most instances of a service".

--- a/libraries/process/health/instancequery.h
+++ b/libraries/process/health/instancequery.h
@@ -14,6 +14,8 @@
     bool idempotent = false;
     /// Whether another try may follow when this one fails.
     bool mayFollow = false;
+    /// Whether this VM hears of most other VMs' requests.
+    bool hearsOthers = true;
     /// Size of the request's body.
     std::size_t requestBytes = 0;
     /// Ids of the instances that this request was tried on.
--- a/libraries/process/health/outcomeboard.cpp
+++ b/libraries/process/health/outcomeboard.cpp
@@ -39,6 +39,10 @@
 constexpr double fullCost = 1.0;
 /// Instances queue some requests beyond their slots; past this share of them, a request had better be refused at once.
 constexpr double largestOccupancy = 3.0;
+/// How far chance decides on a VM that hears of no others: as much as most crossings cost, so that some of its requests leave a domain whose
+/// instances may be busier than it knows.
+constexpr double blindCost = 0.25;
+constexpr std::uint64_t drawSteps = 1024;
 /// Share of requests that aren't served, also by refusals, from which on a service's work is spread over more instances. Low, since what other
 /// VMs couldn't serve is known later than the rule counts it.
 constexpr double failingShare = 0.02;
@@ -191,6 +195,9 @@
     if (candidates.empty()) {
         return std::nullopt;
     }
+    if (!query.hearsOthers) {
+        return *this->anySound(candidates, stakes, now).registration;
+    }
     const Candidate chosen = this->needsSpreading(candidates, service, now) ? this->leastUsed(candidates, now) : this->cheapest(candidates);
     return *chosen.registration;
 }
@@ -269,6 +276,22 @@
     return life.lastStart && now - *life.lastStart < spreadWindow;
 }
 
+OutcomeBoard::Candidate OutcomeBoard::anySound(std::vector<Candidate> &candidates, const Stakes &stakes, SteadyTime now)
+{
+    const auto isDoubtful = [now](const Candidate &candidate) {
+        return now < candidate.life->unreachableUntil || (candidate.life->failure && now - *candidate.life->failure < failureWindow);
+    };
+    if (!std::all_of(candidates.begin(), candidates.end(), isDoubtful)) {
+        std::erase_if(candidates, isDoubtful);
+    }
+    for (Candidate &candidate : candidates) {
+        const bool isCrossing = candidate.registration->failure_domain() != this->options.ownFailureDomain;
+        const double chance = static_cast<double>(this->options.random() % drawSteps) / drawSteps;
+        candidate.cost = chance * blindCost + (isCrossing ? stakes.crossing : 0) + waitingCost * static_cast<double>(candidate.life->starts.size());
+    }
+    return this->cheapest(candidates);
+}
+
 OutcomeBoard::Candidate OutcomeBoard::leastUsed(std::vector<Candidate> &candidates, SteadyTime now)
 {
     std::vector<Candidate> unused;
--- a/libraries/process/health/outcomeboard.h
+++ b/libraries/process/health/outcomeboard.h
@@ -103,6 +103,8 @@
     void countHanging(Life &life, Service &service, SteadyTime now);
     double costOf(const RelayMessages::Registration &registration, const Life &life, const Service &service, const Stakes &stakes, SteadyTime now) const;
     Candidate cheapest(std::vector<Candidate> &candidates);
+    /// For a VM that hears of no other VMs' requests. What it heard last is what all others heard, so that they would all choose the same.
+    Candidate anySound(std::vector<Candidate> &candidates, const Stakes &stakes, SteadyTime now);
     Candidate leastUsed(std::vector<Candidate> &candidates, SteadyTime now);
     bool needsSpreading(const std::vector<Candidate> &candidates, const Service &service, SteadyTime now) const;
     static bool isInUse(const Life &life, SteadyTime now);
--- a/tests/unit/process/health/outcomeboardtest.cpp
+++ b/tests/unit/process/health/outcomeboardtest.cpp
@@ -347,3 +347,33 @@
     }
     CATCH_CHECK(used.size() >= 7);
 }
+
+// Guards against VMs that were cut off at one moment and all go on with the few instances that looked best then.
+CATCH_TEST_CASE("VMs that hear nobody together use most instances of a service", "[health][ejection-floor]")
+{
+    std::mt19937_64 random(11);
+    std::vector<RelayMessages::Registration> instances;
+    for (int number = 0; number < 12; ++number) {
+        instances.push_back(registrationOf("i-" + std::to_string(number), 1, 1, static_cast<std::uint32_t>(1000 + number)));
+        instances.back().set_failure_domain(std::string(1, static_cast<char>('a' + number % 4)));
+    }
+    InstanceQuery query = queryOf();
+    query.hearsOthers = false;
+    std::set<std::string> used;
+    for (int vm = 0; vm < 48; ++vm) {
+        OutcomeBoard::Options options = optionsWith(random);
+        options.ownFailureDomain = std::string(1, static_cast<char>('a' + vm % 4));
+        OutcomeBoard board(options);
+        for (const RelayMessages::Registration &instance : instances) {
+            board.take(instance);
+        }
+        // All heard of the same successes before they were cut off.
+        for (std::size_t number = 0; number < 4; ++number) {
+            RelayMessages::InstanceOutcomes good = outcomesOf(instances[number]);
+            good.set_succeeded(3);
+            board.apply(good, start);
+        }
+        used.insert(board.choose(query, 1500, start + Milliseconds(500))->id());
+    }
+    CATCH_CHECK(used.size() >= 9);
+}
