Relay: Connect sooner after a start, and never wait long for a link

Change 1: a refused attempt ends the link at once, and the limit of an attempt is 250 ms. Requests wait for the first configuration for up to 0.8 s on a VM that started less than 3 s ago, so that most are served within their target.

By reading: nothing watched over the beginning of a call. If a connection ends between its start and the call, gRPC connects anew, with 20 s for that.

Change 2: that attempt has the same limit, and a call that hasn't begun by then is cancelled. The new test of a relay that vanishes as it connects passes on the former code, too, as the moment can't be met from outside; it guards the limit as such.

--- a/libraries/process/proxy/requestpath.cpp
+++ b/libraries/process/proxy/requestpath.cpp
@@ -73,6 +73,9 @@
     if (!this->accepting) {
         return refuse(RefusalCode::ShuttingDown, RequestOutcome::NotRun, std::chrono::seconds(1));
     }
+    if (this->parts.awaitCatalogue) {
+        this->parts.awaitCatalogue(this->parts.clock() + this->options.catalogueWait);
+    }
     BOOST_LEAF_AUTO(context, this->admission.admit(request, record));
     BOOST_LEAF_AUTO(token, this->takeToken(context, record));
     const std::string *idempotencyKey = context.isIdempotent() ? nullptr : findHeader(request.http.headers, "Idempotency-Key");
--- a/libraries/process/proxy/requestpath.h
+++ b/libraries/process/proxy/requestpath.h
@@ -7,6 +7,7 @@
 #include "request/ratetoken.h"
 
 #include <atomic>
+#include <functional>
 #include <memory>
 #include <vector>
 
@@ -29,11 +30,15 @@
         SteadyClock clock;
         RandomSource random;
         std::vector<RequestObserver *> observers;
+        /// Waits for the first catalogue where one is on its way; may be empty.
+        std::function<void(SteadyTime deadline)> awaitCatalogue = {};
     };
 
     struct Options {
         Admission::Options admission;
         std::chrono::milliseconds rateWait{250};
+        /// Longest wait for the first catalogue after a start.
+        std::chrono::milliseconds catalogueWait{1000};
         /// How long a request waits for its team's rate while no owner of the team's bucket answers.
         std::chrono::milliseconds ownerWait{1000};
         /// How long a claim may take; a quorum that is away for longer won't be back within the request's time.
--- a/libraries/process/relay/entrynode.cpp
+++ b/libraries/process/relay/entrynode.cpp
@@ -11,6 +11,12 @@
 
 constexpr double thousandths = 1000;
 constexpr int firstServerError = 500;
+/// A VM that started with its whole fleet has its first configuration within this time; one without it for longer is cut off.
+constexpr std::chrono::milliseconds startTime{3000};
+/// Below this share of the fleet's VMs, what a VM hears tells little about the instances.
+constexpr double hearingShare = 0.3;
+/// No request waits longer for the first configuration: most can still be served within their target then.
+constexpr std::chrono::milliseconds longestStartWait{800};
 
 OutcomeBoard::Options boardOptions(const Settings &settings, const RandomSource &random)
 {
@@ -89,6 +95,7 @@
 EntryNode::EntryNode(const Settings &settings, SteadyClock clock, RandomSource random)
     : settings(settings)
     , clock(std::move(clock))
+    , startedAt(this->clock())
     , board(boardOptions(settings, random))
     , inForce(std::make_shared<const ConfiguredCatalogue>(std::make_shared<const CatalogueMessages::Configuration>()))
 {
@@ -156,6 +163,16 @@
     return this->catalogue()->isLoaded();
 }
 
+void EntryNode::awaitConfiguration(SteadyTime deadline)
+{
+    std::unique_lock<std::mutex> lock(this->mutex);
+    const SteadyTime now = this->clock();
+    if (this->inForce->isLoaded() || now >= this->startedAt + startTime) {
+        return;
+    }
+    this->configured.wait_until(lock, std::min(deadline, now + longestStartWait), [this] { return this->inForce->isLoaded(); });
+}
+
 const RelayUplink &EntryNode::uplink() const
 {
     return *this->relayUplink;
@@ -163,13 +180,15 @@
 
 std::optional<hyssophall::fleet::v1::Instance> EntryNode::choose(const InstanceQuery &query)
 {
+    InstanceQuery informed = query;
+    informed.hearsOthers = this->relayUplink->visibleShare() >= hearingShare;
     RelayMessages::News news;
     RelayMessages::InstanceOutcomes &counts = *news.add_outcomes();
     counts.set_started(1);
     hyssophall::fleet::v1::Instance instance;
     {
         std::lock_guard<std::mutex> lock(this->mutex);
-        const std::optional<RelayMessages::Registration> chosen = this->board.choose(query, this->routeStatistics.answerBytes(query.route), this->clock());
+        const std::optional<RelayMessages::Registration> chosen = this->board.choose(informed, this->routeStatistics.answerBytes(query.route), this->clock());
         if (!chosen) {
             return std::nullopt;
         }
@@ -289,6 +308,7 @@
         }
         this->inForce = next;
     }
+    this->configured.notify_all();
     LOG(INFO) << "Configuration " << configuration.version() << " is in force after " << former;
 }
 
--- a/libraries/process/relay/entrynode.h
+++ b/libraries/process/relay/entrynode.h
@@ -14,6 +14,7 @@
 #include "request/requestrecord.h"
 #include "version/configuredcatalogue.h"
 
+#include <condition_variable>
 #include <memory>
 #include <mutex>
 #include <string>
@@ -37,6 +38,9 @@
 
     /// Whether this VM can serve: it has a configuration.
     bool isServing() const;
+
+    /// Waits for the first configuration, on a VM that has just started, until @p deadline or as long as one usually takes.
+    void awaitConfiguration(SteadyTime deadline);
     const RelayUplink &uplink() const;
 
     std::optional<hyssophall::fleet::v1::Instance> choose(const InstanceQuery &query) override;
@@ -55,10 +59,12 @@
 
     const Settings settings;
     const SteadyClock clock;
+    const SteadyTime startedAt;
     mutable std::mutex mutex;
     OutcomeBoard board;
     RouteStatistics routeStatistics;
     std::shared_ptr<const ConfiguredCatalogue> inForce;
+    std::condition_variable configured;
     LostRequests lostRequests;
     std::unique_ptr<SharedRateLimiter> limiter;
     std::unique_ptr<SharedRetryBudget> retryBudget;
--- a/libraries/process/relay/relaylink.cpp
+++ b/libraries/process/relay/relaylink.cpp
@@ -3,14 +3,16 @@
 #include "process/fleet/fleetcredential.h"
 #include "relay.grpc.pb.h"
 
+#include <condition_variable>
 #include <grpcpp/grpcpp.h>
+#include <thread>
 #include <utility>
 
 namespace Hyssophall {
 
 namespace {
 
-grpc::ChannelArguments channelArguments()
+grpc::ChannelArguments channelArguments(std::chrono::milliseconds connectLimit)
 {
     grpc::ChannelArguments arguments;
     // Each link has a connection of its own, so that a new link never takes over one gone silent.
@@ -18,6 +20,11 @@
     // The windows are ample; probes for larger ones would only cost messages.
     arguments.SetInt(GRPC_ARG_HTTP2_BDP_PROBE, 0);
     arguments.SetInt(GRPC_ARG_ENABLE_HTTP_PROXY, 0);
+    // A connection that ends right after its start is opened again by gRPC, by default with 20 s for the attempt.
+    const int limit = static_cast<int>(connectLimit.count());
+    arguments.SetInt(GRPC_ARG_MIN_RECONNECT_BACKOFF_MS, limit);
+    arguments.SetInt(GRPC_ARG_INITIAL_RECONNECT_BACKOFF_MS, limit);
+    arguments.SetInt(GRPC_ARG_MAX_RECONNECT_BACKOFF_MS, limit);
     return arguments;
 }
 
@@ -26,6 +33,19 @@
     return gpr_time_add(gpr_now(GPR_CLOCK_MONOTONIC), gpr_time_from_millis(duration.count(), GPR_TIMESPAN));
 }
 
+/// Unlike WaitForConnected(), this doesn't wait for further attempts on an address that refuses the first one.
+bool isConnected(grpc::Channel &channel, gpr_timespec deadline)
+{
+    grpc_connectivity_state state = channel.GetState(true);
+    while (state == GRPC_CHANNEL_IDLE || state == GRPC_CHANNEL_CONNECTING) {
+        if (!channel.WaitForStateChange(state, deadline)) {
+            return false;
+        }
+        state = channel.GetState(true);
+    }
+    return state == GRPC_CHANNEL_READY;
+}
+
 } // namespace
 
 class RelayLink::Call
@@ -34,6 +54,37 @@
     grpc::ClientContext context;
 };
 
+/// Cancels a call whose beginning takes too long: gRPC may connect anew for it, to an address that doesn't answer any more.
+class RelayLink::BeginningLimit
+{
+public:
+    BeginningLimit(Call &call, std::chrono::milliseconds limit)
+        : thread([this, &call, limit] {
+            std::unique_lock<std::mutex> lock(this->mutex);
+            if (!this->changed.wait_for(lock, limit, [this] { return this->hasBegun; })) {
+                call.context.TryCancel();
+            }
+        })
+    {
+    }
+
+    ~BeginningLimit()
+    {
+        {
+            std::lock_guard<std::mutex> lock(this->mutex);
+            this->hasBegun = true;
+        }
+        this->changed.notify_all();
+        this->thread.join();
+    }
+
+private:
+    std::mutex mutex;
+    std::condition_variable changed;
+    bool hasBegun = false;
+    std::thread thread;
+};
+
 RelayLink::RelayLink(Options options, RelayExchange::Hooks hooks)
     : options(std::move(options))
     , hooks(std::move(hooks))
@@ -42,8 +93,9 @@
 
 bool RelayLink::run(const RelayMessages::News &first, NewsBuffer &outgoing)
 {
-    const std::shared_ptr<grpc::Channel> channel = grpc::CreateCustomChannel(this->options.address, grpc::InsecureChannelCredentials(), channelArguments());
-    if (!channel->WaitForConnected(after(this->options.connectLimit))) {
+    const std::shared_ptr<grpc::Channel> channel
+        = grpc::CreateCustomChannel(this->options.address, grpc::InsecureChannelCredentials(), channelArguments(this->options.connectLimit));
+    if (!isConnected(*channel, after(this->options.connectLimit))) {
         return false;
     }
     Call running;
@@ -56,7 +108,11 @@
     }
     running.context.AddMetadata(FleetCredential::metadataName, this->options.fleetSecret);
     const std::unique_ptr<RelayMessages::Relay::Stub> stub = RelayMessages::Relay::NewStub(channel);
-    const std::unique_ptr<grpc::ClientReaderWriter<RelayMessages::News, RelayMessages::News>> stream = stub->Exchange(&running.context);
+    std::unique_ptr<grpc::ClientReaderWriter<RelayMessages::News, RelayMessages::News>> stream;
+    {
+        const BeginningLimit limit(running, this->options.connectLimit);
+        stream = stub->Exchange(&running.context);
+    }
     bool stood = false;
     {
         RelayExchange::Stream ends;
--- a/libraries/process/relay/relaylink.h
+++ b/libraries/process/relay/relaylink.h
@@ -18,8 +18,9 @@
         std::string address;
         std::string fleetSecret;
         RelayExchange::Timing timing;
-        /// A relay that doesn't accept the connection within this time is passed over. Several round trips between failure domains.
-        std::chrono::milliseconds connectLimit{500};
+        /// A relay that doesn't accept the connection within this time is passed over: a hundred round trips between failure domains, since
+        /// a relay that starts has many VMs to accept.
+        std::chrono::milliseconds connectLimit{250};
     };
 
     RelayLink(Options options, RelayExchange::Hooks hooks);
@@ -32,6 +33,7 @@
 
 private:
     class Call;
+    class BeginningLimit;
 
     const Options options;
     const RelayExchange::Hooks hooks;
--- a/services/hyssophalld/daemon.cpp
+++ b/services/hyssophalld/daemon.cpp
@@ -129,7 +129,8 @@
         this->parts->retries(),
         std::chrono::steady_clock::now,
         systemRandom,
-        observers};
+        observers,
+        [this](SteadyTime deadline) { this->parts->awaitCatalogue(deadline); }};
 }
 
 void Daemon::addGauges()
--- a/services/hyssophalld/relayparts.cpp
+++ b/services/hyssophalld/relayparts.cpp
@@ -150,6 +150,11 @@
     });
 }
 
+void RelayParts::awaitCatalogue(SteadyTime deadline)
+{
+    this->node->awaitConfiguration(deadline);
+}
+
 void RelayParts::leave()
 {
     LOG(INFO) << "This VM leaves the fleet";
--- a/services/hyssophalld/relayparts.h
+++ b/services/hyssophalld/relayparts.h
@@ -37,6 +37,7 @@
     RetryAllowance &retries() override;
     RequestObserver *observer() override;
     void addGauges(RequestMetrics &metrics) override;
+    void awaitCatalogue(SteadyTime deadline) override;
     void leave() override;
 
 private:
--- a/services/hyssophalld/vmparts.h
+++ b/services/hyssophalld/vmparts.h
@@ -31,6 +31,11 @@
     /// Adds gauges of this VM's part in the fleet. The metrics must not be read after the parts are gone.
     virtual void addGauges(RequestMetrics &metrics) = 0;
 
+    /// Waits for the first catalogue, on a VM that has just started.
+    virtual void awaitCatalogue(SteadyTime)
+    {
+    }
+
     /// Leaves the fleet, as the last step before the exit.
     virtual void leave() = 0;
 };
--- /dev/null
+++ b/tests/unit/process/relay/relaylinktest.cpp
@@ -0,0 +1,79 @@
+#include "process/relay/relaylink.h"
+
+#include <arpa/inet.h>
+#include <catch2/catch.hpp>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <array>
+#include <chrono>
+#include <string>
+#include <thread>
+
+using namespace Hyssophall;
+
+namespace {
+
+/// An HTTP/2 server that settles its first connection, closes it, and leaves all later ones without an answer, as behind a cut.
+class VanishingServer
+{
+public:
+    VanishingServer()
+        : listener(socket(AF_INET, SOCK_STREAM, 0))
+    {
+        sockaddr_in address{};
+        address.sin_family = AF_INET;
+        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        socklen_t length = sizeof(address);
+        CATCH_REQUIRE(bind(this->listener, reinterpret_cast<sockaddr *>(&address), length) == 0);
+        CATCH_REQUIRE(listen(this->listener, 8) == 0);
+        CATCH_REQUIRE(getsockname(this->listener, reinterpret_cast<sockaddr *>(&address), &length) == 0);
+        this->port = ntohs(address.sin_port);
+        this->thread = std::thread([this] {
+            const int connection = accept(this->listener, nullptr, nullptr);
+            // An empty SETTINGS frame, which makes the connection ready.
+            constexpr std::array<char, 9> settings{0, 0, 0, 4, 0, 0, 0, 0, 0};
+            static_cast<void>(write(connection, settings.data(), settings.size()));
+            close(connection);
+        });
+    }
+
+    ~VanishingServer()
+    {
+        this->thread.join();
+        close(this->listener);
+    }
+
+    std::string address() const
+    {
+        return "127.0.0.1:" + std::to_string(this->port);
+    }
+
+private:
+    int listener;
+    unsigned short port = 0;
+    std::thread thread;
+};
+
+} // namespace
+
+// Guards against a VM that waits for many seconds, with an old configuration, for a relay that vanished right after it had accepted it.
+CATCH_TEST_CASE("A link to a relay that vanishes as it connects ends soon", "[relay]")
+{
+    for (int round = 0; round < 10; ++round) {
+        VanishingServer server;
+        RelayLink::Options options;
+        options.address = server.address();
+        options.fleetSecret = "a secret of the tests";
+        RelayExchange::Hooks hooks;
+        hooks.receive = [](const RelayMessages::News &) {};
+        hooks.complete = [](RelayMessages::News &) {};
+        RelayLink link(options, hooks);
+        NewsBuffer outgoing;
+        const SteadyTime began = std::chrono::steady_clock::now();
+        CATCH_CHECK_FALSE(link.run(RelayMessages::News(), outgoing));
+        // The silence limit of a stream and the limits of its beginning.
+        CATCH_CHECK(std::chrono::steady_clock::now() - began < std::chrono::seconds(2));
+    }
+}
