Limits: Owe teams their bursts after the loss of the whole fleet

Change: relays tell how long they have been running. While a VM and its relay are both younger than a window, the bucket alone is the limit. A VM without a configuration leaves a relay that isn't current after 0.25 s. Test: "A fleet that restarts with its relays owes its teams their bursts".

--- a/libraries/process/limits/sharedratelimiter.cpp
+++ b/libraries/process/limits/sharedratelimiter.cpp
@@ -82,6 +82,12 @@
     return this->options.window.count() > 0;
 }
 
+bool SharedRateLimiter::isFleetStarting(SteadyTime now) const
+{
+    const std::optional<std::chrono::milliseconds> relayUptime = this->hooks.relayUptime();
+    return now - this->began < this->options.window && relayUptime && *relayUptime < this->options.window;
+}
+
 SharedRateLimiter::Team &SharedRateLimiter::teamOf(const std::string &name)
 {
     // Without windows, their counts are kept and not used.
@@ -95,6 +101,10 @@
     if (!this->isWindowed()) {
         return inBucket;
     }
+    if (this->isFleetStarting(now)) {
+        // Nobody was admitted while the fleet was away, so the burst is there again.
+        return inBucket;
+    }
     const Room inWindow = this->roomInWindow(team.window, whole, visibleShare, now);
     return visibleShare < togetherShare || inWindow.tokens < inBucket.tokens ? inWindow : inBucket;
 }
--- a/libraries/process/limits/sharedratelimiter.h
+++ b/libraries/process/limits/sharedratelimiter.h
@@ -9,6 +9,7 @@
 #include <functional>
 #include <map>
 #include <mutex>
+#include <optional>
 #include <string>
 
 namespace Hyssophall {
@@ -38,6 +39,8 @@
         std::function<double()> visibleShare;
         /// What part of the fleet this VM is alone.
         std::function<double()> ownShare;
+        /// How long the relay has been running through which this VM hears the others; nothing while there is none.
+        std::function<std::optional<std::chrono::milliseconds>()> relayUptime;
         /// Tells the other VMs of an admission; at once when the team's tokens are scarce.
         std::function<void(const std::string &, bool isScarce)> admitted;
     };
@@ -78,6 +81,8 @@
     };
 
     bool isWindowed() const;
+    /// Whether this VM and its relay have both started within the last window, as after the loss of the whole fleet.
+    bool isFleetStarting(SteadyTime now) const;
     Team &teamOf(const std::string &name);
     Room roomOf(Team &team, const TeamRate &whole, double visibleShare, SteadyTime now) const;
     Room roomInBucket(Bucket &bucket, const TeamRate &whole, double visibleShare, SteadyTime now) const;
--- a/libraries/process/relay/entrynode.cpp
+++ b/libraries/process/relay/entrynode.cpp
@@ -102,6 +102,7 @@
     SharedRateLimiter::Hooks limiterHooks;
     limiterHooks.clock = this->clock;
     limiterHooks.visibleShare = [this] { return this->relayUplink->visibleShare(); };
+    limiterHooks.relayUptime = [this] { return this->relayUplink->relayUptime(); };
     limiterHooks.ownShare = [this] { return this->relayUplink->ownShare(); };
     limiterHooks.rateOf = [this](const std::string &name) {
         const std::shared_ptr<const CatalogueMessages::Team> team = this->catalogue()->findTeam(name);
@@ -137,6 +138,7 @@
     hooks.random = std::move(random);
     hooks.greet = [this] { return this->greeting(); };
     hooks.receive = [this](const RelayMessages::News &news) { this->receive(news); };
+    hooks.isConfigured = [this] { return this->isServing(); };
     this->relayUplink = std::make_unique<RelayUplink>(std::move(options), std::move(hooks));
 }
 
--- a/libraries/process/relay/relayhub.cpp
+++ b/libraries/process/relay/relayhub.cpp
@@ -24,6 +24,7 @@
 RelayHub::RelayHub(Options options, Hooks hooks)
     : options(std::move(options))
     , hooks(std::move(hooks))
+    , startedAt(this->options.clock())
     , board(this->options.board)
     , configuration(std::make_shared<const CatalogueMessages::Configuration>())
 {
@@ -291,6 +292,7 @@
     RelayMessages::RelayStatus status;
     status.set_current(controlInTouch && static_cast<std::size_t>(connected) + 1 >= this->options.majority);
     status.set_visible_vms(static_cast<std::uint32_t>(visible.size()));
+    status.set_uptime_milliseconds(static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(now - this->startedAt).count()));
     status.set_known_vms(static_cast<std::uint32_t>(this->vmsSeen.size()));
     return status;
 }
--- a/libraries/process/relay/relayhub.h
+++ b/libraries/process/relay/relayhub.h
@@ -122,6 +122,7 @@
 
     const Options options;
     const Hooks hooks;
+    const SteadyTime startedAt;
     mutable std::mutex mutex;
     std::condition_variable confirmations;
     OutcomeBoard board;
--- a/libraries/process/relay/relayuplink.cpp
+++ b/libraries/process/relay/relayuplink.cpp
@@ -13,6 +13,8 @@
 constexpr std::chrono::milliseconds outdatedAvoidance{3000};
 /// A change of the leader takes about this long and isn't mended by another relay.
 constexpr std::chrono::milliseconds outdatedPatience{700};
+/// A relay that has a configuration gives it with its first message; one that started with an empty disk has none for a while.
+constexpr std::chrono::milliseconds unconfiguredPatience{250};
 /// A status is told with each message; older than this, the connection is as good as lost.
 constexpr std::chrono::milliseconds statusLife{500};
 
@@ -58,6 +60,12 @@
     return 1.0 / std::max<std::uint32_t>(1, this->status.known_vms());
 }
 
+std::optional<std::chrono::milliseconds> RelayUplink::relayUptime() const
+{
+    std::lock_guard<std::mutex> lock(this->mutex);
+    return this->statusHeard ? std::optional<std::chrono::milliseconds>(this->status.uptime_milliseconds()) : std::nullopt;
+}
+
 bool RelayUplink::isCurrent() const
 {
     std::lock_guard<std::mutex> lock(this->mutex);
@@ -137,7 +145,8 @@
 
 void RelayUplink::moveOnIfOutdated(SteadyTime now)
 {
-    if (now - *this->outdatedSince >= outdatedPatience && this->choice.hasOther(this->connectedTo, now)) {
+    const std::chrono::milliseconds patience = this->hooks.isConfigured() ? outdatedPatience : unconfiguredPatience;
+    if (now - *this->outdatedSince >= patience && this->choice.hasOther(this->connectedTo, now)) {
         this->choice.avoid(this->connectedTo, outdatedAvoidance, now);
         this->link->cancel();
     }
--- a/libraries/process/relay/relayuplink.h
+++ b/libraries/process/relay/relayuplink.h
@@ -38,6 +38,8 @@
         /// The first message on each connection.
         std::function<RelayMessages::News()> greet;
         std::function<void(const RelayMessages::News &)> receive;
+        /// Whether this VM has a configuration.
+        std::function<bool()> isConfigured;
     };
 
     RelayUplink(Options options, Hooks hooks);
@@ -54,6 +56,9 @@
     /// What part of the fleet this VM is.
     double ownShare() const;
 
+    /// How long the relay had been running when it was last heard; nothing before that.
+    std::optional<std::chrono::milliseconds> relayUptime() const;
+
     /// Whether the relay was heard from lately and knows the latest.
     bool isCurrent() const;
 
--- a/tests/unit/process/limits/sharedratelimitertest.cpp
+++ b/tests/unit/process/limits/sharedratelimitertest.cpp
@@ -36,6 +36,7 @@
         hooks.visibleShare = [this, vm] {
             return static_cast<double>(std::count(this->parts.begin(), this->parts.end(), this->parts[vm])) / static_cast<double>(this->parts.size());
         };
+        hooks.relayUptime = [this] { return std::optional<std::chrono::milliseconds>(this->relayUptime); };
         hooks.ownShare = [this] { return 1 / static_cast<double>(this->parts.size()); };
         hooks.admitted = [this, vm](const std::string &team, bool) {
             for (std::size_t other = 0; other < this->limiters.size(); ++other) {
@@ -77,6 +78,7 @@
     }
 
     SteadyTime now = start;
+    std::chrono::milliseconds relayUptime{std::chrono::hours(1)};
     TeamRate rate{40, 20};
     std::vector<SteadyTime> grants;
     /// The part of the fleet in which each VM is.
@@ -224,3 +226,24 @@
     }
     CATCH_CHECK(fleet.admit(2, 25, random) >= 48);
 }
+
+// Guards against refusing what waited for the fleet while it was away: all of it comes at once.
+CATCH_TEST_CASE("A fleet that restarts with its relays owes its teams their bursts", "[fleet-limit]")
+{
+    std::mt19937_64 random(9);
+    LimitedFleet fleet(48, fiveSecondWindows());
+    fleet.admit(10, 25, random);
+    fleet.now += std::chrono::milliseconds(1500);
+    fleet.relayUptime = std::chrono::milliseconds(800);
+    for (std::size_t vm = 0; vm < 48; ++vm) {
+        fleet.restart(vm);
+    }
+    fleet.now += std::chrono::milliseconds(500);
+    int admitted = 0;
+    for (std::size_t request = 0; request < 20; ++request) {
+        admitted += fleet.limiters[request]->acquire("red", fleet.now).kind == RateDecision::Kind::Granted ? 1 : 0;
+    }
+    CATCH_CHECK(admitted == 20);
+    fleet.admit(4, 400, random);
+    CATCH_CHECK(fleet.mostIn(std::chrono::seconds(5)) <= (40 * 5 + 20) * 1.1 + 20);
+}
