--- a/libraries/process/health/outcomeboard.cpp
+++ b/libraries/process/health/outcomeboard.cpp
@@ -43,6 +43,8 @@
 /// instances may be busier than it knows.
 constexpr double blindCost = 0.25;
 constexpr std::uint64_t drawSteps = 1024;
+/// From here on, an instance is more likely gray than not; for the log alone.
+constexpr double suspectedProbability = 0.5;
 /// Share of requests that aren't served, also by refusals, from which on a service's work is spread over more instances. Low, since what other
 /// VMs couldn't serve is known later than the rule counts it.
 constexpr double failingShare = 0.02;
@@ -118,6 +120,7 @@
         life.latency = life.latency.count() == 0 ? mean : life.latency + (mean - life.latency) * latencyWeight;
         service.latency = service.latency.count() == 0 ? mean : service.latency + (mean - service.latency) * latencyWeight;
     }
+    this->noteSuspicion(life, registration->service(), now);
     if (outcomes.unreachable() > 0 && now >= life.unreachableUntil) {
         life.unreachableHold = std::clamp(2 * life.unreachableHold, firstUnreachableHold, longestUnreachableHold);
         life.unreachableUntil = now + life.unreachableHold;
@@ -202,6 +205,16 @@
     return *chosen.registration;
 }
 
+void OutcomeBoard::noteSuspicion(Life &life, const std::string &service, SteadyTime now) const
+{
+    const double probability = life.gray.probability(now, this->options.model);
+    const bool isGray = probability >= suspectedProbability;
+    if (isGray != life.isSuspected && this->options.suspicionChanged) {
+        this->options.suspicionChanged({life.id, service, isGray, probability, life.starts.size()});
+    }
+    life.isSuspected = isGray;
+}
+
 OutcomeBoard::Stakes OutcomeBoard::stakesOf(const InstanceQuery &query, std::size_t answerBytes) const
 {
     Stakes stakes;
--- a/libraries/process/health/outcomeboard.h
+++ b/libraries/process/health/outcomeboard.h
@@ -9,6 +9,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <deque>
+#include <functional>
 #include <map>
 #include <optional>
 #include <string>
@@ -27,6 +28,16 @@
 class OutcomeBoard
 {
 public:
+    /// An outcome that changed whether an instance is taken for gray.
+    struct Suspicion {
+        std::string instance;
+        std::string service;
+        /// Whether the instance is taken for gray from now on.
+        bool isGray = false;
+        double probability = 0;
+        std::size_t inFlight = 0;
+    };
+
     struct Options {
         std::string ownFailureDomain;
         /// What a request to another failure domain costs, and each kilobyte of it and its answer, in parts of a failed request.
@@ -34,6 +45,8 @@
         double crossDomainCostOfKilobyte = 0.02;
         GrayEstimate::Model model;
         RandomSource random;
+        /// Told of each change of belief; may be empty.
+        std::function<void(const Suspicion &)> suspicionChanged;
     };
 
     explicit OutcomeBoard(Options options);
@@ -67,6 +80,7 @@
         GrayEstimate gray;
         /// Starts of the requests in flight, oldest first.
         std::deque<SteadyTime> starts;
+        bool isSuspected = false;
         std::optional<SteadyTime> success;
         std::optional<SteadyTime> failure;
         std::optional<SteadyTime> lastStart;
@@ -100,6 +114,7 @@
     };
 
     Stakes stakesOf(const InstanceQuery &query, std::size_t answerBytes) const;
+    void noteSuspicion(Life &life, const std::string &service, SteadyTime now) const;
     void countHanging(Life &life, Service &service, SteadyTime now);
     double costOf(const RelayMessages::Registration &registration, const Life &life, const Service &service, const Stakes &stakes, SteadyTime now) const;
     Candidate cheapest(std::vector<Candidate> &candidates);
--- a/libraries/process/relay/entrynode.cpp
+++ b/libraries/process/relay/entrynode.cpp
@@ -25,6 +25,11 @@
     options.crossDomainCost = static_cast<double>(settings.relay.crossDomainCost) / thousandths;
     options.crossDomainCostOfKilobyte = static_cast<double>(settings.relay.crossDomainCostOfKilobyte) / thousandths;
     options.random = random;
+    options.suspicionChanged = [](const OutcomeBoard::Suspicion &suspicion) {
+        LOG(INFO) << "Instance " << suspicion.instance << " of service " << suspicion.service
+                  << (suspicion.isGray ? " is suspected to be gray" : " is trusted again") << " at a probability of " << suspicion.probability << " with "
+                  << suspicion.inFlight << " requests in flight";
+    };
     return options;
 }
 
--- a/tests/unit/process/health/outcomeboardtest.cpp
+++ b/tests/unit/process/health/outcomeboardtest.cpp
@@ -377,3 +377,29 @@
     }
     CATCH_CHECK(used.size() >= 9);
 }
+
+// Guards against logs that don't tell when and why instances were left alone.
+CATCH_TEST_CASE("Each change of the belief in an instance is told once", "[health][gray]")
+{
+    std::mt19937_64 random(12);
+    OutcomeBoard::Options options = optionsWith(random);
+    std::vector<OutcomeBoard::Suspicion> told;
+    options.suspicionChanged = [&told](const OutcomeBoard::Suspicion &suspicion) { told.push_back(suspicion); };
+    OutcomeBoard board(options);
+    const RelayMessages::Registration instance = registrationOf("i-1", 1, 1, 1);
+    board.take(instance);
+    RelayMessages::InstanceOutcomes failed = outcomesOf(instance);
+    failed.set_failed(1);
+    RelayMessages::InstanceOutcomes succeeded = outcomesOf(instance);
+    succeeded.set_succeeded(4);
+    board.apply(failed, start);
+    board.apply(failed, start);
+    CATCH_REQUIRE(told.size() == 1);
+    CATCH_CHECK(told[0].instance == "i-1");
+    CATCH_CHECK(told[0].service == "orders");
+    CATCH_CHECK(told[0].isGray);
+    board.apply(succeeded, start);
+    board.apply(succeeded, start);
+    CATCH_REQUIRE(told.size() == 2);
+    CATCH_CHECK_FALSE(told[1].isGray);
+}
