--- a/tests/unit/connection/upstreamclienttest.cpp
+++ b/tests/unit/connection/upstreamclienttest.cpp
@@ -317,3 +317,42 @@
         CATCH_CHECK(request.find(name) == std::string::npos);
     }
 }
+
+// Guards against an instance that hangs and uses up the time of a request that another instance could answer.
+CATCH_TEST_CASE("A try that another one may follow ends with its patience, and others don't", "[connection]")
+{
+    RawUpstream upstream([](RawConnection &connection, const std::string &) {
+        std::this_thread::sleep_for(std::chrono::milliseconds(500));
+        connection.write(RawUpstream::answer("late"));
+    });
+    UpstreamClient client({});
+    UpstreamCall call = callTo(upstream, "GET");
+    call.patienceEnd = std::chrono::steady_clock::now() + std::chrono::milliseconds(100);
+    const UpstreamResult ended = client.send(call);
+    CATCH_REQUIRE(ended.failure);
+    CATCH_CHECK(ended.failure->kind == UpstreamFailureKind::TimedOut);
+    call.mayFollow = false;
+    CATCH_CHECK(client.send(call).answer);
+    UpstreamCall order = callTo(upstream, "POST");
+    order.patienceEnd = std::chrono::steady_clock::now() + std::chrono::milliseconds(100);
+    CATCH_CHECK(client.send(order).answer);
+}
+
+// Guards against giving up the last try on a kept connection at half of its time.
+CATCH_TEST_CASE("The last try on a kept connection gets all of the time", "[connection]")
+{
+    RawUpstream upstream([](RawConnection &connection, const std::string &request) {
+        if (request.find("/slow") != std::string::npos) {
+            std::this_thread::sleep_for(std::chrono::milliseconds(700));
+        }
+        connection.write(RawUpstream::answer("ok"));
+    });
+    UpstreamClient client({});
+    CATCH_REQUIRE(client.send(callTo(upstream, "GET")).answer);
+    UpstreamCall call = callTo(upstream, "GET", std::chrono::milliseconds(1100));
+    call.request.target = "/slow";
+    call.mayFollow = false;
+    const UpstreamResult result = client.send(call);
+    CATCH_CHECK(result.answer);
+    CATCH_CHECK(result.reusedConnection);
+}
--- a/tests/unit/process/proxy/pathmocks.h
+++ b/tests/unit/process/proxy/pathmocks.h
@@ -163,6 +163,11 @@
         return std::nullopt;
     }
 
+    std::optional<std::chrono::milliseconds> patience(const std::string &) const override
+    {
+        return this->usualPatience;
+    }
+
     void finish(const hyssophall::fleet::v1::Instance &, Hyssophall::TryOutcome outcome, std::chrono::microseconds, std::uint64_t) override
     {
         --this->inFlight;
@@ -180,6 +185,7 @@
     std::vector<Hyssophall::TryOutcome> outcomes;
     std::atomic<int> inFlight{0};
     bool poison = false;
+    std::optional<std::chrono::milliseconds> usualPatience;
 };
 
 /// Ends tries with prepared results and runs the last check before sending as the HTTP client does.
@@ -231,7 +237,8 @@
                    this->retries,
                    std::chrono::steady_clock::now,
                    [this] { return ++this->counter; },
-                   {}},
+                   {},
+                   [this](Hyssophall::SteadyTime deadline) { this->awaitCatalogue(deadline); }},
               {})
     {
     }
@@ -252,6 +259,7 @@
     MockCapacity capacity;
     MockHealth health;
     MockSender sender;
+    std::function<void(Hyssophall::SteadyTime)> awaitCatalogue = [](Hyssophall::SteadyTime) {};
     Hyssophall::RetryBudget retries;
     std::atomic<std::uint64_t> counter{0};
     Hyssophall::RequestPath path;
--- a/tests/unit/process/proxy/requestpathtest.cpp
+++ b/tests/unit/process/proxy/requestpathtest.cpp
@@ -185,3 +185,31 @@
     CATCH_CHECK(second.substr(0, 36) == first.substr(0, 36));
     CATCH_CHECK(first != second);
 }
+
+// Guards against refusing requests of a VM that gets its first catalogue a moment later.
+CATCH_TEST_CASE("A request waits for the first catalogue before it is decided on", "[proxy][true-refusal]")
+{
+    MockedPath mocked;
+    mocked.lease.held = false;
+    mocked.awaitCatalogue = [&mocked](SteadyTime) { mocked.lease.held = true; };
+    CATCH_CHECK(!mocked.handle("GET", "/read").refusal);
+}
+
+// Guards against waiting for a hanging instance until a request that may be repeated has no time left for another try.
+CATCH_TEST_CASE("Only tries that others may follow end before the deadline", "[proxy]")
+{
+    MockedPath mocked;
+    mocked.health.usualPatience = std::chrono::milliseconds(600);
+    const SteadyTime began = std::chrono::steady_clock::now();
+    mocked.handle("GET", "/read");
+    mocked.handle("POST", "/write");
+    CATCH_REQUIRE(mocked.sender.calls.size() == 2);
+    CATCH_CHECK(mocked.sender.calls[0].mayFollow);
+    CATCH_REQUIRE(mocked.sender.calls[0].patienceEnd);
+    CATCH_CHECK(*mocked.sender.calls[0].patienceEnd >= began + std::chrono::milliseconds(600));
+    CATCH_CHECK(*mocked.sender.calls[0].patienceEnd < mocked.sender.calls[0].deadline);
+    CATCH_CHECK_FALSE(mocked.sender.calls[1].mayFollow);
+    // Too little time for another try: this one gets it all.
+    mocked.handle("GET", "/read", {{"X-Request-Timeout-Ms", "500"}});
+    CATCH_CHECK_FALSE(mocked.sender.calls[2].patienceEnd);
+}
