Health: Tell all live VMs of a judged request before its caller hears

What callers saw: a request that crashes the instances that run it could fell four of six instances although two crashes prove it; the next VM that it was sent to, a few milliseconds later, tried it again on an instance of its own.

Cause: the judgement went to the reporting VM by the owner's reply and to all others by gossip, two members a round, so a caller that sends the request again at once is faster.

Change: the reporting VM tells the other live VMs by the call that it already has for crashes, 64 at most, and waits for their answers for 100 ms at most before the request goes on. Gossip still carries the judgement to VMs that are out of reach and to larger fleets.

--- a/libraries/process/health/healthnode.cpp
+++ b/libraries/process/health/healthnode.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <future>
 #include <memory>
+#include <semaphore>
 #include <utility>
 
 namespace Hyssophall {
@@ -12,7 +13,7 @@
 constexpr std::chrono::milliseconds tickInterval{250};
 constexpr std::chrono::milliseconds calmReportInterval{1000};
 constexpr std::chrono::milliseconds callTimeout{500};
-// The request that lost its connection waits for this call.
+// The request that lost its connection waits for these calls.
 constexpr std::chrono::milliseconds crashTimeout{100};
 // Reports a second that one arbiter takes. In a large fleet each VM reports more rarely, so that the arbiter's load stays bounded.
 constexpr double suspiciousReportsPerSecond = 200;
@@ -92,6 +93,11 @@
 FleetMessages::ReportCrashReply HealthNode::takeCrash(const FleetMessages::ReportCrashRequest &request)
 {
     FleetMessages::ReportCrashReply reply;
+    if (request.judged()) {
+        this->monitor.markPoison(request.fingerprint(), CrashRegistry::memory);
+        reply.set_poison(true);
+        return reply;
+    }
     if (!this->leases.heldEpoch(shardOf(shardNameOf(request.fingerprint())))) {
         return reply;
     }
@@ -112,21 +118,46 @@
     request.set_member(this->options.memberId);
     request.set_fingerprint(fingerprint);
     request.set_instance(instance);
-    const std::string owner = this->leases.candidateOf(shardOf(shardNameOf(fingerprint)));
+    if (this->askOwner(request)) {
+        this->monitor.markPoison(fingerprint, CrashRegistry::memory);
+        this->tellOthers(fingerprint, this->leases.candidateOf(shardOf(shardNameOf(fingerprint))));
+    }
+}
+
+bool HealthNode::askOwner(const FleetMessages::ReportCrashRequest &request)
+{
+    const std::string owner = this->leases.candidateOf(shardOf(shardNameOf(request.fingerprint())));
     if (owner == this->options.memberId) {
-        this->takeCrash(request);
-        return;
-    }
-    const std::shared_ptr<std::promise<void>> answered = std::make_shared<std::promise<void>>();
-    const std::future<void> answer = answered->get_future();
-    this->transport.reportCrash(
-        this->members.addressOf(owner), request, crashTimeout, [this, fingerprint, answered](boost::leaf::result<FleetMessages::ReportCrashReply> reply) {
-            if (reply && reply->poison()) {
-                this->monitor.markPoison(fingerprint, CrashRegistry::memory);
-            }
-            answered->set_value();
+        return this->takeCrash(request).poison();
+    }
+    const std::shared_ptr<std::promise<bool>> answered = std::make_shared<std::promise<bool>>();
+    std::future<bool> judged = answered->get_future();
+    this->transport.reportCrash(this->members.addressOf(owner), request, crashTimeout, [answered](boost::leaf::result<FleetMessages::ReportCrashReply> reply) {
+        answered->set_value(reply && reply->poison());
+    });
+    return judged.wait_for(crashTimeout) == std::future_status::ready && judged.get();
+}
+
+void HealthNode::tellOthers(std::uint64_t fingerprint, const std::string &owner)
+{
+    FleetMessages::ReportCrashRequest judgement;
+    judgement.set_member(this->options.memberId);
+    judgement.set_fingerprint(fingerprint);
+    judgement.set_judged(true);
+    const std::shared_ptr<std::counting_semaphore<>> answers = std::make_shared<std::counting_semaphore<>>(0);
+    std::size_t told = 0;
+    for (const std::string &member : this->members.liveMembers()) {
+        if (member == this->options.memberId || member == owner || told == maximumToldAtOnce) {
+            continue;
+        }
+        ++told;
+        this->transport.reportCrash(this->members.addressOf(member), judgement, crashTimeout, [answers](boost::leaf::result<FleetMessages::ReportCrashReply>) {
+            // A VM that doesn't answer hears of it by gossip.
+            answers->release();
         });
-    answer.wait_for(crashTimeout);
+    }
+    const SteadyTime end = std::chrono::steady_clock::now() + crashTimeout;
+    for (std::size_t waiting = told; waiting > 0 && answers->try_acquire_until(end); --waiting) { }
 }
 
 std::string HealthNode::shardNameOf(std::uint64_t fingerprint)
--- a/libraries/process/health/healthnode.h
+++ b/libraries/process/health/healthnode.h
@@ -56,7 +56,15 @@
     FleetMessages::ReportOutcomesReply takeOutcomes(const FleetMessages::ReportOutcomesRequest &request);
     FleetMessages::ReportCrashReply takeCrash(const FleetMessages::ReportCrashRequest &request);
 
-    /// Sends a crash to the owner of the fingerprint and waits for its answer, 100 ms at most; the hook of HealthMonitor::Options.
+    /// VMs that are told of a judged request before its caller hears of it. In a larger fleet the others hear by gossip.
+    static constexpr std::size_t maximumToldAtOnce = 64;
+
+    /**
+     * Sends a crash to the owner of the fingerprint, and its judgement to the other live VMs; the hook of HealthMonitor::Options.
+     *
+     * Waits up to 100 ms for the owner and as long for the others, so that a caller that sends a judged request again finds no VM that
+     * still tries it.
+     */
     void reportCrash(std::uint64_t fingerprint, const std::string &instance);
 
 private:
@@ -65,6 +73,8 @@
     void sendReports();
     void decideEjections();
     void markPoisonEverywhere(std::uint64_t fingerprint);
+    bool askOwner(const FleetMessages::ReportCrashRequest &request);
+    void tellOthers(std::uint64_t fingerprint, const std::string &owner);
 
     const Options options;
     HealthMonitor &monitor;
