Control: Reopen the control log in place after a disk failure

What callers saw: a control VM ended its process with exit code 0 when a disk that had been full or broken took writes again, and dropped the streams of all its VMs with it. The last lines of its log named only the peers that went away.

Cause: only a new read tells what a disk holds after a failed operation, and the way to a new read was SIGTERM to the own process. A VM that halted in the first 10 s wasn't even looked at until then.

Change: ControlGroup::reopen() reads the disk again and starts a new replica on it, which recalls its position before it votes, as after a start. Replies to what the former replica sent are dropped by the time of sending. The relay, its streams and its instances stay.

--- a/libraries/process/control/controlgroup.cpp
+++ b/libraries/process/control/controlgroup.cpp
@@ -76,7 +76,35 @@
 boost::leaf::result<void> ControlGroup::open()
 {
     BOOST_LEAF_AUTO(opened, LogStorage::create(*this->disk, this->hooks.random));
+    this->startReplica(std::move(opened));
+    return {};
+}
+
+boost::leaf::result<void> ControlGroup::reopen()
+{
+    {
+        std::lock_guard<std::mutex> lock(this->mutex);
+        if (!this->replica->isHalted()) {
+            return {};
+        }
+    }
+    // A replica that has halted no longer uses its storage, so the disk can be read without the mutex.
+    BOOST_LEAF_AUTO(opened, LogStorage::create(*this->disk, this->hooks.random));
+    std::lock_guard<std::mutex> lock(this->mutex);
+    this->startReplica(std::move(opened));
+    LOG(INFO) << "control replica works again: " << this->settings.vm.dataFolder << " was read up to index " << this->replica->log().lastIndex() << " of term "
+              << this->replica->term();
+    this->reportedHalt = false;
+    this->afterReplicaCall();
+    return {};
+}
+
+void ControlGroup::startReplica(std::unique_ptr<LogStorage> opened)
+{
+    // The former replica refers to the former storage.
+    this->replica.reset();
     this->storage = std::move(opened);
+    this->replicaStartedAt = steadyNow();
     RaftReplica::Options options;
     options.id = this->settings.vm.id;
     options.heartbeatInterval = this->settings.control.heartbeatInterval;
@@ -85,7 +113,6 @@
     RaftReplica::Hooks replicaHooks{
         steadyNow, this->hooks.random, [this](const RaftReplica::Replica &peer, const RaftReplica::Request &request) { this->send(peer, request); }};
     this->replica = std::make_unique<RaftReplica>(options, replicaHooks, *this->storage, this->storage->takeStored());
-    return {};
 }
 
 void ControlGroup::startThreads()
@@ -113,8 +140,10 @@
                              const RaftReplica::Request &message, std::chrono::milliseconds timeout) { return client->call(message, timeout); };
         linkHooks.accept = [this](const RaftReplica::Replica &from, const RaftReplica::Request &sent, SteadyTime sentAt, const RaftReplica::Reply &reply) {
             std::lock_guard<std::mutex> lock(this->mutex);
-            this->replica->accept(from, sent, sentAt, reply);
-            this->afterReplicaCall();
+            if (sentAt >= this->replicaStartedAt) {
+                this->replica->accept(from, sent, sentAt, reply);
+                this->afterReplicaCall();
+            }
         };
         link = std::make_unique<PeerLink>(std::move(linkHooks), this->settings.control.electionTimeout);
     }
--- a/libraries/process/control/controlgroup.h
+++ b/libraries/process/control/controlgroup.h
@@ -58,6 +58,14 @@
     /// Starts a new group of the VMs with these fleet addresses, this VM among them; their logs must be empty. Errors: BootstrapRefused.
     boost::leaf::result<void> bootstrap(const std::vector<std::string> &addresses, SteadyTime deadline);
 
+    /**
+     * Takes up the replica's work again after a storage failure, from what the disk holds now; without a failure, nothing happens.
+     *
+     * As after a start of the process, the replica recalls its position before it votes. Not to be called by two threads at once.
+     * Errors: StorageFault, and the replica stays silent.
+     */
+    boost::leaf::result<void> reopen();
+
     /// Whether what this replica has applied is at most about an election timeout old.
     bool isInTouch() const;
 
@@ -70,6 +78,7 @@
     ControlGroup(const Settings &settings, CatalogueMachine &catalogue, Hooks hooks);
 
     boost::leaf::result<void> open();
+    void startReplica(std::unique_ptr<LogStorage> opened);
     void startThreads();
     void tickUntilStopped();
     void applyUntilStopped();
@@ -104,6 +113,8 @@
     std::map<std::pair<std::string, bool>, std::unique_ptr<PeerLink>> links;
     std::uint64_t announcedCommit = 0;
     bool reportedHalt = false;
+    /// Replies to what was sent before aren't for the present replica.
+    SteadyTime replicaStartedAt;
 
     std::mutex stateMutex;
     std::condition_variable stateChanged;
--- a/libraries/process/relay/controlnode.cpp
+++ b/libraries/process/relay/controlnode.cpp
@@ -24,8 +24,8 @@
 constexpr NewsBuffer::Gathering peerGathering{std::chrono::milliseconds(10), std::chrono::milliseconds(150)};
 /// More than the small writes that may still fit on a disk that is as good as full.
 constexpr std::size_t probeBytes = 64 * 1024;
-/// A replica that halts at each start, whatever its disk takes, must not make the process start over and over.
-constexpr std::chrono::seconds shortestRun{10};
+/// Reading a whole log again costs more than a probe, and a corrupted one is reported each time.
+constexpr std::chrono::seconds reopenRetry{5};
 constexpr std::chrono::milliseconds peerHeartbeat{250};
 
 SteadyTime steadyNow()
@@ -251,7 +251,7 @@
 void ControlNode::keepInGroup()
 {
     while (!this->stopping) {
-        this->restartIfDiskIsBack();
+        this->reopenIfDiskIsBack();
         this->keepCopy();
         this->carryOut(GroupFormation::decide(this->view()));
         std::this_thread::sleep_for(keeperInterval);
@@ -292,9 +292,9 @@
         [] { LOG(WARNING) << "The copy of the configuration can't be written"; });
 }
 
-void ControlNode::restartIfDiskIsBack()
+void ControlNode::reopenIfDiskIsBack()
 {
-    if (steadyNow() - this->startedAt < shortestRun || this->replicaStatus().role() != "halted") {
+    if (steadyNow() < this->reopenDue || this->replicaStatus().role() != "halted") {
         return;
     }
     // The same operations as those of the log, so that a full disk is told from one that has room again.
@@ -307,10 +307,17 @@
             return true;
         },
         [] { return false; });
-    if (isBack) {
-        LOG(WARNING) << "The disk takes writes again; the process restarts to read what it holds";
-        this->hooks.restartProcess();
+    if (!isBack) {
+        // The failure that halted the replica is logged already.
+        return;
     }
+    this->reopenDue = steadyNow() + reopenRetry;
+    boost::leaf::try_handle_all([this] { return this->ownedGroup->reopen(); },
+        [](const StorageFault &fault) {
+            LOG(WARNING) << "The disk takes writes again, but " << fault.file
+                         << (fault.kind == StorageFault::Kind::Corrupted ? " is corrupted" : " can't be read");
+        },
+        [] { LOG(WARNING) << "The disk takes writes again, but the control log can't be read"; });
 }
 
 GroupFormation::View ControlNode::view()
--- a/libraries/process/relay/controlnode.h
+++ b/libraries/process/relay/controlnode.h
@@ -29,8 +29,6 @@
 public:
     struct Hooks {
         RandomSource random;
-        /// Has the process end and start again: what a disk holds after a failed operation is only known by reading it again.
-        std::function<void()> restartProcess;
     };
 
     /// Opens the fleet port and starts all threads. Errors: StorageFault, FleetPortUnavailable.
@@ -62,7 +60,7 @@
 
     boost::leaf::result<void> start();
     void keepInGroup();
-    void restartIfDiskIsBack();
+    void reopenIfDiskIsBack();
     void startFromCopy();
     void keepCopy();
     GroupFormation::View view();
@@ -75,6 +73,8 @@
     const Hooks hooks;
     const std::string ownAddress;
     SteadyTime startedAt;
+    /// When a replica that a disk failure has silenced may be opened again. Used by the keeper alone.
+    SteadyTime reopenDue;
     std::mutex mutex;
     std::condition_variable configurationChanged;
     std::shared_ptr<const CatalogueMessages::Configuration> configuration;
--- a/services/hyssophalld/controldaemon.cpp
+++ b/services/hyssophalld/controldaemon.cpp
@@ -4,9 +4,6 @@
 
 #include <glog/logging.h>
 
-#include <csignal>
-#include <unistd.h>
-
 namespace Hyssophall {
 
 boost::leaf::result<std::unique_ptr<ControlDaemon>> ControlDaemon::create(const Settings &settings)
@@ -24,7 +21,7 @@
 
 boost::leaf::result<void> ControlDaemon::start()
 {
-    BOOST_LEAF_ASSIGN(this->node, ControlNode::create(this->settings, {systemRandom, [] { kill(getpid(), SIGTERM); }}));
+    BOOST_LEAF_ASSIGN(this->node, ControlNode::create(this->settings, {systemRandom}));
     this->addGauges();
     this->interface = std::make_unique<Platform::ControlInterface>(this->interfaceHooks());
     BOOST_LEAF_ASSIGN(this->registrations,
--- a/tests/integration/relayedfleettest.cpp
+++ b/tests/integration/relayedfleettest.cpp
@@ -68,6 +68,28 @@
         this->processes[static_cast<std::size_t>(number)]->kill();
     }
 
+    bool isRunning(int number)
+    {
+        return !this->processes[static_cast<std::size_t>(number)]->waitForExit(0ms);
+    }
+
+    /// A folder in the place of a file that each change of the control log writes makes the writes fail.
+    void blockDisk(int number)
+    {
+        std::filesystem::create_directory(this->folder / ("data-" + std::to_string(number)) / "control" / "state.new");
+    }
+
+    void unblockDisk(int number)
+    {
+        std::filesystem::remove(this->folder / ("data-" + std::to_string(number)) / "control" / "state.new");
+    }
+
+    std::string log(int number) const
+    {
+        std::ifstream stream(this->folder / ("vm-" + std::to_string(number) + ".ini.log"));
+        return {std::istreambuf_iterator<char>(stream), std::istreambuf_iterator<char>()};
+    }
+
     void wipeDisk(int number)
     {
         std::filesystem::remove_all(this->folder / ("data-" + std::to_string(number)));
@@ -243,3 +265,26 @@
     fleet.kill(1);
     CATCH_CHECK(fleet.registerUpstream(2, "draining", 3) == 503);
 }
+
+// Guards against a control VM that ends its process, with success, because its disk failed for a while.
+CATCH_TEST_CASE("A control VM whose disk failed for a while takes part again without a new process", "[integration][relay][config-in-force]")
+{
+    RelayedFleet fleet;
+    CATCH_REQUIRE(fleet.putConfiguration(4, "key-4", {0, 1, 2}));
+    CATCH_REQUIRE(fleet.registerUpstream(1, "ready", 1) == 200);
+    CATCH_REQUIRE(Harness::waitUntil(3s, [&fleet] { return fleet.answersEverywhere("key-4", 200); }));
+    fleet.blockDisk(2);
+    CATCH_REQUIRE(fleet.putConfiguration(9, "key-9", {0, 1}));
+    CATCH_REQUIRE(Harness::waitUntil(5s, [&fleet] { return fleet.log(2).find("control replica stopped") != std::string::npos; }));
+    // Long enough for a process that ends itself ten seconds after its start.
+    std::this_thread::sleep_for(11s);
+    CATCH_CHECK(fleet.answersEverywhere("key-9", 200));
+    fleet.unblockDisk(2);
+    CATCH_REQUIRE(Harness::waitUntil(15s, [&fleet] { return fleet.control(2, "GET", "/v1/config").body == fleet.document; }));
+    CATCH_CHECK(fleet.isRunning(2));
+    // Without another one, its vote is needed.
+    fleet.kill(0);
+    CATCH_CHECK(fleet.putConfiguration(12, "key-12", {1, 2}));
+    CATCH_CHECK(Harness::waitUntil(3s, [&fleet] { return fleet.answersEverywhere("key-12", 200); }));
+    CATCH_CHECK(fleet.isRunning(2));
+}
--- a/tests/unit/process/control/controlgrouptest.cpp
+++ b/tests/unit/process/control/controlgrouptest.cpp
@@ -94,6 +94,11 @@
         }
     }
 
+    std::uint64_t catalogueVersion() const
+    {
+        return this->group->status(soon()).value().catalogue_version();
+    }
+
     std::string address() const
     {
         return this->settings.listen.fleet.host + ":" + std::to_string(this->settings.listen.fleet.port);
@@ -150,6 +155,39 @@
     close(silent);
 }
 
+CATCH_TEST_CASE("A replica whose disk failed is counted again once it is reopened", "[control-log][config-in-force]")
+{
+    // Guards against a control VM that takes part again only after an end of its process.
+    std::vector<std::unique_ptr<ControlVm>> vms;
+    std::vector<std::string> addresses;
+    for (const char *id : {"a", "b", "c"}) {
+        vms.push_back(std::make_unique<ControlVm>(id));
+        addresses.push_back(vms.back()->address());
+    }
+    CATCH_REQUIRE(vms[0]->group->bootstrap(addresses, soon()));
+    CATCH_REQUIRE(vms[0]->group->propose(change("one", 0), soon()).value().version() == 1);
+    CATCH_REQUIRE(vms[1]->group->reopen());
+
+    // A folder in the place of the file that each change writes makes the writes fail.
+    const std::filesystem::path blocked = std::filesystem::path(vms[1]->settings.vm.dataFolder) / "control" / "state.new";
+    std::filesystem::create_directory(blocked);
+    CATCH_REQUIRE(vms[0]->group->propose(change("two", 1), soon()).value().version() == 2);
+    const SteadyTime limit = soon();
+    while (vms[1]->group->status(soon())->role() != "halted" && std::chrono::steady_clock::now() < limit) {
+        std::this_thread::sleep_for(std::chrono::milliseconds(10));
+    }
+    CATCH_REQUIRE(vms[1]->group->status(soon())->role() == "halted");
+    std::filesystem::remove(blocked);
+    CATCH_REQUIRE(vms[1]->group->reopen());
+    // Without the third VM, a change needs the one that was silent.
+    vms[2]->stop();
+    CATCH_REQUIRE(vms[0]->group->propose(change("three", 2), soon()).value().version() == 3);
+    while (vms[1]->catalogueVersion() != 3 && std::chrono::steady_clock::now() < limit) {
+        std::this_thread::sleep_for(std::chrono::milliseconds(10));
+    }
+    CATCH_REQUIRE(vms[1]->catalogueVersion() == 3);
+}
+
 CATCH_TEST_CASE("A roster change is refused until the previous one is in force everywhere", "[control-log]")
 {
     // Guards against quorums of committees that don't meet because the roster moved twice.
