Limits: Take no old answer of an owner for its last word

What callers saw: a team inside its rate was refused as rate_limited on one VM while its shard moved to another owner, as in a rolling restart.

Cause, from the code: a caller is refused for the rate when an owner answered "no token" at any time during its wait. If that answer came at the beginning, and the owner then left while the next question was on its way (a question has 250 ms, as long as the wait), the only answer of the wait is that of a former owner, whose successor has tokens.

Evidence: the new test "A caller isn't refused for a former owner's last answer" plays that order of events; on the former code the caller is refused, now it gets its token. That this is what the known red integration test met isn't shown: that test keeps no trace of the questions.

Change: an answer speaks for its owner for 200 ms, twice the longest pause between two questions. A caller whose only answer is older waits for an owner as one without any answer does, within limits.owner_wait_ms.

--- a/libraries/process/limits/borrowingratelimiter.cpp
+++ b/libraries/process/limits/borrowingratelimiter.cpp
@@ -77,9 +77,10 @@
     if (waiter.granted) {
         return RateDecision{RateDecision::Kind::Granted, std::chrono::milliseconds(0)};
     }
-    TeamTokens &tokens = this->tokensOf(stripe, team, this->context.clock());
+    const SteadyTime now = this->context.clock();
+    TeamTokens &tokens = this->tokensOf(stripe, team, now);
     tokens.remove(waiter);
-    return tokens.refusal(waiter);
+    return tokens.refusal(waiter, now);
 }
 
 RateDecision BorrowingRateLimiter::acquire(const std::string &team, SteadyTime deadline)
@@ -107,7 +108,7 @@
 {
     const SteadyTime now = this->context.clock();
     const TeamTokens &tokens = this->tokensOf(stripe, team, now);
-    if (tokens.refusal(waiter).kind == RateDecision::Kind::Unavailable) {
+    if (tokens.refusal(waiter, now).kind == RateDecision::Kind::Unavailable) {
         return true;
     }
     // A new owner's bucket starts empty. The time that the caller waited without any owner doesn't count as waiting for the rate.
--- a/libraries/process/limits/teamtokens.cpp
+++ b/libraries/process/limits/teamtokens.cpp
@@ -174,10 +174,11 @@
     return this->failure;
 }
 
-RateDecision TeamTokens::refusal(const TokenWaiter &waiter) const
+RateDecision TeamTokens::refusal(const TokenWaiter &waiter, SteadyTime now) const
 {
-    // An answer from before the wait says nothing about the owner's bucket during it.
-    return this->verdictTime >= waiter.since ? this->verdict : RateDecision{};
+    // An answer from before the wait says nothing about the owner's bucket during it, and an old one nothing about its end.
+    const bool speaksForOwner = this->verdictTime >= waiter.since && now - this->verdictTime <= this->options.verdictLife;
+    return speaksForOwner ? this->verdict : RateDecision{};
 }
 
 bool TeamTokens::hasWaiters() const
--- a/libraries/process/limits/teamtokens.h
+++ b/libraries/process/limits/teamtokens.h
@@ -37,6 +37,9 @@
         std::chrono::milliseconds shortestPause{10};
         std::chrono::milliseconds longestPause{100};
         std::chrono::milliseconds failurePause{25};
+        /// How long an answer speaks for the owner. An owner is asked again after the longest pause, so one whose last answer is twice as old
+        /// no longer answers: it may have handed over the team.
+        std::chrono::milliseconds verdictLife{200};
     };
     struct Ask {
         double wanted = 0;
@@ -65,7 +68,7 @@
     void takeFailure(SteadyTime now);
 
     /// The decision for a caller whose wait is over without a token.
-    RateDecision refusal(const TokenWaiter &waiter) const;
+    RateDecision refusal(const TokenWaiter &waiter, SteadyTime now) const;
 
     /// When an owner last couldn't be asked or held no lease, or nothing when that never happened.
     std::optional<SteadyTime> lastFailure() const;
--- a/tests/unit/process/limits/concurrentlimitertest.cpp
+++ b/tests/unit/process/limits/concurrentlimitertest.cpp
@@ -83,6 +83,45 @@
     CATCH_REQUIRE(decision.kind == RateDecision::Kind::Granted);
 }
 
+CATCH_TEST_CASE("A caller isn't refused for a former owner's last answer", "[fleet-limit]")
+{
+    // Guards against calling a team over its rate because its owner had no token once and then left while the next question was on its way.
+    FleetContext context;
+    context.self = "a";
+    context.clock = [] { return std::chrono::steady_clock::now(); };
+    const BorrowingRateLimiter::Options options;
+    int asked = 0;
+    const auto owner = [&asked, &options](const FleetMessages::BorrowTokensRequest &request) {
+        FleetMessages::BorrowTokensReply reply;
+        ++asked;
+        if (asked == 2) {
+            // The question that the former owner no longer answers.
+            std::this_thread::sleep_for(options.longestWait * 2);
+        }
+        for (const FleetMessages::TokenDemand &demand : request.demands()) {
+            FleetMessages::TokenLoan &loan = *reply.add_loans();
+            loan.set_team(demand.team());
+            loan.set_owned(asked != 2);
+            loan.set_lent(asked > 2 ? demand.wanted() : 0);
+            loan.set_wait_milliseconds(1);
+        }
+        return reply;
+    };
+    const std::shared_ptr<BorrowingRateLimiter> limiter = BorrowingRateLimiter::create(
+        context, options, [](std::uint32_t) { return "a"; }, owner);
+    std::atomic<bool> ended = false;
+    std::thread borrower([&] {
+        while (!ended) {
+            limiter->waitUntil(limiter->step());
+        }
+    });
+    const RateDecision decision = limiter->acquire("red", std::chrono::steady_clock::now() + std::chrono::minutes(1));
+    ended = true;
+    limiter->wake();
+    borrower.join();
+    CATCH_CHECK(decision.kind == RateDecision::Kind::Granted);
+}
+
 CATCH_TEST_CASE("Callers on many threads get exactly the tokens that were lent", "[fleet-limit]")
 {
     FleetContext context;
