Relay: Connect anew when the relay's configuration doesn't arrive

What callers saw: one VM went on with an old configuration for many seconds while all others had the new one (CONFIG).

Cause: not traced.

Change: a relay tells the version that it has sent to its VMs with its status. A VM that has heard of a later one for a second says so in its log and connects anew; a relay answers each greeting with what the VM lacks. This ends one class of the failure, whatever loses the message, and leaves a trace of it; a VM whose thread hangs isn't helped.

--- a/libraries/process/relay/entrynode.cpp
+++ b/libraries/process/relay/entrynode.cpp
@@ -144,6 +144,7 @@
     hooks.greet = [this] { return this->greeting(); };
     hooks.receive = [this](const RelayMessages::News &news) { this->receive(news); };
     hooks.isConfigured = [this] { return this->isServing(); };
+    hooks.configurationVersion = [this] { return this->catalogue()->configuration().version(); };
     this->relayUplink = std::make_unique<RelayUplink>(std::move(options), std::move(hooks));
 }
 
--- a/libraries/process/relay/relayhub.cpp
+++ b/libraries/process/relay/relayhub.cpp
@@ -294,6 +294,7 @@
     status.set_visible_vms(static_cast<std::uint32_t>(visible.size()));
     status.set_uptime_milliseconds(static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(now - this->startedAt).count()));
     status.set_known_vms(static_cast<std::uint32_t>(this->vmsSeen.size()));
+    status.set_configuration_version(this->configuration->version());
     return status;
 }
 
--- a/libraries/process/relay/relayuplink.cpp
+++ b/libraries/process/relay/relayuplink.cpp
@@ -15,6 +15,9 @@
 constexpr std::chrono::milliseconds outdatedPatience{700};
 /// A relay that has a configuration gives it with its first message; one that started with an empty disk has none for a while.
 constexpr std::chrono::milliseconds unconfiguredPatience{250};
+/// A relay sends a configuration before it tells its version, and a VM takes it within milliseconds. Half of the time that the platform allows
+/// for a configuration to come into force.
+constexpr std::chrono::milliseconds behindPatience{1000};
 /// A status is told with each message; older than this, the connection is as good as lost.
 constexpr std::chrono::milliseconds statusLife{500};
 
@@ -88,6 +91,7 @@
             this->link = std::make_unique<RelayLink>(linkOptions, std::move(exchangeHooks));
             this->connectedTo = address;
             this->outdatedSince.reset();
+            this->behindSince.reset();
             lock.unlock();
             const bool stood = this->link->run(this->hooks.greet(), this->outgoing);
             LOG(WARNING) << (stood ? "The connection to relay " : "No connection to relay ") << address << (stood ? " has ended" : "");
@@ -123,6 +127,7 @@
     }
     this->status = newStatus;
     this->statusHeard = now;
+    this->greetAnewIfBehind(now);
     if (newStatus.current()) {
         this->outdatedSince.reset();
         this->choice.noteSuccess(this->connectedTo);
@@ -143,6 +148,23 @@
     }
 }
 
+void RelayUplink::greetAnewIfBehind(SteadyTime now)
+{
+    const std::uint64_t own = this->hooks.configurationVersion();
+    if (this->status.configuration_version() <= own) {
+        this->behindSince.reset();
+        return;
+    }
+    if (!this->behindSince) {
+        this->behindSince = now;
+    }
+    if (now - *this->behindSince >= behindPatience) {
+        LOG(WARNING) << "Relay " << this->connectedTo << " has configuration " << this->status.configuration_version() << " and this VM still has " << own
+                     << "; connecting anew";
+        this->link->cancel();
+    }
+}
+
 void RelayUplink::moveOnIfOutdated(SteadyTime now)
 {
     const std::chrono::milliseconds patience = this->hooks.isConfigured() ? outdatedPatience : unconfiguredPatience;
--- a/libraries/process/relay/relayuplink.h
+++ b/libraries/process/relay/relayuplink.h
@@ -19,7 +19,8 @@
  * Keeps a VM connected to one relay, of its own failure domain when there is one.
  *
  * A VM moves on when its relay is silent or tells that it has lost the other relays, so that it hears of changes as long as it can
- * reach any relay that knows of them. Thread-safe.
+ * reach any relay that knows of them. When its relay goes on telling a later configuration than the one in force here, the VM connects
+ * anew, since a relay answers each greeting with what the VM lacks. Thread-safe.
  */
 class RelayUplink
 {
@@ -40,6 +41,8 @@
         std::function<void(const RelayMessages::News &)> receive;
         /// Whether this VM has a configuration.
         std::function<bool()> isConfigured;
+        /// Version of the configuration in force on this VM.
+        std::function<std::uint64_t()> configurationVersion;
     };
 
     RelayUplink(Options options, Hooks hooks);
@@ -69,6 +72,7 @@
     // These are called with the mutex held.
     void moveHome(SteadyTime now);
     void moveOnIfOutdated(SteadyTime now);
+    void greetAnewIfBehind(SteadyTime now);
 
     const Options options;
     const Hooks hooks;
@@ -83,6 +87,8 @@
     std::optional<SteadyTime> statusHeard;
     /// Since when the relay has told that it isn't current.
     std::optional<SteadyTime> outdatedSince;
+    /// Since when the relay has told a later configuration than the one in force here.
+    std::optional<SteadyTime> behindSince;
     std::thread thread;
 };
 
