Control: Copy a configuration before acknowledging it

What callers saw: after the loss of all processes right behind an acknowledgement, VMs served the configuration before it for the half second or more until a leader was elected; a key that had just been withdrawn worked again, and a new one was refused.

Cause: a control VM starts from a copy of the configuration, and a thread that looked every 200 ms wrote the copy.

Change: the thread is woken when a configuration comes into force, and the VM that acknowledges waits for its own copy, for 200 ms at most. The other control VMs write theirs at the same time, without anybody waiting for them.

--- a/libraries/process/relay/controlnode.cpp
+++ b/libraries/process/relay/controlnode.cpp
@@ -22,6 +22,8 @@
 /// Relays exchange news across failure domains, where each byte costs: failures travel at once, and counts that only add up travel as often
 /// as requests usually last.
 constexpr NewsBuffer::Gathering peerGathering{std::chrono::milliseconds(10), std::chrono::milliseconds(150)};
+/// A disk that takes longer must not hold back an acknowledgement that the log's majority has earned.
+constexpr std::chrono::milliseconds copyPatience{200};
 /// More than the small writes that may still fit on a disk that is as good as full.
 constexpr std::size_t probeBytes = 64 * 1024;
 /// Reading a whole log again costs more than a probe, and a corrupted one is reported each time.
@@ -60,6 +62,7 @@
 ControlNode::~ControlNode()
 {
     this->stopping = true;
+    this->configurationChanged.notify_all();
     if (this->keeper.joinable()) {
         this->keeper.join();
     }
@@ -180,7 +183,17 @@
     CatalogueMessages::Change change;
     *change.mutable_replace_configuration() = next;
     const std::optional<ControlMessages::ChangeOutcome> outcome = this->propose(change, changeIdOf(next), deadline);
-    return outcome && outcome->result() == ControlMessages::ChangeOutcome::RESULT_ACCEPTED;
+    const bool isAccepted = outcome && outcome->result() == ControlMessages::ChangeOutcome::RESULT_ACCEPTED;
+    if (isAccepted) {
+        this->awaitCopy(next.version(), std::min(deadline, steadyNow() + copyPatience));
+    }
+    return isAccepted;
+}
+
+void ControlNode::awaitCopy(std::uint64_t version, SteadyTime deadline)
+{
+    std::unique_lock<std::mutex> lock(this->mutex);
+    this->configurationChanged.wait_until(lock, deadline, [this, version] { return this->copiedVersion >= version; });
 }
 
 std::shared_ptr<const CatalogueMessages::Configuration> ControlNode::readConfiguration(SteadyTime deadline)
@@ -254,7 +267,8 @@
         this->reopenIfDiskIsBack();
         this->keepCopy();
         this->carryOut(GroupFormation::decide(this->view()));
-        std::this_thread::sleep_for(keeperInterval);
+        std::unique_lock<std::mutex> lock(this->mutex);
+        this->configurationChanged.wait_for(lock, keeperInterval, [this] { return this->stopping || this->configuration->version() > this->copiedVersion; });
     }
 }
 
@@ -285,11 +299,15 @@
         }
         *snapshot.mutable_configuration() = *this->configuration;
     }
-    // Not tried again after a failure: the next version is written anew, and the log holds this one.
-    this->copiedVersion = snapshot.configuration().version();
     boost::leaf::try_handle_all([this, &snapshot] { return this->copy.write(snapshot); },
         [](const CatalogueFileError &error) { LOG(WARNING) << "The copy of the configuration at " << error.file << " can't be written"; },
         [] { LOG(WARNING) << "The copy of the configuration can't be written"; });
+    {
+        // Not tried again after a failure: the next version is written anew, and the log holds this one.
+        std::lock_guard<std::mutex> lock(this->mutex);
+        this->copiedVersion = snapshot.configuration().version();
+    }
+    this->configurationChanged.notify_all();
 }
 
 void ControlNode::reopenIfDiskIsBack()
--- a/libraries/process/relay/controlnode.h
+++ b/libraries/process/relay/controlnode.h
@@ -37,7 +37,8 @@
     ControlNode(const ControlNode &) = delete;
     ControlNode &operator=(const ControlNode &) = delete;
 
-    /// Has a configuration decided; it is in force on the relays when this returns true. False when no decision came by the deadline.
+    /// Has a configuration decided; it is in force on the relays when this returns true, and this VM serves it after a start. False when no
+    /// decision came by the deadline.
     bool putConfiguration(const CatalogueMessages::Configuration &configuration, SteadyTime deadline);
 
     /// The configuration that was in force at some time during the call; nothing when that can't be told by the deadline.
@@ -62,6 +63,7 @@
     void keepInGroup();
     void reopenIfDiskIsBack();
     void startFromCopy();
+    void awaitCopy(std::uint64_t version, SteadyTime deadline);
     void keepCopy();
     GroupFormation::View view();
     void carryOut(const GroupFormation::Decision &decision);
@@ -80,6 +82,7 @@
     std::shared_ptr<const CatalogueMessages::Configuration> configuration;
     /// A copy of the last configuration that was in force here: the log tells what is in force only once a leader is elected.
     const CatalogueFile copy;
+    /// The last version that was written to the copy, or couldn't be. Guarded by the mutex.
     std::uint64_t copiedVersion = 0;
     std::atomic<ControlGroup *> group{nullptr};
     std::unique_ptr<RelayHub> hub;
--- a/tests/integration/relayedfleettest.cpp
+++ b/tests/integration/relayedfleettest.cpp
@@ -246,6 +246,24 @@
     CATCH_CHECK(fleet.call(0, "key-5").status == 401);
 }
 
+// Guards against an older configuration in force after a loss of all processes right behind an acknowledgement.
+CATCH_TEST_CASE("A control VM serves what it has just acknowledged when all are killed and it starts alone", "[integration][relay][config-in-force]")
+{
+    RelayedFleet fleet;
+    CATCH_REQUIRE(fleet.putConfiguration(4, "key-4", {0, 1, 2}));
+    CATCH_REQUIRE(fleet.registerUpstream(1, "ready", 1) == 200);
+    CATCH_REQUIRE(Harness::waitUntil(3s, [&fleet] { return fleet.answersEverywhere("key-4", 200); }));
+    CATCH_REQUIRE(fleet.putConfiguration(9, "key-9", {2}));
+    for (int number = 0; number < RelayedFleet::controls + RelayedFleet::entries; ++number) {
+        fleet.kill(number);
+    }
+    fleet.start(2, false);
+    fleet.start(RelayedFleet::controls, false);
+    CATCH_REQUIRE(Harness::waitUntil(5s, [&fleet] { return fleet.registerUpstream(2, "ready", 2) == 200; }));
+    CATCH_CHECK(Harness::waitUntil(5s, [&fleet] { return fleet.call(0, "key-9").status == 200; }));
+    CATCH_CHECK(fleet.call(0, "key-4").status == 401);
+}
+
 // Guards against an acknowledged drain after which requests still reach the instance, and an acknowledgement that nobody else has heard.
 CATCH_TEST_CASE("A draining instance is acknowledged by a majority alone and gets no requests from any VM", "[integration][relay][leaving-upstream]")
 {
