--- a/tests/unit/process/relay/relaylinktest.cpp
+++ b/tests/unit/process/relay/relaylinktest.cpp
@@ -77,3 +77,36 @@
         CATCH_CHECK(std::chrono::steady_clock::now() - began < std::chrono::seconds(2));
     }
 }
+
+// Guards against a VM that waits for the kernel's retries, seconds apart, when a relay that has just started drops connections it can't queue.
+CATCH_TEST_CASE("A link to a relay whose queue of connections is full ends at its limit", "[relay]")
+{
+    const int listener = socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    socklen_t length = sizeof(address);
+    CATCH_REQUIRE(bind(listener, reinterpret_cast<sockaddr *>(&address), length) == 0);
+    CATCH_REQUIRE(listen(listener, 0) == 0);
+    CATCH_REQUIRE(getsockname(listener, reinterpret_cast<sockaddr *>(&address), &length) == 0);
+    // Nobody accepts, so these stay in the queue.
+    std::array<int, 2> waiting{};
+    for (int &connection : waiting) {
+        connection = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+        static_cast<void>(connect(connection, reinterpret_cast<sockaddr *>(&address), sizeof(address)));
+    }
+    RelayLink::Options options;
+    options.address = "127.0.0.1:" + std::to_string(ntohs(address.sin_port));
+    options.fleetSecret = "a secret of the tests";
+    RelayExchange::Hooks hooks;
+    hooks.receive = [](const RelayMessages::News &) {};
+    hooks.complete = [](RelayMessages::News &) {};
+    NewsBuffer outgoing;
+    const SteadyTime began = std::chrono::steady_clock::now();
+    CATCH_CHECK_FALSE(RelayLink(options, hooks).run(RelayMessages::News(), outgoing));
+    CATCH_CHECK(std::chrono::steady_clock::now() - began < std::chrono::seconds(2));
+    for (const int connection : waiting) {
+        close(connection);
+    }
+    close(listener);
+}
