Relay: Wait for a connection in gRPC again

VMs never connected to a relay.

Cause: gRPC's synchronous interface does its input and output on threads that wait in it. With nobody waiting, nothing drives the connection forward until a background poll seconds later. The unit test didn't notice, since a server in the same process has threads that wait.

Change: the wait is one of gRPC's again, as before.

Figures: the tests with the tag [relay] pass.

--- a/libraries/process/relay/relaylink.cpp
+++ b/libraries/process/relay/relaylink.cpp
@@ -28,17 +28,19 @@
     return arguments;
 }
 
-/// How often a connection that opens is looked at.
-constexpr std::chrono::milliseconds connectPoll{5};
+gpr_timespec after(std::chrono::milliseconds duration)
+{
+    return gpr_time_add(gpr_now(GPR_CLOCK_MONOTONIC), gpr_time_from_millis(duration.count(), GPR_TIMESPAN));
+}
 
-/// Unlike WaitForConnected(), this doesn't wait for further attempts on an address that refuses the first one, and its limit doesn't depend on
-/// the timers of gRPC: nothing else would end a wait that they don't.
-bool isConnected(grpc::Channel &channel, std::chrono::milliseconds limit)
+/// Unlike WaitForConnected(), this doesn't wait for further attempts on an address that refuses the first one.
+bool isConnected(grpc::Channel &channel, gpr_timespec deadline)
 {
-    const std::chrono::steady_clock::time_point end = std::chrono::steady_clock::now() + limit;
     grpc_connectivity_state state = channel.GetState(true);
-    while ((state == GRPC_CHANNEL_IDLE || state == GRPC_CHANNEL_CONNECTING) && std::chrono::steady_clock::now() < end) {
-        std::this_thread::sleep_for(connectPoll);
+    while (state == GRPC_CHANNEL_IDLE || state == GRPC_CHANNEL_CONNECTING) {
+        if (!channel.WaitForStateChange(state, deadline)) {
+            return false;
+        }
         state = channel.GetState(true);
     }
     return state == GRPC_CHANNEL_READY;
@@ -93,7 +95,7 @@
 {
     const std::shared_ptr<grpc::Channel> channel
         = grpc::CreateCustomChannel(this->options.address, grpc::InsecureChannelCredentials(), channelArguments(this->options.connectLimit));
-    if (!isConnected(*channel, this->options.connectLimit)) {
+    if (!isConnected(*channel, after(this->options.connectLimit))) {
         return false;
     }
     Call running;
