Limits: Log what an admission went by and what teams use over all VMs

Logs and metrics couldn't tell the hypotheses of docs/incidents/team-over-its-limit.md apart: a VM didn't know how old its picture of the others was, only refusals had their grounds, and a team's use over all VMs had to be counted from request lines.

A VM now knows the age of its knowledge: the time since it sent the latest message that its relay has confirmed. Refusals and admissions near the limit name it. Control VMs keep each team's admissions of the last window and report a team that is over its limit. Gauges: hyssophall_knowledge_age_seconds, hyssophall_largest_team_use_ratio. No decision changes.

Tests: "What a VM knows is as old as its latest message that the relay has confirmed", "A relay tells how much of its limit a team used over all VMs" (new, of new functions).

--- a/libraries/process/limits/ratelimiter.h
+++ b/libraries/process/limits/ratelimiter.h
@@ -17,7 +17,7 @@
     };
     Kind kind = Kind::Unavailable;
     std::chrono::milliseconds retryAfter{0};
-    /// What a refusal went by, for the log.
+    /// What a refusal went by, or a grant of a scarce token; for the log.
     std::string grounds = {};
 };
 
--- a/libraries/process/limits/sharedratelimiter.cpp
+++ b/libraries/process/limits/sharedratelimiter.cpp
@@ -39,23 +39,22 @@
     }
     const double visibleShare = this->hooks.visibleShare();
     bool isScarce = false;
+    std::string grounds;
     {
         std::lock_guard<std::mutex> lock(this->mutex);
         const SteadyTime now = this->hooks.clock();
         Team &team = this->teamOf(name);
         const Room room = this->roomOf(team, whole, visibleShare, now);
         if (room.tokens < 1) {
-            return {RateDecision::Kind::RateLimited,
-                std::clamp(room.wait, shortestRetryAfter, longestRetryAfter),
-                "tokens=" + std::to_string(room.tokens) + " rate=" + std::to_string(whole.rate) + " burst=" + std::to_string(whole.burst)
-                    + " visible_share=" + std::to_string(visibleShare)};
+            return {RateDecision::Kind::RateLimited, std::clamp(room.wait, shortestRetryAfter, longestRetryAfter), this->groundsOf(room, whole, visibleShare)};
         }
         team.bucket.tokens -= 1;
         team.window.add(1, visibleShare, now);
         isScarce = room.tokens - 1 < scarceShare * room.burst;
+        grounds = isScarce ? this->groundsOf(room, whole, visibleShare) : std::string();
     }
     this->hooks.admitted(name, isScarce);
-    return {RateDecision::Kind::Granted, std::chrono::milliseconds(0)};
+    return {RateDecision::Kind::Granted, std::chrono::milliseconds(0), grounds};
 }
 
 void SharedRateLimiter::giveBack(const std::string &)
@@ -77,6 +76,13 @@
     team.window.add(count, visibleShare, now);
 }
 
+std::string SharedRateLimiter::groundsOf(const Room &room, const TeamRate &whole, double visibleShare) const
+{
+    const std::optional<std::chrono::milliseconds> age = this->hooks.knowledgeAge();
+    return "tokens=" + std::to_string(room.tokens) + " rate=" + std::to_string(whole.rate) + " burst=" + std::to_string(whole.burst)
+        + " visible_share=" + std::to_string(visibleShare) + " knowledge_age_ms=" + (age ? std::to_string(age->count()) : "none");
+}
+
 bool SharedRateLimiter::isWindowed() const
 {
     return this->options.window.count() > 0;
--- a/libraries/process/limits/sharedratelimiter.h
+++ b/libraries/process/limits/sharedratelimiter.h
@@ -41,6 +41,8 @@
         std::function<double()> ownShare;
         /// How long the relay has been running through which this VM hears the others; nothing while there is none.
         std::function<std::optional<std::chrono::milliseconds>()> relayUptime;
+        /// Age of what this VM knows of the others' admissions; nothing while it never heard them.
+        std::function<std::optional<std::chrono::milliseconds>()> knowledgeAge;
         /// Tells the other VMs of an admission; at once when the team's tokens are scarce.
         std::function<void(const std::string &, bool isScarce)> admitted;
     };
@@ -86,6 +88,7 @@
     Team &teamOf(const std::string &name);
     Room roomOf(Team &team, const TeamRate &whole, double visibleShare, SteadyTime now) const;
     Room roomInBucket(Bucket &bucket, const TeamRate &whole, double visibleShare, SteadyTime now) const;
+    std::string groundsOf(const Room &room, const TeamRate &whole, double visibleShare) const;
     Room roomInWindow(AdmissionWindow &window, const TeamRate &whole, double visibleShare, SteadyTime now) const;
 
     const Options options;
--- a/libraries/process/relay/controlnode.cpp
+++ b/libraries/process/relay/controlnode.cpp
@@ -91,6 +91,7 @@
     hubOptions.majority = this->settings.control.toleratedLosses + 1;
     hubOptions.board.random = this->hooks.random;
     hubOptions.clock = steadyNow;
+    hubOptions.rateWindow = this->settings.bounds.rateWindow;
     RelayHub::Hooks hubHooks;
     hubHooks.isControlInTouch = [this] {
         ControlGroup *running = this->group;
@@ -256,6 +257,11 @@
     return this->hub->status();
 }
 
+double ControlNode::largestTeamUse()
+{
+    return this->hub->largestTeamUse();
+}
+
 ControlMessages::StatusReply ControlNode::replicaStatus()
 {
     return boost::leaf::try_handle_all([this] { return this->ownedGroup->status(steadyNow()); }, [] { return ControlMessages::StatusReply(); });
--- a/libraries/process/relay/controlnode.h
+++ b/libraries/process/relay/controlnode.h
@@ -54,6 +54,9 @@
     bool isServiceKnown(const std::string &name);
 
     RelayMessages::RelayStatus relayStatus();
+
+    /// RelayHub::largestTeamUse().
+    double largestTeamUse();
     ControlMessages::StatusReply replicaStatus();
 
 private:
--- a/libraries/process/relay/entrynode.cpp
+++ b/libraries/process/relay/entrynode.cpp
@@ -109,6 +109,7 @@
     limiterHooks.visibleShare = [this] { return this->relayUplink->visibleShare(); };
     limiterHooks.relayUptime = [this] { return this->relayUplink->relayUptime(); };
     limiterHooks.ownShare = [this] { return this->relayUplink->ownShare(); };
+    limiterHooks.knowledgeAge = [this] { return this->relayUplink->knowledgeAge(); };
     limiterHooks.rateOf = [this](const std::string &name) {
         const std::shared_ptr<const CatalogueMessages::Team> team = this->catalogue()->findTeam(name);
         return team == nullptr ? TeamRate() : TeamRate{team->rate(), team->burst()};
--- a/libraries/process/relay/relayhub.cpp
+++ b/libraries/process/relay/relayhub.cpp
@@ -10,6 +10,15 @@
 
 /// A VM that no relay has seen for so long doesn't count as part of the fleet any more. Longer than a restart takes.
 constexpr std::chrono::seconds vmMemory{20};
+/// A team over its limit is reported no more often.
+constexpr std::chrono::seconds overLimitReportInterval{1};
+
+/// What a team may be admitted in a window.
+double limitOf(const CatalogueMessages::Team &team, std::chrono::milliseconds window)
+{
+    const std::chrono::duration<double> length = window;
+    return team.rate() * length.count() + team.burst();
+}
 
 /// The configuration without what the operators sent, which holds keys in the clear.
 CatalogueMessages::Configuration withoutDocument(const CatalogueMessages::Configuration &configuration)
@@ -27,6 +36,7 @@
     , startedAt(this->options.clock())
     , board(this->options.board)
     , configuration(std::make_shared<const CatalogueMessages::Configuration>())
+    , admissions(this->options.rateWindow)
 {
 }
 
@@ -327,11 +337,52 @@
     }
     *changed.mutable_outcomes() = news.outcomes();
     *changed.mutable_teams() = news.teams();
+    this->noteAdmissions(news, now);
     *changed.mutable_services() = news.services();
     *changed.mutable_lost_requests() = news.lost_requests();
     return changed;
 }
 
+double RelayHub::largestTeamUse()
+{
+    std::lock_guard<std::mutex> lock(this->mutex);
+    if (this->options.rateWindow.count() == 0) {
+        return 0;
+    }
+    const SteadyTime now = this->options.clock();
+    double largest = 0;
+    for (const CatalogueMessages::Team &team : this->configuration->teams()) {
+        if (team.rate() > 0) {
+            largest = std::max(largest, this->admissions.admitted(team.name(), now) / limitOf(team, this->options.rateWindow));
+        }
+    }
+    return largest;
+}
+
+void RelayHub::noteAdmissions(const RelayMessages::News &news, SteadyTime now)
+{
+    if (this->options.rateWindow.count() == 0) {
+        return;
+    }
+    for (const RelayMessages::TeamUse &use : news.teams()) {
+        this->admissions.add(use.team(), use.admitted(), now);
+        const auto team = std::find_if(this->configuration->teams().begin(), this->configuration->teams().end(), [&use](const CatalogueMessages::Team &each) {
+            return each.name() == use.team();
+        });
+        if (team == this->configuration->teams().end() || team->rate() <= 0) {
+            continue;
+        }
+        const double admitted = this->admissions.admitted(use.team(), now);
+        const double limit = limitOf(*team, this->options.rateWindow);
+        SteadyTime &reported = this->overLimitReported[use.team()];
+        if (admitted > limit && (reported == SteadyTime() || now - reported >= overLimitReportInterval)) {
+            reported = now;
+            LOG(WARNING) << "Team " << use.team() << " was admitted " << admitted << " requests in the last " << this->options.rateWindow.count()
+                         << " ms, over all VMs that were heard; its limit is " << limit;
+        }
+    }
+}
+
 void RelayHub::sendToVms(const RelayMessages::News &news, const RelaySubscriber *except)
 {
     for (const std::shared_ptr<RelaySubscriber> &subscriber : this->subscribers) {
--- a/libraries/process/relay/relayhub.h
+++ b/libraries/process/relay/relayhub.h
@@ -2,6 +2,7 @@
 
 #include "process/health/outcomeboard.h"
 #include "process/hooks.h"
+#include "process/limits/admissionhistory.h"
 #include "process/relay/newsbuffer.h"
 
 #include <atomic>
@@ -73,6 +74,8 @@
         std::size_t majority = 1;
         OutcomeBoard::Options board;
         SteadyClock clock;
+        /// Windows over which the deployment counts teams' limits; zero: what teams use isn't kept.
+        std::chrono::milliseconds rateWindow{0};
     };
 
     struct Hooks {
@@ -106,6 +109,9 @@
     void peerDisconnected(RelayPeer &peer);
 
     RelayMessages::RelayStatus status();
+
+    /// The largest part of its limit that any team was admitted in the last window, over all VMs that were heard; 1 is the whole limit.
+    double largestTeamUse();
     std::size_t connectedPeers() const;
 
     /// The registration of an instance, if there is one.
@@ -119,6 +125,7 @@
     void sendRelayState(const RelayPeer &peer);
     void noteVm(const std::string &vm, bool present);
     RelayMessages::News everything() const;
+    void noteAdmissions(const RelayMessages::News &news, SteadyTime now);
 
     const Options options;
     const Hooks hooks;
@@ -131,6 +138,9 @@
     std::map<std::string, std::shared_ptr<RelayPeer>> peers;
     /// When each VM was last known to be connected to any relay.
     std::map<std::string, SteadyTime> vmsSeen;
+    AdmissionHistory admissions;
+    /// When each team was last reported to be over its limit.
+    std::map<std::string, SteadyTime> overLimitReported;
 };
 
 } // namespace Hyssophall
--- a/libraries/process/relay/relayuplink.cpp
+++ b/libraries/process/relay/relayuplink.cpp
@@ -69,6 +69,15 @@
     return this->statusHeard ? std::optional<std::chrono::milliseconds>(this->status.uptime_milliseconds()) : std::nullopt;
 }
 
+std::optional<std::chrono::milliseconds> RelayUplink::knowledgeAge() const
+{
+    std::lock_guard<std::mutex> lock(this->mutex);
+    if (!this->knownAsOf) {
+        return std::nullopt;
+    }
+    return std::chrono::duration_cast<std::chrono::milliseconds>(this->hooks.clock() - *this->knownAsOf);
+}
+
 bool RelayUplink::isCurrent() const
 {
     std::lock_guard<std::mutex> lock(this->mutex);
@@ -87,11 +96,13 @@
             linkOptions.timing = this->options.timing;
             RelayExchange::Hooks exchangeHooks;
             exchangeHooks.receive = [this](const RelayMessages::News &news) { this->receive(news); };
-            exchangeHooks.complete = [](RelayMessages::News &) {};
+            exchangeHooks.complete = [this](RelayMessages::News &news) { this->noteSent(news.sequence()); };
             this->link = std::make_unique<RelayLink>(linkOptions, std::move(exchangeHooks));
             this->connectedTo = address;
             this->outdatedSince.reset();
             this->behindSince.reset();
+            // The greeting has no number and is confirmed by whatever comes first.
+            this->sent = {{0, this->hooks.clock()}};
             lock.unlock();
             const bool stood = this->link->run(this->hooks.greet(), this->outgoing);
             LOG(WARNING) << (stood ? "The connection to relay " : "No connection to relay ") << address << (stood ? " has ended" : "");
@@ -111,6 +122,7 @@
         for (const RelayMessages::RelayAddress &address : news.relays()) {
             this->choice.learn(address);
         }
+        this->takeConfirmation(news.confirmed());
         if (news.has_status()) {
             this->takeStatus(news.status());
         }
@@ -118,6 +130,20 @@
     this->hooks.receive(news);
 }
 
+void RelayUplink::noteSent(std::uint64_t sequence)
+{
+    std::lock_guard<std::mutex> lock(this->mutex);
+    this->sent.push_back({sequence, this->hooks.clock()});
+}
+
+void RelayUplink::takeConfirmation(std::uint64_t confirmed)
+{
+    while (!this->sent.empty() && this->sent.front().sequence <= confirmed) {
+        this->knownAsOf = this->sent.front().at;
+        this->sent.pop_front();
+    }
+}
+
 void RelayUplink::takeStatus(const RelayMessages::RelayStatus &newStatus)
 {
     const SteadyTime now = this->hooks.clock();
--- a/libraries/process/relay/relayuplink.h
+++ b/libraries/process/relay/relayuplink.h
@@ -4,6 +4,7 @@
 #include "process/relay/relaylink.h"
 
 #include <condition_variable>
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -62,14 +63,21 @@
     /// How long the relay had been running when it was last heard; nothing before that.
     std::optional<std::chrono::milliseconds> relayUptime() const;
 
+    /// Age of what this VM knows of the others: time since it sent the latest message that its relay has confirmed. The relay's own messages
+    /// tell when they arrived and not when they were written, so a VM that stood still would take old ones for new. Nothing before the first
+    /// confirmation.
+    std::optional<std::chrono::milliseconds> knowledgeAge() const;
+
     /// Whether the relay was heard from lately and knows the latest.
     bool isCurrent() const;
 
 private:
     void keepConnected();
     void receive(const RelayMessages::News &news);
-    void takeStatus(const RelayMessages::RelayStatus &status);
+    void noteSent(std::uint64_t sequence);
     // These are called with the mutex held.
+    void takeConfirmation(std::uint64_t confirmed);
+    void takeStatus(const RelayMessages::RelayStatus &status);
     void moveHome(SteadyTime now);
     void moveOnIfOutdated(SteadyTime now);
     void greetAnewIfBehind(SteadyTime now);
@@ -85,6 +93,14 @@
     std::unique_ptr<RelayLink> link;
     RelayMessages::RelayStatus status;
     std::optional<SteadyTime> statusHeard;
+    struct SentMessage {
+        std::uint64_t sequence = 0;
+        SteadyTime at;
+    };
+    /// Messages on the present connection that the relay hasn't confirmed yet, oldest first.
+    std::deque<SentMessage> sent;
+    /// When the latest message that a relay has confirmed was sent.
+    std::optional<SteadyTime> knownAsOf;
     /// Since when the relay has told that it isn't current.
     std::optional<SteadyTime> outdatedSince;
     /// Since when the relay has told a later configuration than the one in force here.
--- a/services/hyssophalld/controldaemon.cpp
+++ b/services/hyssophalld/controldaemon.cpp
@@ -66,6 +66,9 @@
     });
     this->metrics->addGauge(
         "hyssophall_known_vms", "VMs connected to any relay lately.", [this] { return static_cast<double>(this->node->relayStatus().known_vms()); });
+    this->metrics->addGauge("hyssophall_largest_team_use_ratio",
+        "The largest part of its limit that a team was admitted in the last window, over all VMs that were heard.",
+        [this] { return this->node->largestTeamUse(); });
     this->metrics->addGauge("hyssophall_configuration_version", "Version of the configuration in force.", [this] {
         return static_cast<double>(this->node->replicaStatus().catalogue_version());
     });
--- a/services/hyssophalld/relayparts.cpp
+++ b/services/hyssophalld/relayparts.cpp
@@ -145,6 +145,10 @@
         return this->node->uplink().isCurrent() ? 1.0 : 0.0;
     });
     metrics.addGauge("hyssophall_visible_share", "Share of the fleet's VMs that this VM hears of.", [this] { return this->node->uplink().visibleShare(); });
+    metrics.addGauge("hyssophall_knowledge_age_seconds", "Age of what this VM knows of the others; -1 before it has heard of them.", [this] {
+        const std::optional<std::chrono::milliseconds> age = this->node->uplink().knowledgeAge();
+        return age ? std::chrono::duration<double>(*age).count() : -1.0;
+    });
     metrics.addGauge("hyssophall_catalogue_version", "Version of the catalogue in force.", [this] {
         return static_cast<double>(this->node->catalogue()->configuration().version());
     });
--- a/tests/unit/process/limits/sharedratelimitertest.cpp
+++ b/tests/unit/process/limits/sharedratelimitertest.cpp
@@ -37,6 +37,7 @@
             return static_cast<double>(std::count(this->parts.begin(), this->parts.end(), this->parts[vm])) / static_cast<double>(this->parts.size());
         };
         hooks.relayUptime = [this] { return std::optional<std::chrono::milliseconds>(this->relayUptime); };
+        hooks.knowledgeAge = [] { return std::chrono::milliseconds(0); };
         hooks.ownShare = [this] { return 1 / static_cast<double>(this->parts.size()); };
         hooks.admitted = [this, vm](const std::string &team, bool) {
             for (std::size_t other = 0; other < this->limiters.size(); ++other) {
--- a/tests/unit/process/relay/relayhubtest.cpp
+++ b/tests/unit/process/relay/relayhubtest.cpp
@@ -22,6 +22,7 @@
         options.majority = 2;
         options.board.random = [] { return 1; };
         options.clock = std::chrono::steady_clock::now;
+        options.rateWindow = std::chrono::seconds(5);
         RelayHub::Hooks hooks;
         hooks.isControlInTouch = [this] { return this->controlInTouch; };
         hooks.peerFound = [this](const std::shared_ptr<RelayPeer> &peer) { this->peers.push_back(peer); };
@@ -186,3 +187,25 @@
     fixture.hub->publish(registrationOf("i-1", 2, 1), false, SteadyTime());
     CATCH_CHECK(fixture.news(fixture.first->buffer).registrations_size() == 1);
 }
+
+// Guards against a team over its limit that no log or metric shows, because each VM tells of its own requests alone.
+CATCH_TEST_CASE("A relay tells how much of its limit a team used over all VMs", "[relay][fleet-limit]")
+{
+    HubFixture fixture;
+    CatalogueMessages::Configuration configuration;
+    configuration.set_version(1);
+    CatalogueMessages::Team &team = *configuration.add_teams();
+    team.set_name("red");
+    team.set_rate(10);
+    team.set_burst(10);
+    fixture.hub->setConfiguration(std::make_shared<const CatalogueMessages::Configuration>(configuration));
+    CATCH_CHECK(fixture.hub->largestTeamUse() == 0);
+    RelayMessages::News news;
+    RelayMessages::TeamUse &use = *news.add_teams();
+    use.set_team("red");
+    use.set_admitted(30);
+    fixture.hub->receive(*fixture.first, news);
+    CATCH_CHECK(fixture.hub->largestTeamUse() == Approx(0.5));
+    fixture.hub->receive(*fixture.second, news);
+    CATCH_CHECK(fixture.hub->largestTeamUse() == Approx(1));
+}
--- a/tests/unit/process/relay/relayuplinktest.cpp
+++ b/tests/unit/process/relay/relayuplinktest.cpp
@@ -7,6 +7,7 @@
 
 #include <atomic>
 #include <chrono>
+#include <functional>
 #include <thread>
 
 using namespace Hyssophall;
@@ -51,6 +52,49 @@
     std::atomic<std::uint64_t> greeted{0};
 };
 
+/// A relay that writes to its VM all the time and confirms its messages only while it is told to.
+class UnconfirmingRelay : public RelayMessages::Relay::Service
+{
+public:
+    grpc::Status Exchange(grpc::ServerContext *context, grpc::ServerReaderWriter<RelayMessages::News, RelayMessages::News> *stream) override
+    {
+        std::atomic<std::uint64_t> received{0};
+        std::thread reader([stream, &received] {
+            RelayMessages::News news;
+            while (stream->Read(&news)) {
+                received = news.sequence();
+            }
+        });
+        std::uint64_t confirmed = 0;
+        while (!context->IsCancelled()) {
+            confirmed = this->isConfirming ? received.load() : confirmed;
+            RelayMessages::News told;
+            told.set_confirmed(confirmed);
+            told.mutable_status()->set_current(true);
+            told.mutable_status()->set_known_vms(4);
+            told.mutable_status()->set_visible_vms(4);
+            if (!stream->Write(told)) {
+                break;
+            }
+            std::this_thread::sleep_for(20ms);
+        }
+        reader.join();
+        return grpc::Status::OK;
+    }
+
+    std::atomic<bool> isConfirming{true};
+};
+
+/// Waits until @p condition holds, for 10 s at most; returns whether it does.
+bool isMet(const std::function<bool()> &condition)
+{
+    const SteadyTime limit = std::chrono::steady_clock::now() + 10s;
+    while (!condition() && std::chrono::steady_clock::now() < limit) {
+        std::this_thread::sleep_for(10ms);
+    }
+    return condition();
+}
+
 } // namespace
 
 // Guards against a VM that keeps an old configuration for as long as its stream lives, because one message was lost to it.
@@ -99,3 +143,40 @@
     }
     server->Shutdown(std::chrono::system_clock::now());
 }
+
+// Guards against an age that starts anew with each message that arrives, however long ago it was written.
+CATCH_TEST_CASE("What a VM knows is as old as its latest message that the relay has confirmed", "[relay][fleet-limit]")
+{
+    UnconfirmingRelay relay;
+    int port = 0;
+    grpc::ServerBuilder builder;
+    builder.AddListeningPort("127.0.0.1:0", grpc::InsecureServerCredentials(), &port);
+    builder.RegisterService(&relay);
+    const std::unique_ptr<grpc::Server> server = builder.BuildAndStart();
+    CATCH_REQUIRE(server != nullptr);
+
+    RelayUplink::Options options;
+    options.seeds = {"127.0.0.1:" + std::to_string(port)};
+    options.fleetSecret = "a secret of the tests";
+    RelayUplink::Hooks hooks;
+    hooks.clock = std::chrono::steady_clock::now;
+    hooks.random = [] { return std::uint64_t{1}; };
+    hooks.greet = [] {
+        RelayMessages::News first;
+        first.mutable_greeting()->set_vm("vm-1");
+        return first;
+    };
+    hooks.receive = [](const RelayMessages::News &) {};
+    hooks.isConfigured = [] { return true; };
+    hooks.configurationVersion = [] { return std::uint64_t{0}; };
+    {
+        const RelayUplink uplink(options, hooks);
+        CATCH_CHECK(isMet([&uplink] { return uplink.knowledgeAge().has_value(); }));
+        std::this_thread::sleep_for(600ms);
+        CATCH_CHECK(uplink.knowledgeAge().value() < 500ms);
+        relay.isConfirming = false;
+        std::this_thread::sleep_for(700ms);
+        CATCH_CHECK(uplink.knowledgeAge().value() >= 600ms);
+    }
+    server->Shutdown(std::chrono::system_clock::now());
+}
