Tests: Reproduce a team over its limit, known red

- "A VM hears nobody while its relay confirms nothing, whatever arrives": messages that arrive after a pause pass for the present state of the fleet.

--- /dev/null
+++ b/tests/unit/process/limits/delayedfleettest.cpp
@@ -0,0 +1,74 @@
+#include "unit/process/limits/delayedfleet.h"
+
+#include <catch2/catch.hpp>
+
+using namespace HyssophallTest;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr std::size_t vms = 48;
+/// Half of the entry VMs, and two in five.
+constexpr std::size_t half = 24;
+constexpr std::size_t twoFifths = 19;
+
+struct Flood {
+    TeamRate rate;
+    int perSecond;
+};
+
+/// A small team, a large one and one with a burst of several seconds, at some four times their rate or more.
+const std::vector<Flood> floods{{{15, 15}, 60}, {{52, 52}, 210}, {{20, 100}, 210}};
+const std::vector<std::uint64_t> seeds{1, 2, 3, 4, 5};
+
+} // namespace
+
+// Guards against VMs that go on admitting by the whole limit while nobody hears of what they admit.
+CATCH_TEST_CASE("A flooding team keeps to its limit while VMs are cut off and come back", "[fleet-limit]")
+{
+    for (const Flood &flood : floods) {
+        for (const std::uint64_t seed : seeds) {
+            CATCH_CAPTURE(flood.rate.rate, seed);
+            DelayedFleet fleet(vms, flood.rate, seed);
+            fleet.run(8s, flood.perSecond / 8);
+            fleet.run(3s, flood.perSecond);
+            fleet.cut(half);
+            fleet.run(3s, flood.perSecond);
+            fleet.heal();
+            fleet.run(6s, flood.perSecond);
+            CATCH_CHECK(static_cast<double>(fleet.mostInWindow()) <= fleet.allowed());
+        }
+    }
+}
+
+// Guards against VMs that admit what waited during their pause by what they knew before it.
+CATCH_TEST_CASE("A flooding team keeps to its limit while VMs stand still and go on", "[fleet-limit]")
+{
+    for (const Flood &flood : floods) {
+        for (const std::uint64_t seed : seeds) {
+            CATCH_CAPTURE(flood.rate.rate, seed);
+            DelayedFleet fleet(vms, flood.rate, seed);
+            fleet.run(8s, flood.perSecond / 8);
+            fleet.run(5s, flood.perSecond);
+            fleet.freeze(twoFifths, 2s);
+            fleet.run(8s, flood.perSecond);
+            CATCH_CHECK(static_cast<double>(fleet.mostInWindow()) <= fleet.allowed());
+        }
+    }
+}
+
+// Guards against a fleet that starts as a whole and gives a team its burst again, though the window before still holds its flood.
+CATCH_TEST_CASE("A flooding team keeps to its limit across the loss of all processes", "[fleet-limit]")
+{
+    for (const Flood &flood : floods) {
+        for (const std::uint64_t seed : seeds) {
+            CATCH_CAPTURE(flood.rate.rate, seed);
+            DelayedFleet fleet(vms, flood.rate, seed);
+            fleet.run(8s, flood.perSecond / 8);
+            fleet.run(6s, flood.perSecond);
+            fleet.restartAll(500ms);
+            fleet.run(8s, flood.perSecond);
+            CATCH_CHECK(static_cast<double>(fleet.mostInWindow()) <= fleet.allowed());
+        }
+    }
+}
--- a/tests/unit/process/relay/relayuplinktest.cpp
+++ b/tests/unit/process/relay/relayuplinktest.cpp
@@ -85,6 +85,44 @@
     std::atomic<bool> isConfirming{true};
 };
 
+/// A VM that is connected to such a relay.
+struct UnconfirmingFixture {
+    UnconfirmingFixture()
+    {
+        int port = 0;
+        grpc::ServerBuilder builder;
+        builder.AddListeningPort("127.0.0.1:0", grpc::InsecureServerCredentials(), &port);
+        builder.RegisterService(&this->relay);
+        this->server = builder.BuildAndStart();
+        CATCH_REQUIRE(this->server != nullptr);
+        RelayUplink::Options options;
+        options.seeds = {"127.0.0.1:" + std::to_string(port)};
+        options.fleetSecret = "a secret of the tests";
+        RelayUplink::Hooks hooks;
+        hooks.clock = std::chrono::steady_clock::now;
+        hooks.random = [] { return std::uint64_t{1}; };
+        hooks.greet = [] {
+            RelayMessages::News first;
+            first.mutable_greeting()->set_vm("vm-1");
+            return first;
+        };
+        hooks.receive = [](const RelayMessages::News &) {};
+        hooks.isConfigured = [] { return true; };
+        hooks.configurationVersion = [] { return std::uint64_t{0}; };
+        this->uplink = std::make_unique<RelayUplink>(options, hooks);
+    }
+
+    ~UnconfirmingFixture()
+    {
+        this->uplink.reset();
+        this->server->Shutdown(std::chrono::system_clock::now());
+    }
+
+    UnconfirmingRelay relay;
+    std::unique_ptr<grpc::Server> server;
+    std::unique_ptr<RelayUplink> uplink;
+};
+
 /// Waits until @p condition holds, for 10 s at most; returns whether it does.
 bool isMet(const std::function<bool()> &condition)
 {
@@ -147,36 +185,23 @@
 // Guards against an age that starts anew with each message that arrives, however long ago it was written.
 CATCH_TEST_CASE("What a VM knows is as old as its latest message that the relay has confirmed", "[relay][fleet-limit]")
 {
-    UnconfirmingRelay relay;
-    int port = 0;
-    grpc::ServerBuilder builder;
-    builder.AddListeningPort("127.0.0.1:0", grpc::InsecureServerCredentials(), &port);
-    builder.RegisterService(&relay);
-    const std::unique_ptr<grpc::Server> server = builder.BuildAndStart();
-    CATCH_REQUIRE(server != nullptr);
+    UnconfirmingFixture fixture;
+    CATCH_CHECK(isMet([&fixture] { return fixture.uplink->knowledgeAge().has_value(); }));
+    std::this_thread::sleep_for(600ms);
+    CATCH_CHECK(fixture.uplink->knowledgeAge().value() < 500ms);
+    fixture.relay.isConfirming = false;
+    std::this_thread::sleep_for(700ms);
+    CATCH_CHECK(fixture.uplink->knowledgeAge().value() >= 600ms);
+}
 
-    RelayUplink::Options options;
-    options.seeds = {"127.0.0.1:" + std::to_string(port)};
-    options.fleetSecret = "a secret of the tests";
-    RelayUplink::Hooks hooks;
-    hooks.clock = std::chrono::steady_clock::now;
-    hooks.random = [] { return std::uint64_t{1}; };
-    hooks.greet = [] {
-        RelayMessages::News first;
-        first.mutable_greeting()->set_vm("vm-1");
-        return first;
-    };
-    hooks.receive = [](const RelayMessages::News &) {};
-    hooks.isConfigured = [] { return true; };
-    hooks.configurationVersion = [] { return std::uint64_t{0}; };
-    {
-        const RelayUplink uplink(options, hooks);
-        CATCH_CHECK(isMet([&uplink] { return uplink.knowledgeAge().has_value(); }));
-        std::this_thread::sleep_for(600ms);
-        CATCH_CHECK(uplink.knowledgeAge().value() < 500ms);
-        relay.isConfirming = false;
-        std::this_thread::sleep_for(700ms);
-        CATCH_CHECK(uplink.knowledgeAge().value() >= 600ms);
-    }
-    server->Shutdown(std::chrono::system_clock::now());
+// Guards against a VM that stood still and takes what its relay wrote during the pause for the present state of the fleet.
+CATCH_TEST_CASE("A VM hears nobody while its relay confirms nothing, whatever arrives", "[relay][fleet-limit]")
+{
+    UnconfirmingFixture fixture;
+    CATCH_CHECK(isMet([&fixture] { return fixture.uplink->visibleShare() == 1; }));
+    fixture.relay.isConfirming = false;
+    std::this_thread::sleep_for(700ms);
+    CATCH_CHECK(fixture.uplink->visibleShare() == Approx(0.25));
+    fixture.relay.isConfirming = true;
+    CATCH_CHECK(isMet([&fixture] { return fixture.uplink->visibleShare() == 1; }));
 }
