Limits: Count by what relays have confirmed and tell what a window held

Seen by callers' operators: a team got more than its limit, most of all as VMs went on after a pause, at the beginning of a cut, and after the loss of all processes.

Cause, one class: each VM decided by a picture of the others whose age and reach it didn't know. - A message's arrival passed for its time. What was lost with a stream was never told again. - A VM that started knew nothing of the window, and a relay that started took the few VMs it had seen for the whole fleet ("hears of 13 of 13"), so its VMs each admitted a large part of the limit; VMs whose relay was young as well went by the bucket alone, as if nobody had been admitted before.

Change: - What a VM knows is as old as its latest message that the relay has confirmed, on a clock that counts suspensions. Older than 0.5 s, the VM hears nobody and keeps to its own part of each limit. - An admission counts in full on its VM until it is confirmed, no more are unconfirmed than the VM's part of what is left (one at least), and a request waits up to 0.25 s for confirmations instead of being refused. What a connection lost is told anew with the next greeting. Relays confirm admissions at once. - AdmissionHistory (in place of AdmissionWindow) knows when which share was heard. Relays and VMs tell each other what the window held when they connect, and fill only times at which they heard nobody. A VM that still doesn't know a whole window has its rate and a part of the deployment's tolerance. - Relays go by the fleet's size before their start: from the copy of the configuration on disk, from VMs and peers.

--- a/libraries/process/limits/sharedratelimiter.cpp
+++ b/libraries/process/limits/sharedratelimiter.cpp
@@ -18,43 +18,47 @@
 constexpr double togetherShare = 0.9;
 /// Part of a team's rate that VMs admit which don't know what a whole window held.
 constexpr double youngRatePart = 0.75;
-/// Part of the deployment's tolerance that VMs use which hear nobody. They keep their own count exactly, and the rest covers VMs that were
-/// added meanwhile.
+/// Part of the deployment's tolerance that VMs use which hear nobody or don't know a whole window. The rest covers what is admitted before VMs
+/// notice that they don't hear each other.
 constexpr double tolerancePart = 0.7;
+/// Length of the window that is kept, and not used, where limits aren't counted over windows.
+constexpr std::chrono::milliseconds unusedWindow{1000};
 
 } // namespace
 
 SharedRateLimiter::SharedRateLimiter(Options options, Hooks hooks)
     : options(options)
     , hooks(std::move(hooks))
-    , began(this->hooks.clock())
+    , history(options.window.count() > 0 ? options.window : unusedWindow, this->hooks.clock())
 {
 }
 
-RateDecision SharedRateLimiter::acquire(const std::string &name, SteadyTime)
+RateDecision SharedRateLimiter::acquire(const std::string &name, SteadyTime deadline)
 {
     const TeamRate whole = this->hooks.rateOf(name);
     if (whole.rate <= 0) {
         return {RateDecision::Kind::Granted, std::chrono::milliseconds(0)};
     }
-    const double visibleShare = this->hooks.visibleShare();
-    bool isScarce = false;
-    std::string grounds;
-    {
-        std::lock_guard<std::mutex> lock(this->mutex);
-        const SteadyTime now = this->hooks.clock();
-        Team &team = this->teamOf(name);
-        const Room room = this->roomOf(team, whole, visibleShare, now);
-        if (room.tokens < 1) {
-            return {RateDecision::Kind::RateLimited, std::clamp(room.wait, shortestRetryAfter, longestRetryAfter), this->groundsOf(room, whole, visibleShare)};
-        }
-        team.bucket.tokens -= 1;
-        team.window.add(1, visibleShare, now);
-        isScarce = room.tokens - 1 < scarceShare * room.burst;
-        grounds = isScarce ? this->groundsOf(room, whole, visibleShare) : std::string();
+    std::unique_lock<std::mutex> lock(this->mutex);
+    const auto isDecided = [this, &name, &whole] {
+        const Room room = this->roomOf(name, whole, this->view());
+        return room.tokens < 1 || room.unconfirmedLeft >= 1;
+    };
+    if (!isDecided()) {
+        const SteadyTime::duration left = std::max(SteadyTime::duration(0), deadline - this->hooks.deadlineClock());
+        this->confirmed.wait_for(lock, std::min<SteadyTime::duration>(this->options.confirmationWait, left), isDecided);
     }
-    this->hooks.admitted(name, isScarce);
-    return {RateDecision::Kind::Granted, std::chrono::milliseconds(0), grounds};
+    AdmissionHistory::View view = this->view();
+    Room room = this->roomOf(name, whole, view);
+    if (room.tokens >= 1 && room.unconfirmedLeft < 1) {
+        // The relay doesn't confirm, so what is left may have been admitted elsewhere by now.
+        view.visibleShare = view.ownShare;
+        room = this->roomInWindow(name, this->teamOf(name, view.now), whole, view);
+    }
+    if (room.tokens < 1) {
+        return {RateDecision::Kind::RateLimited, std::clamp(room.wait, shortestRetryAfter, longestRetryAfter), this->groundsOf(name, room, whole)};
+    }
+    return this->grant(name, whole, room, view);
 }
 
 void SharedRateLimiter::giveBack(const std::string &)
@@ -67,20 +71,71 @@
     if (whole.rate <= 0) {
         return;
     }
-    const double visibleShare = this->hooks.visibleShare();
     std::lock_guard<std::mutex> lock(this->mutex);
-    const SteadyTime now = this->hooks.clock();
-    Team &team = this->teamOf(name);
-    this->roomInBucket(team.bucket, whole, visibleShare, now);
-    team.bucket.tokens = std::max(team.bucket.tokens - count, -largestDebtInSeconds * visibleShare * whole.rate);
-    team.window.add(count, visibleShare, now);
+    const AdmissionHistory::View view = this->view();
+    Team &team = this->teamOf(name, view.now);
+    this->roomInBucket(team.bucket, whole, view);
+    team.bucket.tokens = std::max(team.bucket.tokens - count, -largestDebtInSeconds * view.visibleShare * whole.rate);
+    this->history.add(name, count, view.now);
+}
+
+void SharedRateLimiter::confirm(std::uint64_t number)
+{
+    {
+        std::lock_guard<std::mutex> lock(this->mutex);
+        const SteadyTime now = this->hooks.clock();
+        for (std::pair<const std::string, Team> &entry : this->teams) {
+            const std::size_t confirmedHere
+                = std::erase_if(entry.second.unconfirmed, [number](const Unconfirmed &admission) { return admission.number <= number; });
+            if (confirmedHere > 0) {
+                this->history.add(entry.first, static_cast<std::uint32_t>(confirmedHere), now);
+            }
+        }
+    }
+    this->confirmed.notify_all();
+}
+
+std::map<std::string, std::uint32_t> SharedRateLimiter::takeUnconfirmed(std::uint64_t nextNumber)
+{
+    std::lock_guard<std::mutex> lock(this->mutex);
+    std::map<std::string, std::uint32_t> untold;
+    for (std::pair<const std::string, Team> &entry : this->teams) {
+        for (Unconfirmed &admission : entry.second.unconfirmed) {
+            if (admission.number < nextNumber) {
+                admission.number = 0;
+                ++untold[entry.first];
+            }
+        }
+    }
+    return untold;
+}
+
+void SharedRateLimiter::noteHeard(SteadyTime from, SteadyTime to, double share)
+{
+    std::lock_guard<std::mutex> lock(this->mutex);
+    this->history.noteHeard(from, to, share);
+}
+
+AdmissionRecord SharedRateLimiter::record() const
+{
+    std::lock_guard<std::mutex> lock(this->mutex);
+    return this->history.record(this->hooks.clock());
 }
 
-std::string SharedRateLimiter::groundsOf(const Room &room, const TeamRate &whole, double visibleShare) const
+void SharedRateLimiter::fillGaps(const AdmissionRecord &record)
+{
+    std::lock_guard<std::mutex> lock(this->mutex);
+    this->history.fillGaps(record, this->hooks.clock());
+}
+
+std::string SharedRateLimiter::groundsOf(const std::string &name, const Room &room, const TeamRate &whole) const
 {
     const std::optional<std::chrono::milliseconds> age = this->hooks.knowledgeAge();
+    const auto team = this->teams.find(name);
+    const std::size_t unconfirmed = team == this->teams.end() ? 0 : team->second.unconfirmed.size();
     return "tokens=" + std::to_string(room.tokens) + " rate=" + std::to_string(whole.rate) + " burst=" + std::to_string(whole.burst)
-        + " visible_share=" + std::to_string(visibleShare) + " knowledge_age_ms=" + (age ? std::to_string(age->count()) : "none");
+        + " visible_share=" + std::to_string(room.visibleShare) + " knowledge_age_ms=" + (age ? std::to_string(age->count()) : "none")
+        + " unconfirmed=" + std::to_string(unconfirmed);
 }
 
 bool SharedRateLimiter::isWindowed() const
@@ -88,66 +143,98 @@
     return this->options.window.count() > 0;
 }
 
-bool SharedRateLimiter::isFleetStarting(SteadyTime now) const
+AdmissionHistory::View SharedRateLimiter::view() const
 {
-    const std::optional<std::chrono::milliseconds> relayUptime = this->hooks.relayUptime();
-    return now - this->began < this->options.window && relayUptime && *relayUptime < this->options.window;
+    const double ownShare = this->hooks.ownShare();
+    return {std::max(ownShare, this->hooks.visibleShare()), ownShare, this->hooks.clock()};
 }
 
-SharedRateLimiter::Team &SharedRateLimiter::teamOf(const std::string &name)
+SharedRateLimiter::Team &SharedRateLimiter::teamOf(const std::string &name, SteadyTime now)
 {
-    // Without windows, their counts are kept and not used.
-    const std::chrono::milliseconds window = this->isWindowed() ? this->options.window : std::chrono::milliseconds(1000);
-    return this->teams.try_emplace(name, window, this->began).first->second;
+    Team &team = this->teams[name];
+    const std::chrono::milliseconds kept = this->isWindowed() ? this->options.window : unusedWindow;
+    while (!team.unconfirmed.empty() && team.unconfirmed.front().at <= now - kept) {
+        team.unconfirmed.pop_front();
+    }
+    return team;
 }
 
-SharedRateLimiter::Room SharedRateLimiter::roomOf(Team &team, const TeamRate &whole, double visibleShare, SteadyTime now) const
+RateDecision SharedRateLimiter::grant(const std::string &name, const TeamRate &whole, const Room &room, const AdmissionHistory::View &view)
 {
-    const Room inBucket = this->roomInBucket(team.bucket, whole, visibleShare, now);
-    if (!this->isWindowed()) {
-        return inBucket;
+    Team &team = this->teamOf(name, view.now);
+    team.bucket.tokens -= 1;
+    const bool isScarce = room.tokens - 1 < scarceShare * room.burst || room.unconfirmedLeft < 2;
+    const std::string grounds = isScarce ? this->groundsOf(name, room, whole) : std::string();
+    const std::optional<std::uint64_t> number = this->hooks.admitted(name, isScarce);
+    if (number) {
+        team.unconfirmed.push_back({view.now, *number});
+    } else {
+        this->history.add(name, 1, view.now);
     }
-    if (this->isFleetStarting(now)) {
-        // Nobody was admitted while the fleet was away, so the burst is there again.
-        return inBucket;
+    return {RateDecision::Kind::Granted, std::chrono::milliseconds(0), grounds};
+}
+
+SharedRateLimiter::Room SharedRateLimiter::roomOf(const std::string &name, const TeamRate &whole, const AdmissionHistory::View &view)
+{
+    Team &team = this->teamOf(name, view.now);
+    Room room = this->roomInBucket(team.bucket, whole, view);
+    double left = room.tokens;
+    if (this->isWindowed()) {
+        const Room inWindow = this->roomInWindow(name, team, whole, view);
+        left = inWindow.tokens;
+        room = view.visibleShare < togetherShare || inWindow.tokens < room.tokens ? inWindow : room;
+    }
+    if (view.visibleShare > view.ownShare) {
+        room.unconfirmedLeft = std::max(1.0, view.ownShare * left) - static_cast<double>(team.unconfirmed.size());
+    } else {
+        room.unconfirmedLeft = room.tokens;
     }
-    const Room inWindow = this->roomInWindow(team.window, whole, visibleShare, now);
-    return visibleShare < togetherShare || inWindow.tokens < inBucket.tokens ? inWindow : inBucket;
+    return room;
 }
 
-SharedRateLimiter::Room SharedRateLimiter::roomInBucket(Bucket &bucket, const TeamRate &whole, double visibleShare, SteadyTime now) const
+SharedRateLimiter::Room SharedRateLimiter::roomInBucket(Bucket &bucket, const TeamRate &whole, const AdmissionHistory::View &view) const
 {
     const std::chrono::duration<double> window = this->options.window;
-    const double rate = visibleShare * (whole.rate + (this->isWindowed() ? whole.burst / window.count() : 0));
+    const double rate = view.visibleShare * (whole.rate + (this->isWindowed() ? whole.burst / window.count() : 0));
     // A VM that is alone must still be able to admit a request.
-    const double burst = std::max(1.0, visibleShare * whole.burst);
+    const double burst = std::max(1.0, view.visibleShare * whole.burst);
     if (bucket.isNew) {
-        bucket = {burst, now, false};
+        bucket = {burst, view.now, false};
     }
-    const std::chrono::duration<double> passed = now - bucket.filled;
+    const std::chrono::duration<double> passed = view.now - bucket.filled;
     bucket.tokens = std::min(burst, bucket.tokens + rate * passed.count());
-    bucket.filled = now;
+    bucket.filled = view.now;
     const std::chrono::duration<double> wait(std::max(0.0, (1 - bucket.tokens) / rate));
-    return {bucket.tokens, burst, std::chrono::duration_cast<std::chrono::milliseconds>(wait)};
+    return {bucket.tokens, burst, std::chrono::duration_cast<std::chrono::milliseconds>(wait), view.visibleShare, 0};
 }
 
-SharedRateLimiter::Room SharedRateLimiter::roomInWindow(AdmissionWindow &window, const TeamRate &whole, double visibleShare, SteadyTime now) const
+SharedRateLimiter::Room SharedRateLimiter::roomInWindow(const std::string &name, const Team &team, const TeamRate &whole, const AdmissionHistory::View &view)
 {
     const std::chrono::duration<double> length = this->options.window;
-    const double ownShare = this->hooks.ownShare();
-    double limit = visibleShare * (whole.rate * length.count() + whole.burst);
-    if (visibleShare <= ownShare) {
-        limit = limit * (1 + tolerancePart * this->options.overage) + ownShare * tolerancePart * this->options.slack;
-    }
-    limit = std::max(1.0, limit);
-    double left = limit - window.charged(whole, visibleShare, now);
-    const std::chrono::duration<double> age = now - this->began;
-    if (age < length) {
-        // The team may have used its limit at the beginning of the window, which this VM takes for evenly used.
-        left -= visibleShare * (whole.rate + whole.burst / length.count() - youngRatePart * whole.rate) * age.count();
+    const double left = this->leftInWindow(name, team, whole, view);
+    const std::chrono::milliseconds wait = left >= 1 ? std::chrono::milliseconds(0) : this->history.timeUntilFreed(1 - left, name, whole, view);
+    return {left, view.visibleShare * (whole.rate * length.count() + whole.burst), wait, view.visibleShare, left};
+}
+
+double SharedRateLimiter::leftInWindow(const std::string &name, const Team &team, const TeamRate &whole, const AdmissionHistory::View &view)
+{
+    const std::chrono::duration<double> length = this->options.window;
+    const double limit = whole.rate * length.count() + whole.burst;
+    const double tolerance = tolerancePart * (this->options.overage * limit + this->options.slack);
+    const double unconfirmed = static_cast<double>(team.unconfirmed.size());
+    const double charged = this->history.charged(name, whole, view) + unconfirmed;
+    const std::chrono::duration<double> known = this->history.knownTime(view.now);
+    if (known < length) {
+        // The team may have used its limit before anything is known, its burst at the last moment.
+        const double ofRate = youngRatePart * whole.rate * known.count();
+        const double ofLimit = limit / length.count() * known.count() - whole.burst;
+        const double part = view.visibleShare * std::max(ofRate, tolerance + std::min(ofRate, std::max(0.0, ofLimit)));
+        const double usedBefore = view.visibleShare * limit * (length - known) / length;
+        return part - (charged - usedBefore);
     }
-    const std::chrono::milliseconds wait = left >= 1 ? std::chrono::milliseconds(0) : window.timeUntilFreed(1 - left, whole, visibleShare, now);
-    return {left, limit, wait};
+    const bool isAlone = view.visibleShare <= view.ownShare;
+    const double part = view.visibleShare * (limit + (isAlone ? tolerance : 0));
+    return std::max(1.0, part) - charged;
 }
 
 } // namespace Hyssophall
--- a/libraries/process/relay/controlnode.cpp
+++ b/libraries/process/relay/controlnode.cpp
@@ -24,6 +24,8 @@
 constexpr NewsBuffer::Gathering peerGathering{std::chrono::milliseconds(10), std::chrono::milliseconds(150)};
 /// A disk that takes longer must not hold back an acknowledgement that the log's majority has earned.
 constexpr std::chrono::milliseconds copyPatience{200};
+/// The copy is written anew once the fleet has this many times the VMs that it names.
+constexpr double copiedGrowth = 1.1;
 /// More than the small writes that may still fit on a disk that is as good as full.
 constexpr std::size_t probeBytes = 64 * 1024;
 /// Reading a whole log again costs more than a probe, and a corrupted one is reported each time.
@@ -284,6 +286,8 @@
         [this]() -> boost::leaf::result<void> {
             BOOST_LEAF_AUTO(snapshot, this->copy.read());
             this->copiedVersion = snapshot.configuration().version();
+            this->copiedVms = snapshot.known_vms();
+            this->hub->rememberFleet(this->copiedVms);
             this->takeConfiguration(std::make_shared<const CatalogueMessages::Configuration>(snapshot.configuration()));
             return {};
         },
@@ -298,9 +302,11 @@
 void ControlNode::keepCopy()
 {
     CatalogueMessages::Snapshot snapshot;
+    snapshot.set_known_vms(this->hub->status().known_vms());
+    const bool hasGrown = snapshot.known_vms() > copiedGrowth * this->copiedVms;
     {
         std::lock_guard<std::mutex> lock(this->mutex);
-        if (this->configuration->version() <= this->copiedVersion) {
+        if (this->configuration->version() <= this->copiedVersion && !hasGrown) {
             return;
         }
         *snapshot.mutable_configuration() = *this->configuration;
@@ -313,6 +319,7 @@
         std::lock_guard<std::mutex> lock(this->mutex);
         this->copiedVersion = snapshot.configuration().version();
     }
+    this->copiedVms = snapshot.known_vms();
     this->configurationChanged.notify_all();
 }
 
--- a/libraries/process/relay/controlnode.h
+++ b/libraries/process/relay/controlnode.h
@@ -87,6 +87,8 @@
     const CatalogueFile copy;
     /// The last version that was written to the copy, or couldn't be. Guarded by the mutex.
     std::uint64_t copiedVersion = 0;
+    /// VMs of the fleet by the copy. Used by the keeper alone once the VM has started.
+    std::uint32_t copiedVms = 0;
     std::atomic<ControlGroup *> group{nullptr};
     std::unique_ptr<RelayHub> hub;
     std::unique_ptr<RelayPeers> peers;
--- a/libraries/process/relay/entrynode.cpp
+++ b/libraries/process/relay/entrynode.cpp
@@ -1,5 +1,7 @@
 #include "process/relay/entrynode.h"
 
+#include "process/relay/admissionmessages.h"
+
 #include <glog/logging.h>
 
 #include <algorithm>
@@ -105,9 +107,9 @@
     , inForce(std::make_shared<const ConfiguredCatalogue>(std::make_shared<const CatalogueMessages::Configuration>()))
 {
     SharedRateLimiter::Hooks limiterHooks;
-    limiterHooks.clock = this->clock;
+    limiterHooks.clock = suspendAwareNow;
+    limiterHooks.deadlineClock = this->clock;
     limiterHooks.visibleShare = [this] { return this->relayUplink->visibleShare(); };
-    limiterHooks.relayUptime = [this] { return this->relayUplink->relayUptime(); };
     limiterHooks.ownShare = [this] { return this->relayUplink->ownShare(); };
     limiterHooks.knowledgeAge = [this] { return this->relayUplink->knowledgeAge(); };
     limiterHooks.rateOf = [this](const std::string &name) {
@@ -120,7 +122,7 @@
         use.set_team(team);
         use.set_admitted(1);
         use.set_scarce(isScarce);
-        this->relayUplink->send(news);
+        return this->relayUplink->send(news);
     };
     this->limiter = std::make_unique<SharedRateLimiter>(limiterOptions(settings), std::move(limiterHooks));
     SharedRetryBudget::Hooks retryHooks;
@@ -140,9 +142,11 @@
     options.seeds = fleetAddresses(settings.relay.seeds, settings.listen.fleet.port);
     options.fleetSecret = settings.fleet.secret;
     RelayUplink::Hooks hooks;
-    hooks.clock = this->clock;
+    hooks.clock = suspendAwareNow;
     hooks.random = std::move(random);
-    hooks.greet = [this] { return this->greeting(); };
+    hooks.greet = [this](std::uint64_t nextNumber) { return this->greeting(nextNumber); };
+    hooks.confirmed = [this](std::uint64_t number) { this->limiter->confirm(number); };
+    hooks.heard = [this](SteadyTime from, SteadyTime to, double share) { this->limiter->noteHeard(from, to, share); };
     hooks.receive = [this](const RelayMessages::News &news) { this->receive(news); };
     hooks.isConfigured = [this] { return this->isServing(); };
     hooks.configurationVersion = [this] { return this->catalogue()->configuration().version(); };
@@ -272,10 +276,17 @@
     return this->board.explain(instanceId, this->clock());
 }
 
-RelayMessages::News EntryNode::greeting() const
+RelayMessages::News EntryNode::greeting(std::uint64_t nextNumber) const
 {
-    std::lock_guard<std::mutex> lock(this->mutex);
     RelayMessages::News first;
+    *first.mutable_admissions() = encodeAdmissions(this->limiter->record());
+    for (const std::pair<const std::string, std::uint32_t> &entry : this->limiter->takeUnconfirmed(nextNumber)) {
+        RelayMessages::TeamUse &use = *first.add_teams();
+        use.set_team(entry.first);
+        use.set_admitted(entry.second);
+        use.set_scarce(true);
+    }
+    std::lock_guard<std::mutex> lock(this->mutex);
     first.mutable_greeting()->set_vm(this->settings.vm.id);
     first.mutable_greeting()->set_failure_domain(this->settings.vm.failureDomain);
     first.mutable_greeting()->set_configuration_version(this->inForce->configuration().version());
@@ -292,6 +303,9 @@
         this->takeConfiguration(news.configuration());
     }
     this->takeRegistrations(news);
+    if (news.has_admissions()) {
+        this->limiter->fillGaps(decodeAdmissions(news.admissions()));
+    }
     for (const RelayMessages::TeamUse &use : news.teams()) {
         this->limiter->admittedElsewhere(use.team(), use.admitted());
     }
--- a/libraries/process/relay/entrynode.h
+++ b/libraries/process/relay/entrynode.h
@@ -52,7 +52,7 @@
     std::string explain(const std::string &instanceId) const override;
 
 private:
-    RelayMessages::News greeting() const;
+    RelayMessages::News greeting(std::uint64_t nextNumber) const;
     void receive(const RelayMessages::News &news);
     void takeConfiguration(const CatalogueMessages::Configuration &configuration);
     void takeRegistrations(const RelayMessages::News &news);
--- a/libraries/process/relay/newsbuffer.cpp
+++ b/libraries/process/relay/newsbuffer.cpp
@@ -21,7 +21,7 @@
 
 } // namespace
 
-void NewsBuffer::add(const RelayMessages::News &news)
+std::uint64_t NewsBuffer::add(const RelayMessages::News &news)
 {
     std::lock_guard<std::mutex> lock(this->mutex);
     for (const RelayMessages::InstanceOutcomes &counts : news.outcomes()) {
@@ -47,10 +47,14 @@
     this->pending.mutable_lost_requests()->MergeFrom(news.lost_requests());
     this->pending.mutable_relays()->MergeFrom(news.relays());
     this->pending.mutable_vms()->MergeFrom(news.vms());
+    if (news.has_admissions()) {
+        *this->pending.mutable_admissions() = news.admissions();
+    }
     this->urgent = this->urgent || isUrgent(news);
     if (!this->isEmpty()) {
         this->changed.notify_all();
     }
+    return this->sequence + 1;
 }
 
 bool NewsBuffer::isUrgent(const RelayMessages::News &news)
@@ -131,7 +135,7 @@
 {
     return this->outcomes.empty() && this->teams.empty() && this->services.empty() && !this->pending.has_configuration()
         && this->pending.registrations().empty() && this->pending.summaries().empty() && this->pending.lost_requests().empty() && this->pending.relays().empty()
-        && this->pending.vms().empty();
+        && this->pending.vms().empty() && !this->pending.has_admissions();
 }
 
 } // namespace Hyssophall
--- a/libraries/process/relay/newsbuffer.h
+++ b/libraries/process/relay/newsbuffer.h
@@ -21,8 +21,8 @@
 class NewsBuffer
 {
 public:
-    /// Adds all that @p news tells, but for its greeting, numbers and status.
-    void add(const RelayMessages::News &news);
+    /// Adds all that @p news tells, but for its greeting, numbers and status. Returns the number of the message that will hold it.
+    std::uint64_t add(const RelayMessages::News &news);
 
     /// Whether news should leave soon: what changes which instances or configuration a receiver uses. The rest only adds up to its counts.
     static bool isUrgent(const RelayMessages::News &news);
--- a/libraries/process/relay/relayhub.cpp
+++ b/libraries/process/relay/relayhub.cpp
@@ -1,5 +1,7 @@
 #include "process/relay/relayhub.h"
 
+#include "process/relay/admissionmessages.h"
+
 #include <algorithm>
 #include <glog/logging.h>
 #include <utility>
@@ -10,6 +12,8 @@
 
 /// A VM that no relay has seen for so long doesn't count as part of the fleet any more. Longer than a restart takes.
 constexpr std::chrono::seconds vmMemory{20};
+/// VMs that are heard are counted with each message to a VM, several times a second.
+constexpr std::chrono::milliseconds longestHearingPause{500};
 /// A team over its limit is reported no more often.
 constexpr std::chrono::seconds overLimitReportInterval{1};
 
@@ -36,7 +40,8 @@
     , startedAt(this->options.clock())
     , board(this->options.board)
     , configuration(std::make_shared<const CatalogueMessages::Configuration>())
-    , admissions(this->options.rateWindow)
+    , hearingNoted(this->startedAt)
+    , admissions(this->options.rateWindow, this->startedAt)
 {
 }
 
@@ -53,6 +58,12 @@
     this->sendToVms(news, nullptr);
 }
 
+void RelayHub::rememberFleet(std::uint32_t vms)
+{
+    std::lock_guard<std::mutex> lock(this->mutex);
+    this->rememberedVms = std::max(this->rememberedVms, vms);
+}
+
 bool RelayHub::publish(const RelayMessages::Registration &registration, bool needsMajority, SteadyTime deadline)
 {
     std::unique_lock<std::mutex> lock(this->mutex);
@@ -140,6 +151,8 @@
     {
         std::lock_guard<std::mutex> lock(this->mutex);
         this->subscribers.push_back(subscriber);
+        this->rememberedVms = std::max(this->rememberedVms, first.greeting().known_vms());
+        this->admissions.fillGaps(decodeAdmissions(first.admissions()), this->options.clock());
         RelayMessages::News welcome = this->everything();
         if (subscriber->isRelay()) {
             welcome.clear_summaries();
@@ -182,7 +195,7 @@
         }
     }
     subscriber.confirmed = news.sequence();
-    if (!news.registrations().empty()) {
+    if (!news.registrations().empty() || !news.teams().empty()) {
         // Somebody may be waiting for the confirmation.
         subscriber.buffer.wake();
     }
@@ -226,6 +239,7 @@
     first.mutable_greeting()->set_relay_address(this->options.own.address());
     first.mutable_greeting()->set_failure_domain(this->options.own.failure_domain());
     first.mutable_greeting()->set_configuration_version(this->configuration->version());
+    first.mutable_greeting()->set_known_vms(this->knownVms(this->options.clock()));
     for (const std::shared_ptr<RelaySubscriber> &subscriber : this->subscribers) {
         if (!subscriber->isRelay()) {
             RelayMessages::VmPresence &vm = *first.add_vms();
@@ -281,6 +295,26 @@
     const bool controlInTouch = this->hooks.isControlInTouch();
     std::lock_guard<std::mutex> lock(this->mutex);
     const SteadyTime now = this->options.clock();
+    const std::size_t visible = this->visibleVms(now).size();
+    const std::ptrdiff_t connected = std::count_if(this->peers.begin(),
+        this->peers.end(),
+        [](const std::pair<const std::string, std::shared_ptr<RelayPeer>> &entry) { return entry.second->isConnected; });
+    RelayMessages::RelayStatus status;
+    status.set_current(controlInTouch && static_cast<std::size_t>(connected) + 1 >= this->options.majority);
+    status.set_visible_vms(static_cast<std::uint32_t>(visible));
+    status.set_known_vms(this->knownVms(now));
+    status.set_configuration_version(this->configuration->version());
+    return status;
+}
+
+std::uint32_t RelayHub::knownVms(SteadyTime now) const
+{
+    const std::uint32_t seen = static_cast<std::uint32_t>(this->vmsSeen.size());
+    return now - this->startedAt < vmMemory ? std::max(seen, this->rememberedVms) : seen;
+}
+
+std::set<std::string> RelayHub::visibleVms(SteadyTime now)
+{
     std::set<std::string> visible;
     for (const std::shared_ptr<RelaySubscriber> &subscriber : this->subscribers) {
         if (!subscriber->isRelay()) {
@@ -296,16 +330,12 @@
         this->vmsSeen[vm] = now;
     }
     std::erase_if(this->vmsSeen, [now](const std::pair<const std::string, SteadyTime> &entry) { return now - entry.second > vmMemory; });
-    const std::ptrdiff_t connected = std::count_if(this->peers.begin(),
-        this->peers.end(),
-        [](const std::pair<const std::string, std::shared_ptr<RelayPeer>> &entry) { return entry.second->isConnected; });
-    RelayMessages::RelayStatus status;
-    status.set_current(controlInTouch && static_cast<std::size_t>(connected) + 1 >= this->options.majority);
-    status.set_visible_vms(static_cast<std::uint32_t>(visible.size()));
-    status.set_uptime_milliseconds(static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(now - this->startedAt).count()));
-    status.set_known_vms(static_cast<std::uint32_t>(this->vmsSeen.size()));
-    status.set_configuration_version(this->configuration->version());
-    return status;
+    // A relay that stood still didn't hear what happened meanwhile.
+    const SteadyTime from = now - this->hearingNoted < longestHearingPause ? this->hearingNoted : now;
+    const double known = std::max<std::uint32_t>(1, this->knownVms(now));
+    this->admissions.noteHeard(from, now, std::min(1.0, static_cast<double>(visible.size()) / known));
+    this->hearingNoted = now;
+    return visible;
 }
 
 std::size_t RelayHub::connectedPeers() const
@@ -416,13 +446,18 @@
     this->sendToPeers(news);
 }
 
-RelayMessages::News RelayHub::everything() const
+RelayMessages::News RelayHub::everything()
 {
+    const SteadyTime now = this->options.clock();
     RelayMessages::News all;
+    if (this->options.rateWindow.count() > 0) {
+        this->visibleVms(now);
+        *all.mutable_admissions() = encodeAdmissions(this->admissions.record(now));
+    }
     for (const std::pair<const std::string, RelayMessages::Registration> &entry : this->board.table().all()) {
         *all.add_registrations() = entry.second;
     }
-    for (const RelayMessages::InstanceSummary &summary : this->board.summaries(this->options.clock())) {
+    for (const RelayMessages::InstanceSummary &summary : this->board.summaries(now)) {
         *all.add_summaries() = summary;
     }
     *all.add_relays() = this->options.own;
--- a/libraries/process/relay/relayhub.h
+++ b/libraries/process/relay/relayhub.h
@@ -93,6 +93,9 @@
     /// Takes a registration that came here and passes it on. Returns false when a majority of the relays had to confirm it and didn't by the deadline.
     bool publish(const RelayMessages::Registration &registration, bool needsMajority, SteadyTime deadline);
 
+    /// The fleet had this many VMs before this relay started.
+    void rememberFleet(std::uint32_t vms);
+
     /// Adds another relay if it is new, and its failure domain if that was unknown.
     void addRelay(const RelayMessages::RelayAddress &address);
     std::vector<RelayMessages::RelayAddress> relays() const;
@@ -124,7 +127,9 @@
     void sendToPeers(const RelayMessages::News &news);
     void sendRelayState(const RelayPeer &peer);
     void noteVm(const std::string &vm, bool present);
-    RelayMessages::News everything() const;
+    RelayMessages::News everything();
+    std::set<std::string> visibleVms(SteadyTime now);
+    std::uint32_t knownVms(SteadyTime now) const;
     void noteAdmissions(const RelayMessages::News &news, SteadyTime now);
 
     const Options options;
@@ -138,6 +143,10 @@
     std::map<std::string, std::shared_ptr<RelayPeer>> peers;
     /// When each VM was last known to be connected to any relay.
     std::map<std::string, SteadyTime> vmsSeen;
+    /// VMs of the fleet by what was known before this relay started.
+    std::uint32_t rememberedVms = 0;
+    /// When the VMs that are heard were last counted.
+    SteadyTime hearingNoted;
     AdmissionHistory admissions;
     /// When each team was last reported to be over its limit.
     std::map<std::string, SteadyTime> overLimitReported;
--- a/libraries/process/relay/relayuplink.cpp
+++ b/libraries/process/relay/relayuplink.cpp
@@ -20,6 +20,8 @@
 constexpr std::chrono::milliseconds behindPatience{1000};
 /// A status is told with each message; older than this, the connection is as good as lost.
 constexpr std::chrono::milliseconds statusLife{500};
+/// Both sides send a message every 150 ms at least, so a connection that works has a confirmation of the last 300 ms.
+constexpr std::chrono::milliseconds knowledgeLife{500};
 
 } // namespace
 
@@ -44,29 +46,28 @@
     this->thread.join();
 }
 
-void RelayUplink::send(const RelayMessages::News &news)
+std::uint64_t RelayUplink::send(const RelayMessages::News &news)
 {
-    this->outgoing.add(news);
+    return this->outgoing.add(news);
 }
 
 double RelayUplink::visibleShare() const
 {
     std::lock_guard<std::mutex> lock(this->mutex);
-    const double known = std::max<std::uint32_t>(1, this->status.known_vms());
-    const bool isHeard = this->statusHeard && this->hooks.clock() - *this->statusHeard < statusLife;
-    return isHeard ? std::clamp(this->status.visible_vms() / known, 1 / known, 1.0) : 1 / known;
+    const bool isHeard = this->statusHeard && this->knownAsOf && this->hooks.clock() - *this->knownAsOf < knowledgeLife;
+    return isHeard ? this->toldShare() : 1.0 / std::max<std::uint32_t>(1, this->status.known_vms());
 }
 
-double RelayUplink::ownShare() const
+double RelayUplink::toldShare() const
 {
-    std::lock_guard<std::mutex> lock(this->mutex);
-    return 1.0 / std::max<std::uint32_t>(1, this->status.known_vms());
+    const double known = std::max<std::uint32_t>(1, this->status.known_vms());
+    return std::clamp(this->status.visible_vms() / known, 1 / known, 1.0);
 }
 
-std::optional<std::chrono::milliseconds> RelayUplink::relayUptime() const
+double RelayUplink::ownShare() const
 {
     std::lock_guard<std::mutex> lock(this->mutex);
-    return this->statusHeard ? std::optional<std::chrono::milliseconds>(this->status.uptime_milliseconds()) : std::nullopt;
+    return 1.0 / std::max<std::uint32_t>(1, this->status.known_vms());
 }
 
 std::optional<std::chrono::milliseconds> RelayUplink::knowledgeAge() const
@@ -103,8 +104,9 @@
             this->behindSince.reset();
             // The greeting has no number and is confirmed by whatever comes first.
             this->sent = {{0, this->hooks.clock()}};
+            this->heardUntil.reset();
             lock.unlock();
-            const bool stood = this->link->run(this->hooks.greet(), this->outgoing);
+            const bool stood = this->link->run(this->greeting(), this->outgoing);
             LOG(WARNING) << (stood ? "The connection to relay " : "No connection to relay ") << address << (stood ? " has ended" : "");
             lock.lock();
             this->choice.noteFailure(address, this->hooks.clock());
@@ -115,8 +117,19 @@
     }
 }
 
+RelayMessages::News RelayUplink::greeting()
+{
+    RelayMessages::News first = this->hooks.greet(this->outgoing.nextSequence());
+    std::lock_guard<std::mutex> lock(this->mutex);
+    first.mutable_greeting()->set_known_vms(this->status.known_vms());
+    return first;
+}
+
 void RelayUplink::receive(const RelayMessages::News &news)
 {
+    SteadyTime heardFrom;
+    SteadyTime heardTo;
+    double share = 0;
     {
         std::lock_guard<std::mutex> lock(this->mutex);
         for (const RelayMessages::RelayAddress &address : news.relays()) {
@@ -126,7 +139,14 @@
         if (news.has_status()) {
             this->takeStatus(news.status());
         }
+        // The first message tells all up to now, and each later one all up to what it confirms.
+        heardFrom = this->heardUntil.value_or(this->hooks.clock());
+        heardTo = std::max(heardFrom, this->knownAsOf.value_or(heardFrom));
+        this->heardUntil = heardTo;
+        share = this->toldShare();
     }
+    this->hooks.heard(heardFrom, heardTo, share);
+    this->hooks.confirmed(news.confirmed());
     this->hooks.receive(news);
 }
 
--- a/libraries/process/relay/relayuplink.h
+++ b/libraries/process/relay/relayuplink.h
@@ -35,10 +35,15 @@
     };
 
     struct Hooks {
+        /// Counts the time that the machine was suspended.
         SteadyClock clock;
         RandomSource random;
-        /// The first message on each connection.
-        std::function<RelayMessages::News()> greet;
+        /// The first message on each connection; messages before @p nextNumber were lost unless they were confirmed.
+        std::function<RelayMessages::News(std::uint64_t nextNumber)> greet;
+        /// The relay has taken in all messages up to this number.
+        std::function<void(std::uint64_t)> confirmed;
+        /// A share of the fleet's VMs was heard all the time between these two. Called before what came with it is received.
+        std::function<void(SteadyTime from, SteadyTime to, double share)> heard;
         std::function<void(const RelayMessages::News &)> receive;
         /// Whether this VM has a configuration.
         std::function<bool()> isConfigured;
@@ -51,8 +56,8 @@
     RelayUplink(const RelayUplink &) = delete;
     RelayUplink &operator=(const RelayUplink &) = delete;
 
-    /// News for the relay.
-    void send(const RelayMessages::News &news);
+    /// News for the relay. Returns the number of the message that will hold it.
+    std::uint64_t send(const RelayMessages::News &news);
 
     /// Share of the fleet's VMs that this VM hears of through its relay; its own part of the fleet while it is cut off.
     double visibleShare() const;
@@ -60,9 +65,6 @@
     /// What part of the fleet this VM is.
     double ownShare() const;
 
-    /// How long the relay had been running when it was last heard; nothing before that.
-    std::optional<std::chrono::milliseconds> relayUptime() const;
-
     /// Age of what this VM knows of the others: time since it sent the latest message that its relay has confirmed. The relay's own messages
     /// tell when they arrived and not when they were written, so a VM that stood still would take old ones for new. Nothing before the first
     /// confirmation.
@@ -75,7 +77,9 @@
     void keepConnected();
     void receive(const RelayMessages::News &news);
     void noteSent(std::uint64_t sequence);
+    RelayMessages::News greeting();
     // These are called with the mutex held.
+    double toldShare() const;
     void takeConfirmation(std::uint64_t confirmed);
     void takeStatus(const RelayMessages::RelayStatus &status);
     void moveHome(SteadyTime now);
@@ -101,6 +105,8 @@
     std::deque<SentMessage> sent;
     /// When the latest message that a relay has confirmed was sent.
     std::optional<SteadyTime> knownAsOf;
+    /// Until when the present connection has told what others do; nothing before its first message.
+    std::optional<SteadyTime> heardUntil;
     /// Since when the relay has told that it isn't current.
     std::optional<SteadyTime> outdatedSince;
     /// Since when the relay has told a later configuration than the one in force here.
--- a/tests/unit/process/relay/relayhubtest.cpp
+++ b/tests/unit/process/relay/relayhubtest.cpp
@@ -209,3 +209,38 @@
     fixture.hub->receive(*fixture.second, news);
     CATCH_CHECK(fixture.hub->largestTeamUse() == Approx(1));
 }
+
+// Guards against relays that have just started, have seen a few VMs, and let each of these take a large part of the limits.
+CATCH_TEST_CASE("A relay that has just started goes by the size that the fleet had", "[relay][fleet-limit]")
+{
+    HubFixture fixture;
+    CATCH_CHECK(fixture.hub->status().known_vms() == 2);
+    fixture.hub->rememberFleet(40);
+    CATCH_CHECK(fixture.hub->status().known_vms() == 40);
+    CATCH_CHECK(fixture.hub->status().visible_vms() == 2);
+    // A VM that was there before knows it, too.
+    RelayMessages::News greeting;
+    greeting.mutable_greeting()->set_vm("vm-3");
+    greeting.mutable_greeting()->set_known_vms(48);
+    fixture.hub->connect(greeting);
+    CATCH_CHECK(fixture.hub->status().known_vms() == 48);
+    CATCH_CHECK(fixture.hub->greetPeer(*fixture.peers[0]).greeting().known_vms() == 48);
+}
+
+// Guards against a VM that starts during a flood and doesn't know what the window holds.
+CATCH_TEST_CASE("A VM that connects is told what teams were admitted before", "[relay][fleet-limit]")
+{
+    HubFixture fixture;
+    RelayMessages::News news;
+    RelayMessages::TeamUse &use = *news.add_teams();
+    use.set_team("red");
+    use.set_admitted(7);
+    fixture.hub->receive(*fixture.first, news);
+    const std::shared_ptr<RelaySubscriber> third = fixture.connect("vm-3");
+    const RelayMessages::AdmissionRecord told = fixture.news(third->buffer).admissions();
+    CATCH_REQUIRE(told.teams_size() == 1);
+    CATCH_CHECK(told.teams(0).team() == "red");
+    CATCH_CHECK(told.teams(0).counts(0) == 7);
+    CATCH_REQUIRE(told.heard_size() >= 1);
+    CATCH_CHECK(fixture.hub->greetPeer(*fixture.peers[0]).admissions().teams_size() == 1);
+}
