Connection: Give up answers whose framing never ends

What callers would see: a request that an instance in trouble answers with a chunk whose extension never ends lasts until its deadline, and the VM's processor reads as fast as the instance writes all the while.

Cause: limits counted the header lines and body bytes that libcurl hands over, and it skips a chunk's extension without handing over anything. Bytes without end in header lines, one header line, no line at all, interim answers, bodies, chunks, a chunk's length and trailers were given up at their limits before.

Change: bytes are counted as they come, and a transfer ends at four times the longest answer and 64 KB.

Tests: "An answer that never ends is given up at its limit and its connection is closed" (failed before for a chunk's extension: bytes were read, all that were offered, and the connection stayed open); "An answer that comes byte by byte for ever ends with the request's time" (passed before).

--- a/libraries/connection/upstreamconnection.cpp
+++ b/libraries/connection/upstreamconnection.cpp
@@ -15,6 +15,10 @@
 
 // A caller that left must not keep an upstream at work; the platform allows half a second until it stops.
 constexpr std::chrono::milliseconds abandonmentCheck{100};
+/// Bytes on the wire for each byte of the longest answer: an answer in chunks of a few bytes is mostly framing.
+constexpr std::size_t framingFactor = 4;
+/// Bytes of head and trailers beside that; as much as AnswerAssembler takes.
+constexpr std::size_t maximumHeadBytes = 64 * 1024;
 
 struct ListDeleter {
     void operator()(curl_slist *list) const
@@ -57,8 +61,19 @@
     int sendings = 0;
     bool withheld = false;
     bool abandoned = false;
+    bool overLimit = false;
+    /// Bytes of the answer as they came, framing included.
+    std::size_t receivedBytes = 0;
 };
 
+int onDebug(CURL *, curl_infotype type, char *, std::size_t size, void *data)
+{
+    if (type == CURLINFO_HEADER_IN || type == CURLINFO_DATA_IN) {
+        static_cast<Transfer *>(data)->receivedBytes += size;
+    }
+    return 0;
+}
+
 int onSending(void *data, char *, char *, int, int)
 {
     Transfer &transfer = *static_cast<Transfer *>(data);
@@ -115,7 +130,7 @@
     if (transfer.abandoned) {
         return UpstreamFailureKind::Abandoned;
     }
-    if (transfer.assembler.isOverLimit()) {
+    if (transfer.overLimit || transfer.assembler.isOverLimit()) {
         return UpstreamFailureKind::AnswerTooLarge;
     }
     if (code == CURLE_OPERATION_TIMEDOUT) {
@@ -169,6 +184,10 @@
         curl_easy_setopt(handle, CURLOPT_HEADERDATA, &transfer);
         curl_easy_setopt(handle, CURLOPT_WRITEFUNCTION, onBody);
         curl_easy_setopt(handle, CURLOPT_WRITEDATA, &transfer);
+        // The other functions don't see the extensions of chunks, which may go on for ever.
+        curl_easy_setopt(handle, CURLOPT_VERBOSE, 1L);
+        curl_easy_setopt(handle, CURLOPT_DEBUGFUNCTION, onDebug);
+        curl_easy_setopt(handle, CURLOPT_DEBUGDATA, &transfer);
         this->prepareMethod(call.request);
     }
 
@@ -212,6 +231,9 @@
         while (running > 0 && code == CURLE_OK) {
             if (curl_multi_perform(this->multi.get(), &running) != CURLM_OK) {
                 code = CURLE_RECV_ERROR;
+            } else if (transfer.receivedBytes > framingFactor * this->maximumAnswerBytes + maximumHeadBytes) {
+                transfer.overLimit = true;
+                code = CURLE_ABORTED_BY_CALLBACK;
             } else if (running > 0) {
                 curl_multi_poll(this->multi.get(), nullptr, 0, static_cast<int>(abandonmentCheck.count()), nullptr);
                 transfer.abandoned = mayBeAbandoned && transfer.sendings > 0 && transfer.call.isAbandoned();
--- a/tests/support/rawupstream.cpp
+++ b/tests/support/rawupstream.cpp
@@ -42,6 +42,11 @@
     static_cast<void>(send(this->descriptor, text.data(), text.size(), MSG_NOSIGNAL));
 }
 
+bool RawConnection::tryWrite(const std::string &text)
+{
+    return send(this->descriptor, text.data(), text.size(), MSG_NOSIGNAL) > 0;
+}
+
 void RawConnection::reset()
 {
     const linger hard{1, 0};
--- a/tests/support/rawupstream.h
+++ b/tests/support/rawupstream.h
@@ -20,6 +20,8 @@
     /// Reads one request with a body by Content-Length. Empty when the peer closed.
     std::string readRequest();
     void write(const std::string &text);
+    /// False once the peer has closed.
+    bool tryWrite(const std::string &text);
     /// Ends the connection by RST.
     void reset();
 
--- a/tests/unit/connection/upstreamclienttest.cpp
+++ b/tests/unit/connection/upstreamclienttest.cpp
@@ -5,8 +5,11 @@
 #include <catch2/catch.hpp>
 #include <curl/curl.h>
 
+#include <atomic>
 #include <condition_variable>
+#include <string>
 #include <thread>
+#include <vector>
 
 using namespace Hyssophall;
 using HyssophallTest::RawConnection;
@@ -185,6 +188,91 @@
     CATCH_CHECK(findHeader(result.answer->headers, "Link") == nullptr);
 }
 
+// Guards against a try that reads for as long as an instance in trouble goes on writing.
+CATCH_TEST_CASE("An answer that never ends is given up at its limit and its connection is closed", "[connection][whole-answer]")
+{
+    const std::string head = "HTTP/1.1 200 OK\r\n";
+    const std::string chunked = head + "Transfer-Encoding: chunked\r\n\r\n";
+    struct Endless {
+        std::string name;
+        std::string beginning;
+        std::string repeated;
+    };
+    const std::vector<Endless> answers{{"header lines", head, "X-More: and more\r\n"},
+        {"one header line", head + "X-More: ", "and more "},
+        {"no line at all", "", "and more "},
+        {"empty lines", "", "\r\n"},
+        {"interim answers", "", "HTTP/1.1 100 Continue\r\n\r\n"},
+        {"a body without a length", head + "\r\n", "and more "},
+        {"chunks", chunked, "3\r\nabc\r\n"},
+        {"a chunk's extension", chunked + "3;", "name=value;"},
+        {"a chunk's length", chunked, "0"},
+        {"trailers", chunked + "0\r\n", "X-More: and more\r\n"}};
+    for (const Endless &endless : answers) {
+        CATCH_CAPTURE(endless.name);
+        constexpr std::size_t blockBytes = 16 * 1024;
+        std::string block;
+        while (block.size() < blockBytes) {
+            block += endless.repeated;
+        }
+        // What is written before the client closes: its limits, and what the kernel holds for both ends.
+        constexpr std::size_t mostBytes = 32 * 1024 * 1024;
+        std::atomic<std::size_t> written{0};
+        std::atomic<bool> isClosed{false};
+        RawUpstream upstream([&endless, &block, &written, &isClosed](RawConnection &connection, const std::string &) {
+            connection.write(endless.beginning);
+            while (written < mostBytes) {
+                if (!connection.tryWrite(block)) {
+                    isClosed = true;
+                    break;
+                }
+                written += block.size();
+            }
+            throw RawUpstream::Close();
+        });
+        UpstreamClient client({.maximumAnswerBytes = 100000});
+        const UpstreamResult result = client.send(callTo(upstream, "GET", std::chrono::seconds(20)));
+        CATCH_REQUIRE(result.failure);
+        CATCH_CHECK(result.failure->mayHaveSent);
+        // Such an instance hasn't crashed, so the request isn't to blame.
+        const UpstreamFailureKind kind = result.failure->kind;
+        CATCH_CHECK((kind == UpstreamFailureKind::AnswerTooLarge || kind == UpstreamFailureKind::AnswerIncomplete));
+        const SteadyTime limit = std::chrono::steady_clock::now() + std::chrono::seconds(5);
+        while (!isClosed && written < mostBytes && std::chrono::steady_clock::now() < limit) {
+            std::this_thread::sleep_for(std::chrono::milliseconds(5));
+        }
+        CATCH_CHECK(isClosed);
+        CATCH_CHECK(written < mostBytes);
+    }
+}
+
+// Guards against a try that outlasts its time because bytes go on arriving.
+CATCH_TEST_CASE("An answer that comes byte by byte for ever ends with the request's time", "[connection][whole-answer]")
+{
+    for (const std::string &beginning : {std::string("HTTP/1.1 200 OK\r\nX-More: "), std::string("HTTP/1.1 200 OK\r\n\r\n")}) {
+        std::atomic<bool> isClosed{false};
+        RawUpstream upstream([&beginning, &isClosed](RawConnection &connection, const std::string &) {
+            connection.write(beginning);
+            while (connection.tryWrite("a")) {
+                std::this_thread::sleep_for(std::chrono::milliseconds(10));
+            }
+            isClosed = true;
+            throw RawUpstream::Close();
+        });
+        UpstreamClient client({});
+        const SteadyTime began = std::chrono::steady_clock::now();
+        const UpstreamResult result = client.send(callTo(upstream, "POST", std::chrono::milliseconds(500)));
+        CATCH_CHECK(std::chrono::steady_clock::now() - began < std::chrono::seconds(2));
+        CATCH_REQUIRE(result.failure);
+        CATCH_CHECK(result.failure->kind == UpstreamFailureKind::TimedOut);
+        const SteadyTime limit = std::chrono::steady_clock::now() + std::chrono::seconds(5);
+        while (!isClosed && std::chrono::steady_clock::now() < limit) {
+            std::this_thread::sleep_for(std::chrono::milliseconds(5));
+        }
+        CATCH_CHECK(isClosed);
+    }
+}
+
 CATCH_TEST_CASE("A late answer never reaches the next request", "[connection][whole-answer]")
 {
     std::mutex mutex;
