Limits: Give a fleet that starts anew no second slack for retries

All VMs lost three times within six seconds, under a storm of retries, each time had the whole slack again.

Evidence: "Retries stay within the budget while all VMs are lost again and again" fails without the change, 96 retries of 94.2 in 10 s.

Change: a VM's part of the slack grows with its age until it has known a whole window.

Measured: the test passes.

--- a/libraries/process/limits/sharedretrybudget.cpp
+++ b/libraries/process/limits/sharedretrybudget.cpp
@@ -1,5 +1,6 @@
 #include "process/limits/sharedretrybudget.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace Hyssophall {
@@ -38,7 +39,7 @@
     {
         std::lock_guard<std::mutex> lock(this->mutex);
         Slice &current = this->sliceOf(service, now);
-        if (!this->isWithinBudget(this->slices[service])) {
+        if (!this->isWithinBudget(this->slices[service], now)) {
             return false;
         }
         ++current.retries;
@@ -48,7 +49,7 @@
     return true;
 }
 
-bool SharedRetryBudget::isWithinBudget(const std::deque<Slice> &window) const
+bool SharedRetryBudget::isWithinBudget(const std::deque<Slice> &window, SteadyTime now) const
 {
     Slice sum;
     for (const Slice &slice : window) {
@@ -57,7 +58,10 @@
         sum.ownRequests += slice.ownRequests;
         sum.ownRetries += slice.ownRetries;
     }
-    const double together = usedPartTogether * (this->options.ratio * static_cast<double>(sum.requests) + this->options.slack);
+    // The fleet may have used its slack before this VM started, and start again within the same window.
+    const std::chrono::duration<double> known = std::min<SteadyTime::duration>(now - this->options.began, this->options.window);
+    const double slack = this->options.slack * (known / this->options.window);
+    const double together = usedPartTogether * (this->options.ratio * static_cast<double>(sum.requests) + slack);
     if (this->hooks.visibleShare() >= togetherShare) {
         return static_cast<double>(sum.retries) + 1 <= together;
     }
--- a/libraries/process/limits/sharedretrybudget.h
+++ b/libraries/process/limits/sharedretrybudget.h
@@ -26,6 +26,8 @@
         /// Retries beyond the ratio in each window.
         double slack = 30;
         std::chrono::seconds window{10};
+        /// When this VM began to hear the others.
+        SteadyTime began;
     };
 
     struct Hooks {
@@ -55,7 +57,7 @@
         std::uint64_t ownRetries = 0;
     };
 
-    bool isWithinBudget(const std::deque<Slice> &window) const;
+    bool isWithinBudget(const std::deque<Slice> &window, SteadyTime now) const;
     Slice &sliceOf(const std::string &service, SteadyTime now);
 
     const Options options;
--- a/libraries/process/relay/entrynode.cpp
+++ b/libraries/process/relay/entrynode.cpp
@@ -44,12 +44,13 @@
     return options;
 }
 
-SharedRetryBudget::Options retryOptions(const Settings &settings)
+SharedRetryBudget::Options retryOptions(const Settings &settings, SteadyTime began)
 {
     SharedRetryBudget::Options options;
     options.ratio = settings.bounds.retryRatio;
     options.slack = static_cast<double>(settings.bounds.retrySlack);
     options.window = settings.bounds.retryWindow;
+    options.began = began;
     return options;
 }
 
@@ -136,7 +137,7 @@
         use.set_retries(retried);
         this->relayUplink->send(news);
     };
-    this->retryBudget = std::make_unique<SharedRetryBudget>(retryOptions(settings), std::move(retryHooks));
+    this->retryBudget = std::make_unique<SharedRetryBudget>(retryOptions(settings, this->startedAt), std::move(retryHooks));
     RelayUplink::Options options;
     options.failureDomain = settings.vm.failureDomain;
     options.seeds = fleetAddresses(settings.relay.seeds, settings.listen.fleet.port);
--- a/tests/unit/process/limits/sharedretrybudgettest.cpp
+++ b/tests/unit/process/limits/sharedretrybudgettest.cpp
@@ -2,6 +2,7 @@
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
 #include <deque>
 #include <memory>
 #include <vector>
@@ -19,10 +20,18 @@
 {
 public:
     RetryingFleet()
+    {
+        this->restart();
+    }
+
+    /// All VMs start anew and know nothing of what was retried.
+    void restart()
     {
         SharedRetryBudget::Options options;
         options.ratio = ratio;
         options.slack = slack;
+        options.began = this->now;
+        this->budgets.clear();
         for (std::size_t vm = 0; vm < vms; ++vm) {
             SharedRetryBudget::Hooks hooks;
             hooks.visibleShare = [this] { return this->cutOff ? 1.0 / vms : 1.0; };
@@ -89,3 +98,31 @@
         CATCH_REQUIRE(retried <= ratio * 1000 + slack);
     }
 }
+
+// Guards against a fleet that starts anew several times and has the whole budget each time.
+CATCH_TEST_CASE("Retries stay within the budget while all VMs are lost again and again", "[retries]")
+{
+    RetryingFleet fleet;
+    fleet.now += std::chrono::seconds(20);
+    std::vector<SteadyTime> requests;
+    std::vector<SteadyTime> retries;
+    for (int second = 0; second < 40; ++second) {
+        // Three losses within six seconds.
+        if (second == 20 || second == 23 || second == 26) {
+            fleet.restart();
+        }
+        for (int request = 0; request < 15; ++request) {
+            fleet.now += std::chrono::milliseconds(56);
+            requests.push_back(fleet.now);
+            if (fleet.request()) {
+                retries.push_back(fleet.now);
+            }
+        }
+    }
+    const auto countFrom = [](const std::vector<SteadyTime> &times, SteadyTime from) {
+        return std::count_if(times.begin(), times.end(), [from](SteadyTime time) { return time >= from && time < from + std::chrono::seconds(10); });
+    };
+    for (const SteadyTime from : retries) {
+        CATCH_REQUIRE(static_cast<double>(countFrom(retries, from)) <= ratio * static_cast<double>(countFrom(requests, from)) + slack);
+    }
+}
