--- a/tests/integration/relayedfleettest.cpp
+++ b/tests/integration/relayedfleettest.cpp
@@ -10,6 +10,7 @@
 
 #include <filesystem>
 #include <fstream>
+#include <thread>
 
 using namespace Hyssophall;
 using namespace std::chrono_literals;
@@ -150,6 +151,13 @@
         return this->call(0, key).status == status && this->call(1, key).status == status;
     }
 
+    /// Whether the VM's metrics have this line.
+    bool tells(int number, const std::string &line)
+    {
+        const std::string text = Harness::get("http://" + address(number) + ":" + std::to_string(this->administrationPort) + "/metrics").body;
+        return text.find("\n" + line + "\n") != std::string::npos;
+    }
+
     const std::filesystem::path folder;
     const int fleetPort;
     const int controlPort;
@@ -306,3 +314,19 @@
     CATCH_CHECK(Harness::waitUntil(3s, [&fleet] { return fleet.answersEverywhere("key-12", 200); }));
     CATCH_CHECK(fleet.isRunning(2));
 }
+
+// Guards against control VMs that have just started, take the few VMs they have seen for the fleet, and let each have a large part of the limits.
+CATCH_TEST_CASE("A control VM that starts alone knows how many VMs the fleet had", "[integration][relay][fleet-limit]")
+{
+    RelayedFleet fleet;
+    CATCH_REQUIRE(fleet.putConfiguration(1, "key", {0, 1, 2}));
+    CATCH_REQUIRE(Harness::waitUntil(5s, [&fleet] { return fleet.tells(2, "hyssophall_known_vms 2"); }));
+    // The copy is written within some fractions of a second.
+    std::this_thread::sleep_for(1s);
+    for (int number = 0; number < RelayedFleet::controls + RelayedFleet::entries; ++number) {
+        fleet.kill(number);
+    }
+    fleet.start(2, false);
+    CATCH_CHECK(Harness::waitUntil(5s, [&fleet] { return fleet.tells(2, "hyssophall_known_vms 2"); }));
+    CATCH_CHECK(fleet.tells(2, "hyssophall_visible_vms 0"));
+}
