Limits: Keep to the tolerance when the fleet is lost twice within a window

A very small team is now among the floods of all four tests.

Change: such VMs use half of the tolerance. VMs that hear nobody use 0.7 as before.

--- a/libraries/process/limits/sharedratelimiter.cpp
+++ b/libraries/process/limits/sharedratelimiter.cpp
@@ -18,9 +18,11 @@
 constexpr double togetherShare = 0.9;
 /// Part of a team's rate that VMs admit which don't know what a whole window held.
 constexpr double youngRatePart = 0.75;
-/// Part of the deployment's tolerance that VMs use which hear nobody or don't know a whole window. The rest covers what is admitted before VMs
-/// notice that they don't hear each other.
-constexpr double tolerancePart = 0.7;
+/// Part of the deployment's tolerance that VMs use which hear nobody. The rest covers what is admitted before VMs notice that they don't hear
+/// each other.
+constexpr double alonePart = 0.7;
+/// Part of the deployment's tolerance that VMs use which don't know a whole window. The fleet may be lost twice within one.
+constexpr double youngTolerancePart = 0.5;
 /// Length of the window that is kept, and not used, where limits aren't counted over windows.
 constexpr std::chrono::milliseconds unusedWindow{1000};
 
@@ -220,7 +222,7 @@
 {
     const std::chrono::duration<double> length = this->options.window;
     const double limit = whole.rate * length.count() + whole.burst;
-    const double tolerance = tolerancePart * (this->options.overage * limit + this->options.slack);
+    const double tolerance = this->options.overage * limit + this->options.slack;
     const double unconfirmed = static_cast<double>(team.unconfirmed.size());
     const double charged = this->history.charged(name, whole, view) + unconfirmed;
     const std::chrono::duration<double> known = this->history.knownTime(view.now);
@@ -228,12 +230,12 @@
         // The team may have used its limit before anything is known, its burst at the last moment.
         const double ofRate = youngRatePart * whole.rate * known.count();
         const double ofLimit = limit / length.count() * known.count() - whole.burst;
-        const double part = view.visibleShare * std::max(ofRate, tolerance + std::min(ofRate, std::max(0.0, ofLimit)));
+        const double part = view.visibleShare * std::max(ofRate, youngTolerancePart * tolerance + std::min(ofRate, std::max(0.0, ofLimit)));
         const double usedBefore = view.visibleShare * limit * (length - known) / length;
         return part - (charged - usedBefore);
     }
     const bool isAlone = view.visibleShare <= view.ownShare;
-    const double part = view.visibleShare * (limit + (isAlone ? tolerance : 0));
+    const double part = view.visibleShare * (limit + (isAlone ? alonePart * tolerance : 0));
     return std::max(1.0, part) - charged;
 }
 
--- a/tests/unit/process/limits/delayedfleettest.cpp
+++ b/tests/unit/process/limits/delayedfleettest.cpp
@@ -17,8 +17,8 @@
     int perSecond;
 };
 
-/// A small team, a large one and one with a burst of several seconds, at some four times their rate or more.
-const std::vector<Flood> floods{{{15, 15}, 60}, {{52, 52}, 210}, {{20, 100}, 210}};
+/// A very small team, a small one, a large one and one with a burst of several seconds, at some four times their rate or more.
+const std::vector<Flood> floods{{{2, 2}, 40}, {{15, 15}, 60}, {{52, 52}, 210}, {{20, 100}, 210}};
 const std::vector<std::uint64_t> seeds{1, 2, 3, 4, 5};
 
 } // namespace
@@ -72,3 +72,23 @@
         }
     }
 }
+
+// Guards against a fleet that lets a team have the deployment's tolerance after each of several losses within one window.
+CATCH_TEST_CASE("A flooding team keeps to its limit when all processes are lost twice within a window", "[fleet-limit]")
+{
+    for (const Flood &flood : floods) {
+        for (const std::uint64_t seed : seeds) {
+            CATCH_CAPTURE(flood.rate.rate, seed);
+            DelayedFleet fleet(vms, flood.rate, seed);
+            fleet.run(8s, flood.perSecond / 8);
+            fleet.run(5s, flood.perSecond);
+            fleet.restartAll(500ms);
+            fleet.run(1s, flood.perSecond);
+            fleet.freeze(half, 1s);
+            fleet.run(1500ms, flood.perSecond);
+            fleet.restartAll(500ms);
+            fleet.run(6s, flood.perSecond);
+            CATCH_CHECK(static_cast<double>(fleet.mostInWindow()) <= fleet.allowed());
+        }
+    }
+}
