--- a/libraries/process/relay/relayhub.cpp
+++ b/libraries/process/relay/relayhub.cpp
@@ -1,5 +1,7 @@
 #include "process/relay/relayhub.h"
 
+#include "process/relay/admissionmessages.h"
+
 #include <algorithm>
 #include <glog/logging.h>
 #include <utility>
@@ -10,6 +12,17 @@
 
 /// A VM that no relay has seen for so long doesn't count as part of the fleet any more. Longer than a restart takes.
 constexpr std::chrono::seconds vmMemory{20};
+/// VMs that are heard are counted with each message to a VM, several times a second.
+constexpr std::chrono::milliseconds longestHearingPause{500};
+/// A team over its limit is reported no more often.
+constexpr std::chrono::seconds overLimitReportInterval{1};
+
+/// What a team may be admitted in a window.
+double limitOf(const CatalogueMessages::Team &team, std::chrono::milliseconds window)
+{
+    const std::chrono::duration<double> length = window;
+    return team.rate() * length.count() + team.burst();
+}
 
 /// The configuration without what the operators sent, which holds keys in the clear.
 CatalogueMessages::Configuration withoutDocument(const CatalogueMessages::Configuration &configuration)
@@ -27,6 +40,8 @@
     , startedAt(this->options.clock())
     , board(this->options.board)
     , configuration(std::make_shared<const CatalogueMessages::Configuration>())
+    , hearingNoted(this->startedAt)
+    , admissions(this->options.rateWindow, this->startedAt)
 {
 }
 
@@ -43,6 +58,12 @@
     this->sendToVms(news, nullptr);
 }
 
+void RelayHub::rememberFleet(std::uint32_t vms)
+{
+    std::lock_guard<std::mutex> lock(this->mutex);
+    this->rememberedVms = std::max(this->rememberedVms, vms);
+}
+
 bool RelayHub::publish(const RelayMessages::Registration &registration, bool needsMajority, SteadyTime deadline)
 {
     std::unique_lock<std::mutex> lock(this->mutex);
@@ -130,6 +151,8 @@
     {
         std::lock_guard<std::mutex> lock(this->mutex);
         this->subscribers.push_back(subscriber);
+        this->rememberedVms = std::max(this->rememberedVms, first.greeting().known_vms());
+        this->admissions.fillGaps(decodeAdmissions(first.admissions()), this->options.clock());
         RelayMessages::News welcome = this->everything();
         if (subscriber->isRelay()) {
             welcome.clear_summaries();
@@ -172,7 +195,7 @@
         }
     }
     subscriber.confirmed = news.sequence();
-    if (!news.registrations().empty()) {
+    if (!news.registrations().empty() || !news.teams().empty()) {
         // Somebody may be waiting for the confirmation.
         subscriber.buffer.wake();
     }
@@ -216,6 +239,7 @@
     first.mutable_greeting()->set_relay_address(this->options.own.address());
     first.mutable_greeting()->set_failure_domain(this->options.own.failure_domain());
     first.mutable_greeting()->set_configuration_version(this->configuration->version());
+    first.mutable_greeting()->set_known_vms(this->knownVms(this->options.clock()));
     for (const std::shared_ptr<RelaySubscriber> &subscriber : this->subscribers) {
         if (!subscriber->isRelay()) {
             RelayMessages::VmPresence &vm = *first.add_vms();
@@ -271,6 +295,26 @@
     const bool controlInTouch = this->hooks.isControlInTouch();
     std::lock_guard<std::mutex> lock(this->mutex);
     const SteadyTime now = this->options.clock();
+    const std::size_t visible = this->visibleVms(now).size();
+    const std::ptrdiff_t connected = std::count_if(this->peers.begin(),
+        this->peers.end(),
+        [](const std::pair<const std::string, std::shared_ptr<RelayPeer>> &entry) { return entry.second->isConnected; });
+    RelayMessages::RelayStatus status;
+    status.set_current(controlInTouch && static_cast<std::size_t>(connected) + 1 >= this->options.majority);
+    status.set_visible_vms(static_cast<std::uint32_t>(visible));
+    status.set_known_vms(this->knownVms(now));
+    status.set_configuration_version(this->configuration->version());
+    return status;
+}
+
+std::uint32_t RelayHub::knownVms(SteadyTime now) const
+{
+    const std::uint32_t seen = static_cast<std::uint32_t>(this->vmsSeen.size());
+    return now - this->startedAt < vmMemory ? std::max(seen, this->rememberedVms) : seen;
+}
+
+std::set<std::string> RelayHub::visibleVms(SteadyTime now)
+{
     std::set<std::string> visible;
     for (const std::shared_ptr<RelaySubscriber> &subscriber : this->subscribers) {
         if (!subscriber->isRelay()) {
@@ -286,16 +330,12 @@
         this->vmsSeen[vm] = now;
     }
     std::erase_if(this->vmsSeen, [now](const std::pair<const std::string, SteadyTime> &entry) { return now - entry.second > vmMemory; });
-    const std::ptrdiff_t connected = std::count_if(this->peers.begin(),
-        this->peers.end(),
-        [](const std::pair<const std::string, std::shared_ptr<RelayPeer>> &entry) { return entry.second->isConnected; });
-    RelayMessages::RelayStatus status;
-    status.set_current(controlInTouch && static_cast<std::size_t>(connected) + 1 >= this->options.majority);
-    status.set_visible_vms(static_cast<std::uint32_t>(visible.size()));
-    status.set_uptime_milliseconds(static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(now - this->startedAt).count()));
-    status.set_known_vms(static_cast<std::uint32_t>(this->vmsSeen.size()));
-    status.set_configuration_version(this->configuration->version());
-    return status;
+    // A relay that stood still didn't hear what happened meanwhile.
+    const SteadyTime from = now - this->hearingNoted < longestHearingPause ? this->hearingNoted : now;
+    const double known = std::max<std::uint32_t>(1, this->knownVms(now));
+    this->admissions.noteHeard(from, now, std::min(1.0, static_cast<double>(visible.size()) / known));
+    this->hearingNoted = now;
+    return visible;
 }
 
 std::size_t RelayHub::connectedPeers() const
@@ -327,11 +367,52 @@
     }
     *changed.mutable_outcomes() = news.outcomes();
     *changed.mutable_teams() = news.teams();
+    this->noteAdmissions(news, now);
     *changed.mutable_services() = news.services();
     *changed.mutable_lost_requests() = news.lost_requests();
     return changed;
 }
 
+double RelayHub::largestTeamUse()
+{
+    std::lock_guard<std::mutex> lock(this->mutex);
+    if (this->options.rateWindow.count() == 0) {
+        return 0;
+    }
+    const SteadyTime now = this->options.clock();
+    double largest = 0;
+    for (const CatalogueMessages::Team &team : this->configuration->teams()) {
+        if (team.rate() > 0) {
+            largest = std::max(largest, this->admissions.admitted(team.name(), now) / limitOf(team, this->options.rateWindow));
+        }
+    }
+    return largest;
+}
+
+void RelayHub::noteAdmissions(const RelayMessages::News &news, SteadyTime now)
+{
+    if (this->options.rateWindow.count() == 0) {
+        return;
+    }
+    for (const RelayMessages::TeamUse &use : news.teams()) {
+        this->admissions.add(use.team(), use.admitted(), now);
+        const auto team = std::find_if(this->configuration->teams().begin(), this->configuration->teams().end(), [&use](const CatalogueMessages::Team &each) {
+            return each.name() == use.team();
+        });
+        if (team == this->configuration->teams().end() || team->rate() <= 0) {
+            continue;
+        }
+        const double admitted = this->admissions.admitted(use.team(), now);
+        const double limit = limitOf(*team, this->options.rateWindow);
+        SteadyTime &reported = this->overLimitReported[use.team()];
+        if (admitted > limit && (reported == SteadyTime() || now - reported >= overLimitReportInterval)) {
+            reported = now;
+            LOG(WARNING) << "Team " << use.team() << " was admitted " << admitted << " requests in the last " << this->options.rateWindow.count()
+                         << " ms, over all VMs that were heard; its limit is " << limit;
+        }
+    }
+}
+
 void RelayHub::sendToVms(const RelayMessages::News &news, const RelaySubscriber *except)
 {
     for (const std::shared_ptr<RelaySubscriber> &subscriber : this->subscribers) {
@@ -365,13 +446,18 @@
     this->sendToPeers(news);
 }
 
-RelayMessages::News RelayHub::everything() const
+RelayMessages::News RelayHub::everything()
 {
+    const SteadyTime now = this->options.clock();
     RelayMessages::News all;
+    if (this->options.rateWindow.count() > 0) {
+        this->visibleVms(now);
+        *all.mutable_admissions() = encodeAdmissions(this->admissions.record(now));
+    }
     for (const std::pair<const std::string, RelayMessages::Registration> &entry : this->board.table().all()) {
         *all.add_registrations() = entry.second;
     }
-    for (const RelayMessages::InstanceSummary &summary : this->board.summaries(this->options.clock())) {
+    for (const RelayMessages::InstanceSummary &summary : this->board.summaries(now)) {
         *all.add_summaries() = summary;
     }
     *all.add_relays() = this->options.own;
--- a/tests/unit/process/relay/relayhubtest.cpp
+++ b/tests/unit/process/relay/relayhubtest.cpp
@@ -22,6 +22,7 @@
         options.majority = 2;
         options.board.random = [] { return 1; };
         options.clock = std::chrono::steady_clock::now;
+        options.rateWindow = std::chrono::seconds(5);
         RelayHub::Hooks hooks;
         hooks.isControlInTouch = [this] { return this->controlInTouch; };
         hooks.peerFound = [this](const std::shared_ptr<RelayPeer> &peer) { this->peers.push_back(peer); };
@@ -186,3 +187,60 @@
     fixture.hub->publish(registrationOf("i-1", 2, 1), false, SteadyTime());
     CATCH_CHECK(fixture.news(fixture.first->buffer).registrations_size() == 1);
 }
+
+// Guards against a team over its limit that no log or metric shows, because each VM tells of its own requests alone.
+CATCH_TEST_CASE("A relay tells how much of its limit a team used over all VMs", "[relay][fleet-limit]")
+{
+    HubFixture fixture;
+    CatalogueMessages::Configuration configuration;
+    configuration.set_version(1);
+    CatalogueMessages::Team &team = *configuration.add_teams();
+    team.set_name("red");
+    team.set_rate(10);
+    team.set_burst(10);
+    fixture.hub->setConfiguration(std::make_shared<const CatalogueMessages::Configuration>(configuration));
+    CATCH_CHECK(fixture.hub->largestTeamUse() == 0);
+    RelayMessages::News news;
+    RelayMessages::TeamUse &use = *news.add_teams();
+    use.set_team("red");
+    use.set_admitted(30);
+    fixture.hub->receive(*fixture.first, news);
+    CATCH_CHECK(fixture.hub->largestTeamUse() == Approx(0.5));
+    fixture.hub->receive(*fixture.second, news);
+    CATCH_CHECK(fixture.hub->largestTeamUse() == Approx(1));
+}
+
+// Guards against relays that have just started, have seen a few VMs, and let each of these take a large part of the limits.
+CATCH_TEST_CASE("A relay that has just started goes by the size that the fleet had", "[relay][fleet-limit]")
+{
+    HubFixture fixture;
+    CATCH_CHECK(fixture.hub->status().known_vms() == 2);
+    fixture.hub->rememberFleet(40);
+    CATCH_CHECK(fixture.hub->status().known_vms() == 40);
+    CATCH_CHECK(fixture.hub->status().visible_vms() == 2);
+    // A VM that was there before knows it, too.
+    RelayMessages::News greeting;
+    greeting.mutable_greeting()->set_vm("vm-3");
+    greeting.mutable_greeting()->set_known_vms(48);
+    fixture.hub->connect(greeting);
+    CATCH_CHECK(fixture.hub->status().known_vms() == 48);
+    CATCH_CHECK(fixture.hub->greetPeer(*fixture.peers[0]).greeting().known_vms() == 48);
+}
+
+// Guards against a VM that starts during a flood and doesn't know what the window holds.
+CATCH_TEST_CASE("A VM that connects is told what teams were admitted before", "[relay][fleet-limit]")
+{
+    HubFixture fixture;
+    RelayMessages::News news;
+    RelayMessages::TeamUse &use = *news.add_teams();
+    use.set_team("red");
+    use.set_admitted(7);
+    fixture.hub->receive(*fixture.first, news);
+    const std::shared_ptr<RelaySubscriber> third = fixture.connect("vm-3");
+    const RelayMessages::AdmissionRecord told = fixture.news(third->buffer).admissions();
+    CATCH_REQUIRE(told.teams_size() == 1);
+    CATCH_CHECK(told.teams(0).team() == "red");
+    CATCH_CHECK(told.teams(0).counts(0) == 7);
+    CATCH_REQUIRE(told.heard_size() >= 1);
+    CATCH_CHECK(fixture.hub->greetPeer(*fixture.peers[0]).admissions().teams_size() == 1);
+}
