--- a/libraries/process/relay/relayhub.cpp
+++ b/libraries/process/relay/relayhub.cpp
@@ -1,7 +1,5 @@
 #include "process/relay/relayhub.h"
 
-#include "process/relay/admissionmessages.h"
-
 #include <algorithm>
 #include <glog/logging.h>
 #include <utility>
@@ -12,17 +10,6 @@
 
 /// A VM that no relay has seen for so long doesn't count as part of the fleet any more. Longer than a restart takes.
 constexpr std::chrono::seconds vmMemory{20};
-/// VMs that are heard are counted with each message to a VM, several times a second.
-constexpr std::chrono::milliseconds longestHearingPause{500};
-/// A team over its limit is reported no more often.
-constexpr std::chrono::seconds overLimitReportInterval{1};
-
-/// What a team may be admitted in a window.
-double limitOf(const CatalogueMessages::Team &team, std::chrono::milliseconds window)
-{
-    const std::chrono::duration<double> length = window;
-    return team.rate() * length.count() + team.burst();
-}
 
 /// The configuration without what the operators sent, which holds keys in the clear.
 CatalogueMessages::Configuration withoutDocument(const CatalogueMessages::Configuration &configuration)
@@ -40,8 +27,7 @@
     , startedAt(this->options.clock())
     , board(this->options.board)
     , configuration(std::make_shared<const CatalogueMessages::Configuration>())
-    , hearingNoted(this->startedAt)
-    , admissions(this->options.rateWindow, this->startedAt)
+    , teamUse(this->options.rateWindow, this->startedAt)
 {
 }
 
@@ -152,7 +138,7 @@
         std::lock_guard<std::mutex> lock(this->mutex);
         this->subscribers.push_back(subscriber);
         this->rememberedVms = std::max(this->rememberedVms, first.greeting().known_vms());
-        this->admissions.fillGaps(decodeAdmissions(first.admissions()), this->options.clock());
+        this->teamUse.fillGaps(first, this->options.clock());
         RelayMessages::News welcome = this->everything();
         if (subscriber->isRelay()) {
             welcome.clear_summaries();
@@ -330,11 +316,8 @@
         this->vmsSeen[vm] = now;
     }
     std::erase_if(this->vmsSeen, [now](const std::pair<const std::string, SteadyTime> &entry) { return now - entry.second > vmMemory; });
-    // A relay that stood still didn't hear what happened meanwhile.
-    const SteadyTime from = now - this->hearingNoted < longestHearingPause ? this->hearingNoted : now;
     const double known = std::max<std::uint32_t>(1, this->knownVms(now));
-    this->admissions.noteHeard(from, now, std::min(1.0, static_cast<double>(visible.size()) / known));
-    this->hearingNoted = now;
+    this->teamUse.noteHeard(std::min(1.0, static_cast<double>(visible.size()) / known), now);
     return visible;
 }
 
@@ -367,7 +350,7 @@
     }
     *changed.mutable_outcomes() = news.outcomes();
     *changed.mutable_teams() = news.teams();
-    this->noteAdmissions(news, now);
+    this->teamUse.add(news, *this->configuration, now);
     *changed.mutable_services() = news.services();
     *changed.mutable_lost_requests() = news.lost_requests();
     return changed;
@@ -376,41 +359,7 @@
 double RelayHub::largestTeamUse()
 {
     std::lock_guard<std::mutex> lock(this->mutex);
-    if (this->options.rateWindow.count() == 0) {
-        return 0;
-    }
-    const SteadyTime now = this->options.clock();
-    double largest = 0;
-    for (const CatalogueMessages::Team &team : this->configuration->teams()) {
-        if (team.rate() > 0) {
-            largest = std::max(largest, this->admissions.admitted(team.name(), now) / limitOf(team, this->options.rateWindow));
-        }
-    }
-    return largest;
-}
-
-void RelayHub::noteAdmissions(const RelayMessages::News &news, SteadyTime now)
-{
-    if (this->options.rateWindow.count() == 0) {
-        return;
-    }
-    for (const RelayMessages::TeamUse &use : news.teams()) {
-        this->admissions.add(use.team(), use.admitted(), now);
-        const auto team = std::find_if(this->configuration->teams().begin(), this->configuration->teams().end(), [&use](const CatalogueMessages::Team &each) {
-            return each.name() == use.team();
-        });
-        if (team == this->configuration->teams().end() || team->rate() <= 0) {
-            continue;
-        }
-        const double admitted = this->admissions.admitted(use.team(), now);
-        const double limit = limitOf(*team, this->options.rateWindow);
-        SteadyTime &reported = this->overLimitReported[use.team()];
-        if (admitted > limit && (reported == SteadyTime() || now - reported >= overLimitReportInterval)) {
-            reported = now;
-            LOG(WARNING) << "Team " << use.team() << " was admitted " << admitted << " requests in the last " << this->options.rateWindow.count()
-                         << " ms, over all VMs that were heard; its limit is " << limit;
-        }
-    }
+    return this->teamUse.largest(*this->configuration, this->options.clock());
 }
 
 void RelayHub::sendToVms(const RelayMessages::News &news, const RelaySubscriber *except)
@@ -450,10 +399,8 @@
 {
     const SteadyTime now = this->options.clock();
     RelayMessages::News all;
-    if (this->options.rateWindow.count() > 0) {
-        this->visibleVms(now);
-        *all.mutable_admissions() = encodeAdmissions(this->admissions.record(now));
-    }
+    this->visibleVms(now);
+    this->teamUse.tell(all, now);
     for (const std::pair<const std::string, RelayMessages::Registration> &entry : this->board.table().all()) {
         *all.add_registrations() = entry.second;
     }
--- a/libraries/process/relay/relayhub.h
+++ b/libraries/process/relay/relayhub.h
@@ -2,8 +2,8 @@
 
 #include "process/health/outcomeboard.h"
 #include "process/hooks.h"
-#include "process/limits/admissionhistory.h"
 #include "process/relay/newsbuffer.h"
+#include "process/relay/teamusemonitor.h"
 
 #include <atomic>
 #include <condition_variable>
@@ -128,9 +128,9 @@
     void sendRelayState(const RelayPeer &peer);
     void noteVm(const std::string &vm, bool present);
     RelayMessages::News everything();
+    /// The VMs that are connected to this relay or to one that it hears; notes their share.
     std::set<std::string> visibleVms(SteadyTime now);
     std::uint32_t knownVms(SteadyTime now) const;
-    void noteAdmissions(const RelayMessages::News &news, SteadyTime now);
 
     const Options options;
     const Hooks hooks;
@@ -145,11 +145,7 @@
     std::map<std::string, SteadyTime> vmsSeen;
     /// VMs of the fleet by what was known before this relay started.
     std::uint32_t rememberedVms = 0;
-    /// When the VMs that are heard were last counted.
-    SteadyTime hearingNoted;
-    AdmissionHistory admissions;
-    /// When each team was last reported to be over its limit.
-    std::map<std::string, SteadyTime> overLimitReported;
+    TeamUseMonitor teamUse;
 };
 
 } // namespace Hyssophall
