--- a/libraries/process/hooks.cpp
+++ b/libraries/process/hooks.cpp
@@ -1,6 +1,6 @@
 #include "process/hooks.h"
 
-#include <time.h>
+#include <ctime>
 
 namespace Hyssophall {
 
