Limits: Count once what several VMs tell of the same time

Callers: VMs that connect to such a relay refuse the team for up to a window, inside its limit.

Cause: a relay that has just started hears nobody. Its history kept that time as a period of its own, which stayed in front of what the first VM told of it; so each further greeting filled the same time again.

Evidence: "What several tell of the same time is counted once" fails without the change (10, then 12 of 8).

Change: periods in which nobody was heard give way to what another one heard.

--- a/libraries/process/limits/admissionhistory.cpp
+++ b/libraries/process/limits/admissionhistory.cpp
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
-#include <iterator>
+#include <utility>
 
 namespace Hyssophall {
 
@@ -121,7 +121,7 @@
     for (const Period &gap : this->gaps(now)) {
         for (const AdmissionRecord::Heard &other : record.heard) {
             const Period filled{std::max(gap.from, now - other.fromAge), std::min(gap.to, now - other.toAge), other.share};
-            if (filled.from < filled.to) {
+            if (filled.from < filled.to && filled.share > 0) {
                 this->takeOver(record, filled, now);
             }
         }
@@ -130,8 +130,23 @@
 
 void AdmissionHistory::takeOver(const AdmissionRecord &record, const Period &period, SteadyTime now)
 {
-    const auto next = std::find_if(this->heard.begin(), this->heard.end(), [&period](const Period &each) { return each.from >= period.to; });
-    this->heard.insert(next, period);
+    // What was noted as heard by nobody gives way to what another one heard.
+    std::deque<Period> remaining;
+    for (const Period &each : this->heard) {
+        if (each.share > 0 || each.to <= period.from || each.from >= period.to) {
+            remaining.push_back(each);
+            continue;
+        }
+        if (each.from < period.from) {
+            remaining.push_back({each.from, period.from, 0});
+        }
+        if (each.to > period.to) {
+            remaining.push_back({period.to, each.to, 0});
+        }
+    }
+    const auto next = std::find_if(remaining.begin(), remaining.end(), [&period](const Period &each) { return each.from >= period.to; });
+    remaining.insert(next, period);
+    this->heard = std::move(remaining);
     for (const std::pair<const std::string, std::vector<AdmissionRecord::Admitted>> &entry : record.admitted) {
         Slots &slots = this->teams[entry.first];
         for (const AdmissionRecord::Admitted &admitted : entry.second) {
--- a/tests/unit/process/limits/admissionhistorytest.cpp
+++ b/tests/unit/process/limits/admissionhistorytest.cpp
@@ -63,3 +63,19 @@
     history.fillGaps(relay.record(start + 1s), start + 1s);
     CATCH_CHECK(history.admitted("red", start + 1s) == Approx(6));
 }
+
+// Guards against a relay that heard nobody at first and counts what each of its VMs tells of that time.
+CATCH_TEST_CASE("What several tell of the same time is counted once", "[fleet-limit]")
+{
+    AdmissionHistory teller(window, start - 1min);
+    teller.noteHeard(start - 1min, start + 1s, 1);
+    teller.add("red", 6, start - 1s);
+    teller.add("red", 2, start + 500ms);
+    AdmissionHistory relay(window, start);
+    relay.noteHeard(start, start + 800ms, 0);
+    for (int greeting = 0; greeting < 3; ++greeting) {
+        relay.fillGaps(teller.record(start + 1s), start + 1s);
+        CATCH_CHECK(relay.admitted("red", start + 1s) == Approx(8));
+    }
+    CATCH_CHECK(relay.charged("red", rate, viewAt(start + 1s)) == Approx(8));
+}
