Relay: End a stuck write when the peer has ended the stream

Cause: RelayExchange::run() joins the sender once reading has ended. The sender hung in its write, and nobody could end that: the thread that looks for silence stops when the stream has ended, and only the sender itself cancelled it then. Why gRPC doesn't return from the write isn't known.

Evidence: "A stream that the peer ends doesn't wait for a write that is stuck" takes 20 s without the change, as long as the test's write blocks.

Change: the stream is cancelled as soon as reading has ended.

--- a/libraries/process/relay/relayexchange.cpp
+++ b/libraries/process/relay/relayexchange.cpp
@@ -40,6 +40,8 @@
         std::lock_guard<std::mutex> lock(this->mutex);
         this->ended = true;
     }
+    // A write may be stuck though the stream has ended, and nobody watches any more.
+    this->stream.cancel();
     this->endedChanged.notify_all();
     this->outgoing.wake();
     sender.join();
--- a/tests/unit/process/relay/relayexchangetest.cpp
+++ b/tests/unit/process/relay/relayexchangetest.cpp
@@ -4,6 +4,7 @@
 
 #include <condition_variable>
 #include <mutex>
+#include <utility>
 
 using namespace Hyssophall;
 
@@ -54,3 +55,17 @@
     exchange.run();
     CATCH_CHECK(std::chrono::steady_clock::now() - began < std::chrono::seconds(10));
 }
+
+// Guards against a VM that never looks for another relay, since its relay ended the stream while a write was stuck.
+CATCH_TEST_CASE("A stream that the peer ends doesn't wait for a write that is stuck", "[relay][config-in-force]")
+{
+    LostStream lost;
+    RelayExchange::Stream ends = lost.ends();
+    ends.read = [](RelayMessages::News &) { return false; };
+    NewsBuffer outgoing;
+    RelayExchange exchange(outgoing, std::move(ends), {[](const RelayMessages::News &) {}, [](RelayMessages::News &) {}}, RelayExchange::Timing());
+    exchange.greet(RelayMessages::News());
+    const SteadyTime began = std::chrono::steady_clock::now();
+    exchange.run();
+    CATCH_CHECK(std::chrono::steady_clock::now() - began < std::chrono::seconds(10));
+}
