Health: Tell a VM's own requests in flight from those of others

A log line of a choice names the requests of all VMs that are in flight on the instance.

The selector keeps the two apart, in InFlightRequests, and the log has own_in_flight beside in_flight.

--- a/libraries/process/health/instanceselector.cpp
+++ b/libraries/process/health/instanceselector.cpp
@@ -92,26 +92,36 @@
 
 void InstanceSelector::apply(const RelayMessages::InstanceOutcomes &outcomes, SteadyTime now)
 {
-    const auto known = this->states.find(outcomes.instance());
-    if (known == this->states.end()) {
-        return;
+    InstanceState *state = this->findState(outcomes.instance());
+    if (state != nullptr) {
+        this->applyTo(*state, state->otherRequests, outcomes, now);
     }
-    InstanceState &state = known->second;
-    const RelayMessages::Registration *registration = this->instances.find(state.id);
-    if (registration == nullptr) {
-        return;
+}
+
+void InstanceSelector::applyOwn(const RelayMessages::InstanceOutcomes &outcomes, SteadyTime now)
+{
+    InstanceState *state = this->findState(outcomes.instance());
+    if (state != nullptr) {
+        this->applyTo(*state, state->ownRequests, outcomes, now);
     }
-    Service &service = this->services[registration->service()];
+}
+
+InstanceSelector::InstanceState *InstanceSelector::findState(std::uint32_t handle)
+{
+    const auto known = this->states.find(handle);
+    return known == this->states.end() || this->instances.find(known->second.id) == nullptr ? nullptr : &known->second;
+}
+
+void InstanceSelector::applyTo(InstanceState &state, InFlightRequests &requests, const RelayMessages::InstanceOutcomes &outcomes, SteadyTime now)
+{
+    const RelayMessages::Registration &registration = *this->instances.find(state.id);
+    Service &service = this->services[registration.service()];
     decay(service, now);
-    const std::uint32_t ended = outcomes.succeeded() + outcomes.failed() + outcomes.rejected() + outcomes.unreachable() + outcomes.neutral();
-    for (std::uint32_t count = 0; count < outcomes.started(); ++count) {
-        state.startTimes.push_back(now);
+    if (outcomes.started() > 0) {
+        requests.start(outcomes.started(), now);
         state.lastStart = now;
     }
-    for (std::uint32_t count = 0; count < ended && !state.startTimes.empty(); ++count) {
-        state.startTimes.pop_front();
-    }
-    state.hangingCount = std::min(state.hangingCount, state.startTimes.size());
+    requests.end(outcomes.succeeded() + outcomes.failed() + outcomes.rejected() + outcomes.unreachable() + outcomes.neutral());
     for (std::uint32_t count = 0; count < outcomes.failed(); ++count) {
         state.gray.addFailure(now, this->options.model);
         state.lastFailure = now;
@@ -123,7 +133,7 @@
         state.latency = state.latency.count() == 0 ? mean : state.latency + (mean - state.latency) * latencyWeight;
         service.latency = service.latency.count() == 0 ? mean : service.latency + (mean - service.latency) * latencyWeight;
     }
-    this->updateGrayState(state, registration->service(), now);
+    this->updateGrayState(state, registration.service(), now);
     if (outcomes.unreachable() > 0 && now >= state.unreachableUntil) {
         state.unreachableBackoff = std::clamp(2 * state.unreachableBackoff, initialUnreachableBackoff, maximumUnreachableBackoff);
         state.unreachableUntil = now + state.unreachableBackoff;
@@ -163,7 +173,8 @@
         state.gray.addFailure(failure, this->options.model);
         state.lastFailure = failure;
     }
-    state.startTimes.assign(summary.in_flight(), now);
+    state.otherRequests.clear();
+    state.otherRequests.start(summary.in_flight(), now);
 }
 
 std::vector<RelayMessages::InstanceSummary> InstanceSelector::summaries(SteadyTime now) const
@@ -174,7 +185,7 @@
         summary.set_instance(entry.first);
         summary.set_success_age_milliseconds(summaryAgeMilliseconds(entry.second.lastSuccess, now));
         summary.set_failure_age_milliseconds(summaryAgeMilliseconds(entry.second.lastFailure, now));
-        summary.set_in_flight(static_cast<std::uint32_t>(entry.second.startTimes.size()));
+        summary.set_in_flight(static_cast<std::uint32_t>(entry.second.inFlight()));
     }
     return all;
 }
@@ -194,7 +205,7 @@
         InstanceState &state = this->states[InstanceTable::handleOf(registration)];
         this->countHangingRequests(state, service, now);
         const double slots = std::max<std::uint32_t>(1, registration.slots());
-        if (static_cast<double>(state.startTimes.size()) < maximumOccupancy * slots) {
+        if (static_cast<double>(state.inFlight()) < maximumOccupancy * slots) {
             candidates.push_back({&registration, &state, this->costOf(registration, state, service, costs, now)});
         }
     }
@@ -213,7 +224,7 @@
     const double probability = state.gray.probability(now, this->options.model);
     const bool isGray = probability >= assumedGrayProbability;
     if (isGray != state.isAssumedGray && this->options.grayStateChanged) {
-        this->options.grayStateChanged({state.id, service, isGray, probability, state.startTimes.size()});
+        this->options.grayStateChanged({state.id, service, isGray, probability, state.inFlight()});
     }
     state.isAssumedGray = isGray;
 }
@@ -229,13 +240,13 @@
 
 void InstanceSelector::countHangingRequests(InstanceState &state, Service &service, SteadyTime now)
 {
-    while (!state.startTimes.empty() && now - state.startTimes.front() > maximumRequestAge) {
-        state.startTimes.pop_front();
-    }
-    state.hangingCount = std::min(state.hangingCount, state.startTimes.size());
     const Milliseconds limit = std::max(minimumHangTimeout, service.latency * hangingFactor);
-    while (state.hangingCount < state.startTimes.size() && now - state.startTimes[state.hangingCount] > limit) {
-        ++state.hangingCount;
+    std::size_t hanging = 0;
+    for (InFlightRequests *requests : {&state.ownRequests, &state.otherRequests}) {
+        requests->removeExpired(maximumRequestAge, now);
+        hanging += requests->takeHanging(limit, now);
+    }
+    for (std::size_t count = 0; count < hanging; ++count) {
         // Counts as unserved now, since the outcome of a hanging request arrives only seconds later.
         service.unserved += 1;
         service.ended += 1;
@@ -248,7 +259,7 @@
     const RelayMessages::Registration &registration, const InstanceState &state, const Service &service, const RequestCosts &costs, SteadyTime now) const
 {
     const double gray = state.gray.probability(now, this->options.model);
-    const double inFlight = static_cast<double>(state.startTimes.size());
+    const double inFlight = static_cast<double>(state.inFlight());
     const double slots = std::max<std::uint32_t>(1, registration.slots());
     double cost = costs.failure * gray * (this->options.model.grayFailureShare + sharedFailureCost * inFlight) + inFlightCost * inFlight;
     cost += queueingCost * std::max(0.0, inFlight + 1 - slots);
@@ -305,7 +316,7 @@
         const bool isOtherDomain = candidate.registration->failure_domain() != this->options.ownFailureDomain;
         const double randomFraction = static_cast<double>(this->options.random() % randomSteps) / randomSteps;
         candidate.cost = randomFraction * maximumRandomCost + (isOtherDomain ? costs.crossDomain : 0)
-            + queueingCost * static_cast<double>(candidate.state->startTimes.size());
+            + queueingCost * static_cast<double>(candidate.state->inFlight());
     }
     return this->cheapest(candidates);
 }
@@ -338,8 +349,8 @@
         return "gone";
     }
     const double gray = state->second.gray.probability(now, this->options.model);
-    return "gray=" + std::to_string(gray).substr(0, 4) + " in_flight=" + std::to_string(state->second.startTimes.size())
-        + " success_age_ms=" + std::to_string(ageMilliseconds(state->second.lastSuccess, now))
+    return "gray=" + std::to_string(gray).substr(0, 4) + " in_flight=" + std::to_string(state->second.inFlight())
+        + " own_in_flight=" + std::to_string(state->second.ownRequests.count()) + " success_age_ms=" + std::to_string(ageMilliseconds(state->second.lastSuccess, now))
         + " failure_age_ms=" + std::to_string(ageMilliseconds(state->second.lastFailure, now));
 }
 
--- a/libraries/process/health/instanceselector.h
+++ b/libraries/process/health/instanceselector.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "process/health/grayestimate.h"
+#include "process/health/inflightrequests.h"
 #include "process/health/instancequery.h"
 #include "process/hooks.h"
 #include "process/relay/instancetable.h"
@@ -8,7 +9,6 @@
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
-#include <deque>
 #include <functional>
 #include <map>
 #include <optional>
@@ -55,9 +55,12 @@
     /// Applies a registration and returns those that changed; see InstanceTable::apply().
     std::vector<RelayMessages::Registration> apply(const RelayMessages::Registration &registration);
 
-    /// Adds the outcomes of tries on one instance, from this VM or another one. Outcomes of unknown instances are ignored.
+    /// Adds the outcomes of tries of other VMs on one instance. Outcomes of unknown instances are ignored.
     void apply(const RelayMessages::InstanceOutcomes &outcomes, SteadyTime now);
 
+    /// Adds the outcomes of this VM's own tries.
+    void applyOwn(const RelayMessages::InstanceOutcomes &outcomes, SteadyTime now);
+
     /// Adds how many requests for a service were served and not served, on this VM or another one.
     void apply(const RelayMessages::ServiceUse &use, SteadyTime now);
 
@@ -71,8 +74,8 @@
     /// The caller reports the started request through apply().
     std::optional<RelayMessages::Registration> choose(const InstanceQuery &query, std::size_t responseBytes, SteadyTime now);
 
-    /// State of an instance for the log: "gray=0.04 in_flight=1 success_age_ms=120 failure_age_ms=-1". An age of -1 means never; an unknown
-    /// instance gives "gone".
+    /// State of an instance for the log: "gray=0.04 in_flight=1 own_in_flight=1 success_age_ms=120 failure_age_ms=-1". The requests of all VMs are
+    /// in_flight. An age of -1 means never; an unknown instance gives "gone".
     std::string describeInstance(const std::string &instanceId, SteadyTime now) const;
 
     const InstanceTable &table() const;
@@ -81,8 +84,9 @@
     struct InstanceState {
         std::string id;
         GrayEstimate gray;
-        /// Start times of the requests in flight, oldest first.
-        std::deque<SteadyTime> startTimes;
+        /// Requests in flight of this VM, and those that other VMs reported.
+        InFlightRequests ownRequests;
+        InFlightRequests otherRequests;
         bool isAssumedGray = false;
         std::optional<SteadyTime> lastSuccess;
         std::optional<SteadyTime> lastFailure;
@@ -92,8 +96,11 @@
         SteadyTime fullUntil;
         /// Exponentially weighted mean latency of the successes; zero before the first.
         std::chrono::duration<double, std::milli> latency{0};
-        /// Requests in flight that already counted as failures because they exceed the hang timeout. They are the oldest in startTimes.
-        std::size_t hangingCount = 0;
+
+        std::size_t inFlight() const
+        {
+            return this->ownRequests.count() + this->otherRequests.count();
+        }
     };
 
     struct Service {
@@ -116,7 +123,10 @@
         double crossDomain = 0;
     };
 
+    void applyTo(InstanceState &state, InFlightRequests &requests, const RelayMessages::InstanceOutcomes &outcomes, SteadyTime now);
     RequestCosts requestCosts(const InstanceQuery &query, std::size_t responseBytes) const;
+    /// State of a registered instance, or nullptr.
+    InstanceState *findState(std::uint32_t handle);
     void updateGrayState(InstanceState &state, const std::string &service, SteadyTime now) const;
     void countHangingRequests(InstanceState &state, Service &service, SteadyTime now);
     double costOf(
--- a/libraries/process/relay/entrynode.cpp
+++ b/libraries/process/relay/entrynode.cpp
@@ -209,7 +209,7 @@
             return std::nullopt;
         }
         counts.set_instance(InstanceTable::handleOf(*chosen));
-        this->board.apply(counts, this->clock());
+        this->board.applyOwn(counts, this->clock());
         instance.set_id(chosen->id());
         instance.set_service(chosen->service());
         instance.set_host(chosen->host());
@@ -242,7 +242,7 @@
     }
     {
         std::lock_guard<std::mutex> lock(this->mutex);
-        this->board.apply(counts, this->clock());
+        this->board.applyOwn(counts, this->clock());
     }
     this->relayUplink->send(update);
 }
