--- a/libraries/process/health/instanceselector.cpp
+++ b/libraries/process/health/instanceselector.cpp
@@ -315,8 +315,8 @@
     for (Candidate &candidate : candidates) {
         const bool isOtherDomain = candidate.registration->failure_domain() != this->options.ownFailureDomain;
         const double randomFraction = static_cast<double>(this->options.random() % randomSteps) / randomSteps;
-        candidate.cost = randomFraction * maximumRandomCost + (isOtherDomain ? costs.crossDomain : 0)
-            + queueingCost * static_cast<double>(candidate.state->inFlight());
+        candidate.cost
+            = randomFraction * maximumRandomCost + (isOtherDomain ? costs.crossDomain : 0) + queueingCost * static_cast<double>(candidate.state->inFlight());
     }
     return this->cheapest(candidates);
 }
@@ -349,8 +349,8 @@
         return "gone";
     }
     const double gray = state->second.gray.probability(now, this->options.model);
-    return "gray=" + std::to_string(gray).substr(0, 4) + " in_flight=" + std::to_string(state->second.inFlight())
-        + " own_in_flight=" + std::to_string(state->second.ownRequests.count()) + " success_age_ms=" + std::to_string(ageMilliseconds(state->second.lastSuccess, now))
+    return "gray=" + std::to_string(gray).substr(0, 4) + " in_flight=" + std::to_string(state->second.inFlight()) + " own_in_flight="
+        + std::to_string(state->second.ownRequests.count()) + " success_age_ms=" + std::to_string(ageMilliseconds(state->second.lastSuccess, now))
         + " failure_age_ms=" + std::to_string(ageMilliseconds(state->second.lastFailure, now));
 }
 
--- a/tests/unit/process/health/instanceselectortest.cpp
+++ b/tests/unit/process/health/instanceselectortest.cpp
@@ -381,6 +381,36 @@
     CATCH_CHECK(used.size() >= 9);
 }
 
+// Guards against a partitioned VM that avoids the instances that were used most before, because it never learns that the requests of the other VMs
+// there have ended.
+CATCH_TEST_CASE("A VM that receives no outcomes of others uses the instances on which others had requests in flight", "[health][ejection-floor]")
+{
+    std::mt19937_64 random(13);
+    InstanceSelector selector(optionsWith(random));
+    for (int number = 0; number < 12; ++number) {
+        const RelayMessages::Registration instance = registrationOf("i-" + std::to_string(number), 1, 1, static_cast<std::uint32_t>(1000 + number));
+        selector.apply(instance);
+        RelayMessages::InstanceOutcomes outcomes = outcomesOf(instance);
+        outcomes.set_succeeded(1);
+        outcomes.set_latency_milliseconds(240);
+        outcomes.set_started(number < 8 ? 4 : 1);
+        selector.apply(outcomes, start);
+    }
+    InstanceQuery query = queryOf();
+    query.receivesFleetOutcomes = false;
+    std::set<std::string> used;
+    for (Milliseconds at(600); at < Milliseconds(2600); at += Milliseconds(40)) {
+        const RelayMessages::Registration chosen = *selector.choose(query, 0, start + at);
+        used.insert(chosen.id());
+        RelayMessages::InstanceOutcomes outcomes = outcomesOf(chosen);
+        outcomes.set_started(1);
+        outcomes.set_succeeded(1);
+        outcomes.set_latency_milliseconds(240);
+        selector.applyOwn(outcomes, start + at);
+    }
+    CATCH_CHECK(used.size() >= 9);
+}
+
 // Guards against logs that don't show when and why instances were avoided.
 CATCH_TEST_CASE("Each change of whether an instance is assumed to be gray is reported once", "[health][gray]")
 {
--- a/tests/unit/process/limits/delayedfleet.cpp
+++ b/tests/unit/process/limits/delayedfleet.cpp
@@ -133,6 +133,11 @@
     return this->grants.size();
 }
 
+std::size_t DelayedFleet::decided() const
+{
+    return this->grants.size() + this->refusals;
+}
+
 void DelayedFleet::create(std::size_t number)
 {
     Vm &vm = this->vms[number];
@@ -258,6 +263,8 @@
     }
     if (vm.limiter->acquire("red", this->now).kind == RateDecision::Kind::Granted) {
         this->grants.push_back(this->now);
+    } else {
+        ++this->refusals;
     }
 }
 
--- a/tests/unit/process/limits/delayedfleet.h
+++ b/tests/unit/process/limits/delayedfleet.h
@@ -38,6 +38,8 @@
     /// Number of requests that the deployment allows a team in a window, with the tolerance.
     double allowed() const;
     std::size_t admitted() const;
+    /// Number of requests that were admitted or refused.
+    std::size_t decided() const;
 
 private:
     struct Message {
@@ -93,6 +95,7 @@
     /// When each VM last had contact with its relay.
     std::vector<SteadyTime> lastContact;
     std::vector<SteadyTime> grants;
+    std::size_t refusals = 0;
 };
 
 } // namespace HyssophallTest
--- a/tests/unit/process/limits/delayedfleettest.cpp
+++ b/tests/unit/process/limits/delayedfleettest.cpp
@@ -11,6 +11,7 @@
 /// Half of the entry VMs, and two fifths of them.
 constexpr std::size_t half = 24;
 constexpr std::size_t twoFifths = 19;
+constexpr std::size_t nineTenths = 43;
 
 struct Flood {
     TeamRate rate;
@@ -92,3 +93,43 @@
         }
     }
 }
+
+// Guards against a fleet that refuses teams within their limits for a window after a partition, because each VM assumes that the VMs that it didn't
+// see used the limits in full.
+CATCH_TEST_CASE("A team within its limit is admitted again half a second after most VMs were cut off", "[fleet-limit]")
+{
+    for (const TeamRate &rate : std::vector<TeamRate>{{6, 6}, {15, 15}, {52, 52}}) {
+        for (const std::uint64_t seed : seeds) {
+            CATCH_CAPTURE(rate.rate, seed);
+            const int perSecond = static_cast<int>(0.6 * rate.rate);
+            DelayedFleet fleet(vms, rate, seed);
+            fleet.run(8s, perSecond);
+            fleet.partition(nineTenths);
+            fleet.run(14s, perSecond);
+            fleet.heal();
+            fleet.run(500ms, perSecond);
+            const std::size_t admittedBefore = fleet.admitted();
+            const std::size_t decidedBefore = fleet.decided();
+            fleet.run(4s, perSecond);
+            const double admitted = static_cast<double>(fleet.admitted() - admittedBefore);
+            CATCH_CHECK(admitted >= 0.9 * static_cast<double>(fleet.decided() - decidedBefore));
+        }
+    }
+}
+
+// Guards against a fleet that admits a flood again once VMs that were cut off for longer than a window are back.
+CATCH_TEST_CASE("A flooding team keeps to its limit when most VMs were cut off for several windows", "[fleet-limit]")
+{
+    for (const Flood &flood : std::vector<Flood>{{{15, 15}, 60}, {{52, 52}, 210}, {{20, 100}, 210}}) {
+        for (const std::uint64_t seed : seeds) {
+            CATCH_CAPTURE(flood.rate.rate, seed);
+            DelayedFleet fleet(vms, flood.rate, seed);
+            fleet.run(8s, flood.perSecond / 8);
+            fleet.partition(nineTenths);
+            fleet.run(14s, flood.perSecond);
+            fleet.heal();
+            fleet.run(6s, flood.perSecond);
+            CATCH_CHECK(static_cast<double>(fleet.maximumInWindow()) <= fleet.allowed());
+        }
+    }
+}
--- a/tests/unit/process/relay/relayuplinktest.cpp
+++ b/tests/unit/process/relay/relayuplinktest.cpp
@@ -8,7 +8,9 @@
 #include <atomic>
 #include <chrono>
 #include <functional>
+#include <mutex>
 #include <thread>
+#include <vector>
 
 using namespace Hyssophall;
 using namespace std::chrono_literals;
@@ -85,33 +87,78 @@
     std::atomic<bool> isConfirming{true};
 };
 
+/// Starts a server on @p port, or on a free one that it stores there if it is 0.
+std::unique_ptr<grpc::Server> startRelay(grpc::Service &relay, int &port)
+{
+    grpc::ServerBuilder builder;
+    builder.AddListeningPort("127.0.0.1:" + std::to_string(port), grpc::InsecureServerCredentials(), &port);
+    builder.RegisterService(&relay);
+    std::unique_ptr<grpc::Server> server = builder.BuildAndStart();
+    CATCH_REQUIRE(server != nullptr);
+    return server;
+}
+
+std::unique_ptr<RelayUplink> uplinkTo(int port)
+{
+    RelayUplink::Options options;
+    options.seeds = {"127.0.0.1:" + std::to_string(port)};
+    options.fleetSecret = "a secret of the tests";
+    RelayUplink::Hooks hooks;
+    hooks.clock = std::chrono::steady_clock::now;
+    hooks.random = [] { return std::uint64_t{1}; };
+    hooks.makeGreeting = [](std::uint64_t) {
+        RelayMessages::Update first;
+        first.mutable_greeting()->set_vm("vm-1");
+        return first;
+    };
+    hooks.receive = [](const RelayMessages::Update &) {};
+    hooks.confirmed = [](std::uint64_t) {};
+    hooks.recordVisibleShare = [](SteadyTime, SteadyTime, double) {};
+    hooks.isConfigured = [] { return true; };
+    hooks.configurationVersion = [] { return std::uint64_t{0}; };
+    return std::make_unique<RelayUplink>(options, hooks);
+}
+
+/// A relay that keeps what its VM sends.
+class RecordingRelay : public RelayMessages::Relay::Service
+{
+public:
+    grpc::Status Exchange(grpc::ServerContext *, grpc::ServerReaderWriter<RelayMessages::Update, RelayMessages::Update> *stream) override
+    {
+        RelayMessages::Update update;
+        while (stream->Read(&update)) {
+            {
+                std::lock_guard<std::mutex> lock(this->mutex);
+                this->received.push_back(update);
+            }
+            RelayMessages::Update reply;
+            reply.set_confirmed(update.sequence());
+            reply.mutable_status()->set_current(true);
+            reply.mutable_status()->set_known_vms(4);
+            reply.mutable_status()->set_visible_vms(4);
+            stream->Write(reply);
+        }
+        return grpc::Status::OK;
+    }
+
+    std::vector<RelayMessages::Update> messages() const
+    {
+        std::lock_guard<std::mutex> lock(this->mutex);
+        return this->received;
+    }
+
+private:
+    mutable std::mutex mutex;
+    std::vector<RelayMessages::Update> received;
+};
+
 /// A VM that is connected to an UnconfirmingRelay.
 struct UnconfirmingFixture {
     UnconfirmingFixture()
     {
         int port = 0;
-        grpc::ServerBuilder builder;
-        builder.AddListeningPort("127.0.0.1:0", grpc::InsecureServerCredentials(), &port);
-        builder.RegisterService(&this->relay);
-        this->server = builder.BuildAndStart();
-        CATCH_REQUIRE(this->server != nullptr);
-        RelayUplink::Options options;
-        options.seeds = {"127.0.0.1:" + std::to_string(port)};
-        options.fleetSecret = "a secret of the tests";
-        RelayUplink::Hooks hooks;
-        hooks.clock = std::chrono::steady_clock::now;
-        hooks.random = [] { return std::uint64_t{1}; };
-        hooks.makeGreeting = [](std::uint64_t) {
-            RelayMessages::Update first;
-            first.mutable_greeting()->set_vm("vm-1");
-            return first;
-        };
-        hooks.receive = [](const RelayMessages::Update &) {};
-        hooks.confirmed = [](std::uint64_t) {};
-        hooks.recordVisibleShare = [](SteadyTime, SteadyTime, double) {};
-        hooks.isConfigured = [] { return true; };
-        hooks.configurationVersion = [] { return std::uint64_t{0}; };
-        this->uplink = std::make_unique<RelayUplink>(options, hooks);
+        this->server = startRelay(this->relay, port);
+        this->uplink = uplinkTo(port);
     }
 
     ~UnconfirmingFixture()
@@ -209,3 +256,36 @@
     fixture.relay.isConfirming = true;
     CATCH_CHECK(isMet([&fixture] { return fixture.uplink->visibleShare() == 1; }));
 }
+
+// Guards against outcomes and counts of a partition that the other VMs take for new ones when they arrive after it.
+CATCH_TEST_CASE("A VM that reconnects doesn't report the outcomes and uses that were queued while no relay was connected", "[relay][retries]")
+{
+    int port = 0;
+    RecordingRelay former;
+    std::unique_ptr<grpc::Server> server = startRelay(former, port);
+    const std::unique_ptr<RelayUplink> uplink = uplinkTo(port);
+    CATCH_REQUIRE(isMet([&former] { return former.messages().size() >= 2; }));
+    server->Shutdown(std::chrono::system_clock::now());
+    server.reset();
+    CATCH_REQUIRE(isMet([&uplink] { return !uplink->isCurrent(); }));
+    RelayMessages::Update update;
+    RelayMessages::InstanceOutcomes &outcomes = *update.add_outcomes();
+    outcomes.set_instance(7);
+    outcomes.set_failed(1);
+    RelayMessages::ServiceUse &use = *update.add_services();
+    use.set_service("orders");
+    use.set_requests(1);
+    uplink->send(update);
+
+    RecordingRelay later;
+    server = startRelay(later, port);
+    CATCH_REQUIRE(isMet([&later] { return later.messages().size() >= 3; }));
+    for (const RelayMessages::Update &message : later.messages()) {
+        CATCH_CHECK(message.outcomes().empty());
+        CATCH_CHECK(message.services().empty());
+    }
+    // What is sent from then on arrives.
+    uplink->send(update);
+    CATCH_CHECK(isMet([&later] { return later.messages().back().outcomes_size() == 1; }));
+    server->Shutdown(std::chrono::system_clock::now());
+}
