Health: Drop requests in flight whose end can't be heard of

Cause: a VM counts the requests of all VMs in flight on each instance. Those of VMs that it no longer receives updates from never end for it: they count for 12 s, as load and, after the hang timeout, as failures. The instances that were best had the most, so a VM that was cut off avoided them. Relays had the same counts and gave them to each VM that connected.

Change: requests of other VMs are dropped when the visible share of the fleet falls by a tenth or a VM receives no outcomes, and are taken anew from the relay at each connection.

'Requests in flight of other VMs aren't counted once a part of the fleet is no longer visible' is new and needs the new method.

--- a/libraries/process/health/instanceselector.cpp
+++ b/libraries/process/health/instanceselector.cpp
@@ -56,6 +56,8 @@
 constexpr std::chrono::milliseconds recentUseWindow{1600};
 /// An instance that failed within this time doesn't count as healthy. Equals the 2 s within which the platform requires the spread.
 constexpr std::chrono::milliseconds recentFailureWindow{2000};
+/// Relative fall of the visible share from which the requests in flight of other VMs are dropped. A smaller one leaves few that never end.
+constexpr double notableShareFall = 0.1;
 /// Time after which the counts of a service have decayed to 1/e.
 constexpr std::chrono::milliseconds unservedDecayTime{1000};
 
@@ -146,6 +148,18 @@
     }
 }
 
+void InstanceSelector::setVisibleShare(double share)
+{
+    if (share >= (1 - notableShareFall) * this->countedShare) {
+        this->countedShare = std::max(this->countedShare, share);
+        return;
+    }
+    this->countedShare = share;
+    for (std::pair<const std::uint32_t, InstanceState> &entry : this->states) {
+        entry.second.otherRequests.clear();
+    }
+}
+
 void InstanceSelector::apply(const RelayMessages::ServiceUse &use, SteadyTime now)
 {
     Service &service = this->services[use.service()];
@@ -157,11 +171,18 @@
 void InstanceSelector::apply(const RelayMessages::InstanceSummary &summary, SteadyTime now)
 {
     const auto known = this->states.find(summary.instance());
-    if (known == this->states.end() || known->second.gray.hasOutcome()) {
-        // The outcomes that this VM received one by one are at least as accurate as a summary.
+    if (known == this->states.end()) {
         return;
     }
     InstanceState &state = known->second;
+    // The relay counts the requests of this VM, too.
+    const std::uint32_t ownInFlight = static_cast<std::uint32_t>(state.ownRequests.count());
+    state.otherRequests.clear();
+    state.otherRequests.start(summary.in_flight() - std::min(ownInFlight, summary.in_flight()), now);
+    if (state.gray.hasOutcome()) {
+        // The outcomes that this VM received one by one are at least as accurate as a summary.
+        return;
+    }
     const SteadyTime success = now - std::chrono::milliseconds(summary.success_age_milliseconds());
     const SteadyTime failure = now - std::chrono::milliseconds(summary.failure_age_milliseconds());
     const bool succeeded = summary.success_age_milliseconds() > 0;
@@ -173,8 +194,6 @@
         state.gray.addFailure(failure, this->options.model);
         state.lastFailure = failure;
     }
-    state.otherRequests.clear();
-    state.otherRequests.start(summary.in_flight(), now);
 }
 
 std::vector<RelayMessages::InstanceSummary> InstanceSelector::summaries(SteadyTime now) const
@@ -203,6 +222,9 @@
             continue;
         }
         InstanceState &state = this->states[InstanceTable::handleOf(registration)];
+        if (!query.receivesFleetOutcomes) {
+            state.otherRequests.clear();
+        }
         this->countHangingRequests(state, service, now);
         const double slots = std::max<std::uint32_t>(1, registration.slots());
         if (static_cast<double>(state.inFlight()) < maximumOccupancy * slots) {
--- a/libraries/process/health/instanceselector.h
+++ b/libraries/process/health/instanceselector.h
@@ -61,10 +61,15 @@
     /// Adds the outcomes of this VM's own tries.
     void applyOwn(const RelayMessages::InstanceOutcomes &outcomes, SteadyTime now);
 
+    /// Sets the share of the fleet's VMs whose outcomes arrive here. When it falls, the requests in flight of other VMs are no longer counted,
+    /// since the end of some of them would never be reported.
+    void setVisibleShare(double share);
+
     /// Adds how many requests for a service were served and not served, on this VM or another one.
     void apply(const RelayMessages::ServiceUse &use, SteadyTime now);
 
-    /// Applies the state of one instance that a relay sends when this VM connects. Ignored once this VM has outcomes of that instance.
+    /// Applies the state of one instance that a relay sends when this VM connects. Once this VM has outcomes of that instance, only the requests
+    /// in flight are taken from it.
     void apply(const RelayMessages::InstanceSummary &summary, SteadyTime now);
 
     /// State of each registered instance, which a relay sends to a VM that connects.
@@ -144,6 +149,8 @@
     InstanceTable instances;
     std::map<std::uint32_t, InstanceState> states;
     std::map<std::string, Service> services;
+    /// Share of the fleet's VMs whose requests in flight are counted.
+    double countedShare = 0;
 };
 
 } // namespace Hyssophall
--- a/libraries/process/relay/entrynode.cpp
+++ b/libraries/process/relay/entrynode.cpp
@@ -196,13 +196,15 @@
 std::optional<hyssophall::fleet::v1::Instance> EntryNode::choose(const InstanceQuery &query)
 {
     InstanceQuery completeQuery = query;
-    completeQuery.receivesFleetOutcomes = this->relayUplink->visibleShare() >= minimumVisibleShare;
+    const double visibleShare = this->relayUplink->visibleShare();
+    completeQuery.receivesFleetOutcomes = visibleShare >= minimumVisibleShare;
     RelayMessages::Update update;
     RelayMessages::InstanceOutcomes &counts = *update.add_outcomes();
     counts.set_started(1);
     hyssophall::fleet::v1::Instance instance;
     {
         std::lock_guard<std::mutex> lock(this->mutex);
+        this->board.setVisibleShare(visibleShare);
         const std::optional<RelayMessages::Registration> chosen
             = this->board.choose(completeQuery, this->routeStatistics.responseBytes(query.route), this->clock());
         if (!chosen) {
--- a/libraries/process/relay/relayhub.cpp
+++ b/libraries/process/relay/relayhub.cpp
@@ -317,7 +317,9 @@
     }
     std::erase_if(this->vmsLastSeen, [now](const std::pair<const std::string, SteadyTime> &entry) { return now - entry.second > vmExpiry; });
     const double known = std::max<std::uint32_t>(1, this->knownVms(now));
-    this->teamUse.recordVisibleShare(std::min(1.0, static_cast<double>(visible.size()) / known), now);
+    const double share = std::min(1.0, static_cast<double>(visible.size()) / known);
+    this->teamUse.recordVisibleShare(share, now);
+    this->board.setVisibleShare(share);
     return visible;
 }
 
--- a/tests/unit/process/health/instanceselectortest.cpp
+++ b/tests/unit/process/health/instanceselectortest.cpp
@@ -411,6 +411,30 @@
     CATCH_CHECK(used.size() >= 9);
 }
 
+// Guards against requests of VMs beyond a partition that count as in flight, and then as hanging, on a VM that still sees the rest of the fleet.
+CATCH_TEST_CASE("Requests in flight of other VMs aren't counted once a part of the fleet is no longer visible", "[health][ejection-floor]")
+{
+    std::mt19937_64 random(14);
+    InstanceSelector selector(optionsWith(random));
+    const RelayMessages::Registration instance = registrationOf("i-1", 1, 1, 1);
+    selector.apply(instance);
+    RelayMessages::InstanceOutcomes started = outcomesOf(instance);
+    started.set_started(2);
+    selector.setVisibleShare(1);
+    selector.apply(started, start);
+    selector.applyOwn(started, start);
+    selector.setVisibleShare(0.95);
+    CATCH_CHECK(selector.describeInstance("i-1", start).find(" in_flight=4 own_in_flight=2 ") != std::string::npos);
+    selector.setVisibleShare(0.5);
+    CATCH_CHECK(selector.describeInstance("i-1", start).find(" in_flight=2 own_in_flight=2 ") != std::string::npos);
+    // A relay that the VM connects to knows the requests of all VMs, this one included.
+    RelayMessages::InstanceSummary summary;
+    summary.set_instance(started.instance());
+    summary.set_in_flight(5);
+    selector.apply(summary, start);
+    CATCH_CHECK(selector.describeInstance("i-1", start).find(" in_flight=5 own_in_flight=2 ") != std::string::npos);
+}
+
 // Guards against logs that don't show when and why instances were avoided.
 CATCH_TEST_CASE("Each change of whether an instance is assumed to be gray is reported once", "[health][gray]")
 {
