--- a/libraries/process/relay/entrynode.cpp
+++ b/libraries/process/relay/entrynode.cpp
@@ -196,20 +196,22 @@
 std::optional<hyssophall::fleet::v1::Instance> EntryNode::choose(const InstanceQuery &query)
 {
     InstanceQuery completeQuery = query;
-    completeQuery.receivesFleetOutcomes = this->relayUplink->visibleShare() >= minimumVisibleShare;
+    const double visibleShare = this->relayUplink->visibleShare();
+    completeQuery.receivesFleetOutcomes = visibleShare >= minimumVisibleShare;
     RelayMessages::Update update;
     RelayMessages::InstanceOutcomes &counts = *update.add_outcomes();
     counts.set_started(1);
     hyssophall::fleet::v1::Instance instance;
     {
         std::lock_guard<std::mutex> lock(this->mutex);
+        this->board.setVisibleShare(visibleShare);
         const std::optional<RelayMessages::Registration> chosen
             = this->board.choose(completeQuery, this->routeStatistics.responseBytes(query.route), this->clock());
         if (!chosen) {
             return std::nullopt;
         }
         counts.set_instance(InstanceTable::handleOf(*chosen));
-        this->board.apply(counts, this->clock());
+        this->board.applyOwn(counts, this->clock());
         instance.set_id(chosen->id());
         instance.set_service(chosen->service());
         instance.set_host(chosen->host());
@@ -242,7 +244,7 @@
     }
     {
         std::lock_guard<std::mutex> lock(this->mutex);
-        this->board.apply(counts, this->clock());
+        this->board.applyOwn(counts, this->clock());
     }
     this->relayUplink->send(update);
 }
