Relay: Drop what was queued while no relay was connected

Callers saw: after a partition had healed, 4 % of the requests were served for four seconds, part of it by choices that rested on outcomes of the partition.

Cause: a VM queues its outcomes and its uses of services for its relay. What was queued during a partition, up to 14 s of it on 88 VMs, was sent in one message after the connection, and the others took it for new: failures that were long over, and requests and retries that enlarged the retry budget.

Change: outcomes and uses that are queued when a VM connects are dropped. The retries among them are covered by the part of the budget that VMs keep to while they see no others.

--- a/libraries/process/relay/relayuplink.cpp
+++ b/libraries/process/relay/relayuplink.cpp
@@ -123,6 +123,7 @@
 
 RelayMessages::Update RelayUplink::greeting()
 {
+    this->outgoing.clearOutcomesAndUses();
     RelayMessages::Update first = this->hooks.makeGreeting(this->outgoing.nextSequence());
     std::lock_guard<std::mutex> lock(this->mutex);
     first.mutable_greeting()->set_known_vms(this->status.known_vms());
--- a/libraries/process/relay/updatebuffer.cpp
+++ b/libraries/process/relay/updatebuffer.cpp
@@ -122,6 +122,13 @@
     return this->sequence + 1;
 }
 
+void UpdateBuffer::clearOutcomesAndUses()
+{
+    std::lock_guard<std::mutex> lock(this->mutex);
+    this->outcomes.clear();
+    this->services.clear();
+}
+
 void UpdateBuffer::clear()
 {
     std::lock_guard<std::mutex> lock(this->mutex);
--- a/libraries/process/relay/updatebuffer.h
+++ b/libraries/process/relay/updatebuffer.h
@@ -47,6 +47,10 @@
     /// Sequence of the message that will contain what is added now.
     std::uint64_t nextSequence() const;
 
+    /// Drops the queued outcomes and uses of services. Used before a new connection: what was queued while there was none is old, and the receivers
+    /// would take it for new.
+    void clearOutcomesAndUses();
+
     /// Drops all queued updates. Used before a new connection, whose first message contains the full state.
     void clear();
 
