Limits: Report what VMs admitted during a partition, with its time

Cause, twice the same time counted: a VM that connected reported all that it had admitted and no relay had confirmed, up to 14 s of it, and all VMs counted it for the moment of its arrival. Besides, each assumed that the VMs that it hadn't seen used every limit in full during the partition, although each of them knew what it had admitted. Arrival was taken for time, and a report that was at hand was not used.

Change: a VM's first message has its unconfirmed admissions with their ages and the time since which they couldn't be reported (UnreportedAdmissions). The relay forwards it; each receiver counts the admissions for the time at which they were made and the VM as visible in that time, so the assumption ends for it. A later report of the same VM counts from the end of the earlier one. Queued reports of the same admissions are dropped.

'Admissions that no relay confirmed are reported again' checks the new report with its ages in place of the count.

--- a/libraries/process/limits/admissionhistory.cpp
+++ b/libraries/process/limits/admissionhistory.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <iterator>
 #include <utility>
 
 namespace Hyssophall {
@@ -27,14 +28,16 @@
 {
 }
 
-void AdmissionHistory::add(const std::string &team, std::uint32_t count, SteadyTime now)
+void AdmissionHistory::add(const std::string &team, std::uint32_t count, SteadyTime at)
 {
     Slots &slots = this->teams[team];
-    if (slots.empty() || now - slots.back().start >= this->slotLength) {
-        slots.push_back({now, 0});
+    const auto later = std::find_if(slots.rbegin(), slots.rend(), [at](const Slot &slot) { return slot.start <= at; }).base();
+    if (later != slots.begin() && at - std::prev(later)->start < this->slotLength) {
+        std::prev(later)->admitted += count;
+    } else {
+        slots.insert(later, {at, static_cast<double>(count)});
     }
-    slots.back().admitted += count;
-    this->removeExpired(slots, now);
+    this->removeExpired(slots, slots.back().start);
 }
 
 void AdmissionHistory::recordVisibleShare(SteadyTime from, SteadyTime to, double share)
@@ -128,6 +131,61 @@
     }
 }
 
+void AdmissionHistory::addUnreported(const UnreportedAdmissions &unreported, double share, SteadyTime now)
+{
+    SteadyTime from = now - std::min(unreported.fromAge, this->length + this->slotLength);
+    std::erase_if(this->unreportedUntil,
+        [this, now](const std::pair<const std::string, SteadyTime> &entry) { return entry.second <= now - this->length - this->slotLength; });
+    SteadyTime &known = this->unreportedUntil[unreported.vm];
+    from = std::max(from, known);
+    known = now;
+    for (const std::pair<const std::string, std::vector<AdmissionRecord::Admissions>> &entry : unreported.admitted) {
+        for (const AdmissionRecord::Admissions &admitted : entry.second) {
+            if (now - admitted.age >= from) {
+                this->add(entry.first, admitted.count, now - admitted.age);
+            }
+        }
+    }
+    this->addVisibleShare(from, std::min(now, this->visibleUntil()), share);
+}
+
+SteadyTime AdmissionHistory::visibleUntil() const
+{
+    return this->visiblePeriods.empty() ? this->startTime : this->visiblePeriods.back().to;
+}
+
+void AdmissionHistory::addVisibleShare(SteadyTime from, SteadyTime to, double share)
+{
+    // Whole slots, so that the records of many VMs don't split the window into many short periods.
+    const SteadyTime firstSlot = from + (this->slotLength - from.time_since_epoch() % this->slotLength) % this->slotLength;
+    const SteadyTime end = to - to.time_since_epoch() % this->slotLength;
+    if (firstSlot >= end) {
+        return;
+    }
+    std::deque<Period> extended;
+    const auto append = [&extended](SteadyTime begin, SteadyTime limit, double visible) {
+        if (begin >= limit) {
+            return;
+        }
+        if (!extended.empty() && extended.back().to == begin && extended.back().share == visible) {
+            extended.back().to = limit;
+        } else {
+            extended.push_back({begin, limit, visible});
+        }
+    };
+    const SteadyTime first = std::min(firstSlot, this->visiblePeriods.empty() ? firstSlot : this->visiblePeriods.front().from);
+    this->forEachPeriod(first, std::max(end, this->visibleUntil()), [&append, firstSlot, end, share](const Period &period) {
+        append(period.from, std::min(period.to, firstSlot), period.share);
+        append(std::max(period.from, firstSlot), std::min(period.to, end), std::min(1.0, period.share + share));
+        append(std::max(period.from, end), period.to, period.share);
+    });
+    if (!this->visiblePeriods.empty() && this->visiblePeriods.back().from == this->visiblePeriods.back().to) {
+        // An empty period marks a new connection. Its share applies from then on.
+        extended.push_back(this->visiblePeriods.back());
+    }
+    this->visiblePeriods = std::move(extended);
+}
+
 void AdmissionHistory::importPeriod(const AdmissionRecord &record, const Period &period, SteadyTime now)
 {
     // Cut the new period out of recorded periods with share 0: the other VM's data replaces them.
--- a/libraries/process/limits/admissionhistory.h
+++ b/libraries/process/limits/admissionhistory.h
@@ -38,6 +38,15 @@
     std::map<std::string, std::vector<Admissions>> admitted;
 };
 
+/// Requests that one VM admitted while no other VM received its reports, up to now.
+struct UnreportedAdmissions {
+    std::string vm;
+    /// Age of the time since which its reports weren't received.
+    std::chrono::milliseconds fromAge{0};
+    /// By name of the team, oldest first.
+    std::map<std::string, std::vector<AdmissionRecord::Admissions>> admitted;
+};
+
 /**
  * Number of requests of each team that the fleet admitted during the last window, and which share of the fleet's VMs was visible at each time.
  *
@@ -61,8 +70,8 @@
     /// @p length is the length of the window. From @p startTime on, the history contains this VM's own admissions.
     AdmissionHistory(std::chrono::milliseconds length, SteadyTime startTime);
 
-    /// Adds admissions that became known at @p now.
-    void add(const std::string &team, std::uint32_t count, SteadyTime now);
+    /// Adds admissions of the time @p at.
+    void add(const std::string &team, std::uint32_t count, SteadyTime at);
 
     /// Records that @p share of the fleet's VMs was visible from @p from to @p to. The share also applies after @p to, until the next call.
     void recordVisibleShare(SteadyTime from, SteadyTime to, double share);
@@ -88,6 +97,13 @@
     /// admission is counted twice when several VMs send their records.
     void fillGaps(const AdmissionRecord &record, SteadyTime now);
 
+    /// Adds admissions that a VM couldn't report before. From then on, the VM counts as visible in that time: @p share, its share of the fleet, is
+    /// added to the visible share. What the same VM has reported for an earlier part of that time isn't counted again.
+    void addUnreported(const UnreportedAdmissions &unreported, double share, SteadyTime now);
+
+    /// End of the latest period in which this VM received updates; the startTime of the constructor if there was none.
+    SteadyTime visibleUntil() const;
+
 private:
     struct Slot {
         SteadyTime start;
@@ -108,6 +124,8 @@
     void forEachPeriod(SteadyTime from, SteadyTime to, const std::function<void(const Period &)> &callback) const;
     /// Periods of the window in which no other VM was visible.
     std::vector<Period> gaps(SteadyTime now) const;
+    /// Adds @p share to the visible share of the whole slots between @p from and @p to.
+    void addVisibleShare(SteadyTime from, SteadyTime to, double share);
     /// Replaces @p period, which lies in a gap, by the data of @p record.
     void importPeriod(const AdmissionRecord &record, const Period &period, SteadyTime now);
 
@@ -118,6 +136,8 @@
     std::deque<Period> visiblePeriods;
     /// By name of the team, oldest slot first.
     std::map<std::string, Slots> teams;
+    /// Until when each VM's unreported admissions have been added.
+    std::map<std::string, SteadyTime> unreportedUntil;
 };
 
 } // namespace Hyssophall
--- a/libraries/process/limits/sharedratelimiter.cpp
+++ b/libraries/process/limits/sharedratelimiter.cpp
@@ -87,31 +87,49 @@
 {
     {
         std::lock_guard<std::mutex> lock(this->mutex);
-        const SteadyTime now = this->hooks.clock();
         for (std::pair<const std::string, Team> &entry : this->teams) {
-            const std::size_t confirmedCount
-                = std::erase_if(entry.second.unconfirmed, [number](const Unconfirmed &admission) { return admission.number <= number; });
-            if (confirmedCount > 0) {
-                this->history.add(entry.first, static_cast<std::uint32_t>(confirmedCount), now);
-            }
+            std::erase_if(entry.second.unconfirmed, [this, &entry, number](const Unconfirmed &admission) {
+                if (admission.number <= number) {
+                    this->history.add(entry.first, 1, admission.at);
+                }
+                return admission.number <= number;
+            });
         }
     }
     this->confirmationReceived.notify_all();
 }
 
-std::map<std::string, std::uint32_t> SharedRateLimiter::collectUnconfirmed(std::uint64_t nextNumber)
+UnreportedAdmissions SharedRateLimiter::collectUnreported()
 {
     std::lock_guard<std::mutex> lock(this->mutex);
-    std::map<std::string, std::uint32_t> unconfirmedCounts;
+    const SteadyTime now = this->hooks.clock();
+    if (this->hooks.dropQueuedReports) {
+        this->hooks.dropQueuedReports();
+    }
+    UnreportedAdmissions unreported;
+    unreported.fromAge = std::chrono::duration_cast<std::chrono::milliseconds>(now - std::min(now, this->history.visibleUntil()));
     for (std::pair<const std::string, Team> &entry : this->teams) {
+        this->teamOf(entry.first, now);
         for (Unconfirmed &admission : entry.second.unconfirmed) {
-            if (admission.number < nextNumber) {
-                admission.number = 0;
-                ++unconfirmedCounts[entry.first];
+            admission.number = 0;
+            unreported.admitted[entry.first].push_back({std::chrono::duration_cast<std::chrono::milliseconds>(now - admission.at), 1});
+        }
+    }
+    return unreported;
+}
+
+void SharedRateLimiter::addUnreported(const UnreportedAdmissions &unreported)
+{
+    if (!this->isWindowed()) {
+        for (const std::pair<const std::string, std::vector<AdmissionRecord::Admissions>> &entry : unreported.admitted) {
+            for (const AdmissionRecord::Admissions &admitted : entry.second) {
+                this->addRemoteAdmissions(entry.first, admitted.count);
             }
         }
+        return;
     }
-    return unconfirmedCounts;
+    std::lock_guard<std::mutex> lock(this->mutex);
+    this->history.addUnreported(unreported, this->hooks.ownShare(), this->hooks.clock());
 }
 
 void SharedRateLimiter::recordVisibleShare(SteadyTime from, SteadyTime to, double share)
--- a/libraries/process/limits/sharedratelimiter.h
+++ b/libraries/process/limits/sharedratelimiter.h
@@ -58,6 +58,8 @@
         /// Reports an admission to the other VMs, without delay when the team's tokens are scarce. Returns the number of the message that contains
         /// the report, or nothing when no confirmation is needed. Called with the limiter's lock held.
         std::function<std::optional<std::uint64_t>(const std::string &, bool isScarce)> reportAdmission;
+        /// Drops the reports that haven't been sent. Called by collectUnreported() with the limiter's lock held.
+        std::function<void()> dropQueuedReports;
     };
 
     SharedRateLimiter(Options options, Hooks hooks);
@@ -74,9 +76,12 @@
     /// Marks the reports in all messages up to @p number as received by the relay.
     void confirm(std::uint64_t number);
 
-    /// Returns by team the number of admissions that were reported in messages before @p nextNumber and not confirmed, for the caller to report
-    /// again after it has connected to a relay anew. The next call of confirm() confirms them.
-    std::map<std::string, std::uint32_t> collectUnconfirmed(std::uint64_t nextNumber);
+    /// Returns this VM's admissions that no relay has confirmed, for the caller to report them when it connects to a relay anew. The next call of
+    /// confirm() confirms them. The name of the VM is left empty.
+    UnreportedAdmissions collectUnreported();
+
+    /// Adds the admissions that another VM couldn't report before.
+    void addUnreported(const UnreportedAdmissions &unreported);
 
     /// See the methods of AdmissionHistory with these names.
     void recordVisibleShare(SteadyTime from, SteadyTime to, double share);
--- a/libraries/process/relay/entrynode.cpp
+++ b/libraries/process/relay/entrynode.cpp
@@ -126,6 +126,7 @@
         use.set_scarce(isScarce);
         return this->relayUplink->send(update);
     };
+    limiterHooks.dropQueuedReports = [this] { this->relayUplink->dropQueuedAdmissions(); };
     this->limiter = std::make_unique<SharedRateLimiter>(limiterOptions(settings), std::move(limiterHooks));
     SharedRetryBudget::Hooks retryHooks;
     retryHooks.visibleShare = [this] { return this->relayUplink->visibleShare(); };
@@ -146,7 +147,7 @@
     RelayUplink::Hooks hooks;
     hooks.clock = suspendAwareNow;
     hooks.random = std::move(random);
-    hooks.makeGreeting = [this](std::uint64_t nextSequence) { return this->greeting(nextSequence); };
+    hooks.makeGreeting = [this] { return this->greeting(); };
     hooks.confirmed = [this](std::uint64_t number) { this->limiter->confirm(number); };
     hooks.recordVisibleShare = [this](SteadyTime from, SteadyTime to, double share) { this->limiter->recordVisibleShare(from, to, share); };
     hooks.receive = [this](const RelayMessages::Update &update) { this->receive(update); };
@@ -281,16 +282,13 @@
     return this->board.describeInstance(instanceId, this->clock());
 }
 
-RelayMessages::Update EntryNode::greeting(std::uint64_t nextSequence) const
+RelayMessages::Update EntryNode::greeting() const
 {
     RelayMessages::Update first;
     *first.mutable_admissions() = encodeAdmissions(this->limiter->record());
-    for (const std::pair<const std::string, std::uint32_t> &entry : this->limiter->collectUnconfirmed(nextSequence)) {
-        RelayMessages::TeamUse &use = *first.add_teams();
-        use.set_team(entry.first);
-        use.set_admitted(entry.second);
-        use.set_scarce(true);
-    }
+    UnreportedAdmissions unreported = this->limiter->collectUnreported();
+    unreported.vm = this->settings.vm.id;
+    *first.add_unreported() = encodeUnreported(unreported);
     std::lock_guard<std::mutex> lock(this->mutex);
     first.mutable_greeting()->set_vm(this->settings.vm.id);
     first.mutable_greeting()->set_failure_domain(this->settings.vm.failureDomain);
@@ -311,6 +309,12 @@
     if (update.has_admissions()) {
         this->limiter->fillGaps(decodeAdmissions(update.admissions()));
     }
+    for (const RelayMessages::UnreportedAdmissions &unreported : update.unreported()) {
+        // A relay may send back what this VM has reported over another one.
+        if (unreported.vm() != this->settings.vm.id) {
+            this->limiter->addUnreported(decodeUnreported(unreported));
+        }
+    }
     for (const RelayMessages::TeamUse &use : update.teams()) {
         this->limiter->addRemoteAdmissions(use.team(), use.admitted());
     }
--- a/libraries/process/relay/entrynode.h
+++ b/libraries/process/relay/entrynode.h
@@ -54,7 +54,7 @@
     std::string describeInstance(const std::string &instanceId) const override;
 
 private:
-    RelayMessages::Update greeting(std::uint64_t nextSequence) const;
+    RelayMessages::Update greeting() const;
     void receive(const RelayMessages::Update &update);
     void applyConfiguration(const CatalogueMessages::Configuration &configuration);
     void applyInstanceUpdates(const RelayMessages::Update &update);
--- a/libraries/process/relay/relayhub.cpp
+++ b/libraries/process/relay/relayhub.cpp
@@ -353,6 +353,8 @@
     *changed.mutable_outcomes() = update.outcomes();
     *changed.mutable_teams() = update.teams();
     this->teamUse.add(update, *this->configuration, now);
+    *changed.mutable_unreported() = update.unreported();
+    this->teamUse.addUnreported(update, 1.0 / std::max<std::uint32_t>(1, this->knownVms(now)), now);
     *changed.mutable_services() = update.services();
     *changed.mutable_lost_requests() = update.lost_requests();
     return changed;
--- a/libraries/process/relay/relayuplink.cpp
+++ b/libraries/process/relay/relayuplink.cpp
@@ -54,6 +54,11 @@
     return this->outgoing.add(update);
 }
 
+void RelayUplink::dropQueuedAdmissions()
+{
+    this->outgoing.clearTeams();
+}
+
 double RelayUplink::visibleShare() const
 {
     std::lock_guard<std::mutex> lock(this->mutex);
@@ -124,7 +129,7 @@
 RelayMessages::Update RelayUplink::greeting()
 {
     this->outgoing.clearOutcomesAndUses();
-    RelayMessages::Update first = this->hooks.makeGreeting(this->outgoing.nextSequence());
+    RelayMessages::Update first = this->hooks.makeGreeting();
     std::lock_guard<std::mutex> lock(this->mutex);
     first.mutable_greeting()->set_known_vms(this->status.known_vms());
     return first;
--- a/libraries/process/relay/relayuplink.h
+++ b/libraries/process/relay/relayuplink.h
@@ -38,8 +38,8 @@
         /// Must include the time for which the machine was suspended.
         SteadyClock clock;
         RandomSource random;
-        /// Returns the first message for each connection. Messages with sequences below @p nextSequence were lost unless they were confirmed.
-        std::function<RelayMessages::Update(std::uint64_t nextSequence)> makeGreeting;
+        /// Returns the first message for each connection.
+        std::function<RelayMessages::Update()> makeGreeting;
         /// The relay has applied all messages up to this sequence.
         std::function<void(std::uint64_t)> confirmed;
         /// The updates of a share of the fleet's VMs (0 to 1) have been received for this period. Called before receive() with the same message.
@@ -59,6 +59,9 @@
     /// Queues an update for the relay. Returns the sequence of the message that will contain it.
     std::uint64_t send(const RelayMessages::Update &update);
 
+    /// Drops the admissions that were queued by send() and haven't been sent.
+    void dropQueuedAdmissions();
+
     /// Share of the fleet's VMs whose updates this VM receives, as its relay reports it; ownShare() while the VM is partitioned from the relays.
     double visibleShare() const;
 
--- a/libraries/process/relay/teamusemonitor.cpp
+++ b/libraries/process/relay/teamusemonitor.cpp
@@ -75,6 +75,16 @@
     }
 }
 
+void TeamUseMonitor::addUnreported(const Update &update, double vmShare, SteadyTime now)
+{
+    if (this->window.count() == 0) {
+        return;
+    }
+    for (const hyssophall::relay::v1::UnreportedAdmissions &unreported : update.unreported()) {
+        this->history.addUnreported(decodeUnreported(unreported), vmShare, now);
+    }
+}
+
 void TeamUseMonitor::fillGaps(const Update &update, SteadyTime now)
 {
     this->history.fillGaps(decodeAdmissions(update.admissions()), now);
--- a/libraries/process/relay/teamusemonitor.h
+++ b/libraries/process/relay/teamusemonitor.h
@@ -33,6 +33,9 @@
     /// Adds the record of admissions in the window to @p update.
     void addRecord(Update &update, SteadyTime now) const;
 
+    /// Adds the admissions in @p update that VMs couldn't report before. @p vmShare is the share of the fleet of one VM.
+    void addUnreported(const Update &update, double vmShare, SteadyTime now);
+
     /// Adds the admissions that another VM recorded during times for which this relay received no updates.
     void fillGaps(const Update &update, SteadyTime now);
 
--- a/libraries/process/relay/updatebuffer.cpp
+++ b/libraries/process/relay/updatebuffer.cpp
@@ -47,6 +47,7 @@
     this->pending.mutable_lost_requests()->MergeFrom(update.lost_requests());
     this->pending.mutable_relays()->MergeFrom(update.relays());
     this->pending.mutable_vms()->MergeFrom(update.vms());
+    this->pending.mutable_unreported()->MergeFrom(update.unreported());
     if (update.has_admissions()) {
         *this->pending.mutable_admissions() = update.admissions();
     }
@@ -64,7 +65,7 @@
     });
     const bool hasScarceTeam = std::any_of(update.teams().begin(), update.teams().end(), [](const RelayMessages::TeamUse &use) { return use.scarce(); });
     return hasFailure || hasScarceTeam || update.has_configuration() || !update.registrations().empty() || !update.lost_requests().empty()
-        || !update.vms().empty() || !update.relays().empty();
+        || !update.vms().empty() || !update.relays().empty() || !update.unreported().empty();
 }
 
 void UpdateBuffer::wake()
@@ -129,6 +130,12 @@
     this->services.clear();
 }
 
+void UpdateBuffer::clearTeams()
+{
+    std::lock_guard<std::mutex> lock(this->mutex);
+    this->teams.clear();
+}
+
 void UpdateBuffer::clear()
 {
     std::lock_guard<std::mutex> lock(this->mutex);
@@ -142,7 +149,7 @@
 {
     return this->outcomes.empty() && this->teams.empty() && this->services.empty() && !this->pending.has_configuration()
         && this->pending.registrations().empty() && this->pending.summaries().empty() && this->pending.lost_requests().empty() && this->pending.relays().empty()
-        && this->pending.vms().empty() && !this->pending.has_admissions();
+        && this->pending.vms().empty() && !this->pending.has_admissions() && this->pending.unreported().empty();
 }
 
 } // namespace Hyssophall
--- a/libraries/process/relay/updatebuffer.h
+++ b/libraries/process/relay/updatebuffer.h
@@ -51,6 +51,9 @@
     /// would take it for new.
     void clearOutcomesAndUses();
 
+    /// Drops the queued admissions of teams.
+    void clearTeams();
+
     /// Drops all queued updates. Used before a new connection, whose first message contains the full state.
     void clear();
 
--- a/tests/unit/process/limits/admissionhistorytest.cpp
+++ b/tests/unit/process/limits/admissionhistorytest.cpp
@@ -79,3 +79,28 @@
     }
     CATCH_CHECK(relay.chargedAdmissions("red", rate, viewAt(start + 1s)) == Approx(8));
 }
+
+// Guards against assumed admissions of VMs that have reported what they admitted, and against reports that are counted twice when a VM connects twice.
+CATCH_TEST_CASE("What VMs couldn't report replaces the assumption about them and is counted once", "[fleet-limit]")
+{
+    AdmissionHistory history(window, start - 1min);
+    history.recordVisibleShare(start - 1min, start, 1);
+    history.recordVisibleShare(start + 2s, start + 2s, 1);
+    const auto report = [&history](const std::string &vm, SteadyTime now) {
+        UnreportedAdmissions unreported;
+        unreported.vm = vm;
+        unreported.fromAge = std::chrono::duration_cast<std::chrono::milliseconds>(now - start);
+        unreported.admitted["red"] = {{unreported.fromAge - 1s, 1}};
+        history.addUnreported(unreported, 0.25, now);
+    };
+    report("vm-1", start + 2s);
+    report("vm-1", start + 2s + 50ms);
+    CATCH_CHECK(history.admitted("red", start + 2s) == Approx(1));
+    // The whole slots of the 2 s count as known, up to 100 ms at each end don't.
+    CATCH_CHECK(history.chargedAdmissions("red", rate, viewAt(start + 2s)) == Approx(1 + 2 * 10 * 0.75).margin(10 * 0.25 * 0.2));
+    for (const char *vm : {"vm-2", "vm-3", "vm-4"}) {
+        report(vm, start + 2s + 50ms);
+    }
+    CATCH_CHECK(history.chargedAdmissions("red", rate, viewAt(start + 2100ms)) == Approx(4).margin(10 * 0.2));
+    CATCH_CHECK(history.chargedAdmissions("red", rate, viewAt(start + 6200ms)) == Approx(0));
+}
--- a/tests/unit/process/limits/delayedfleet.cpp
+++ b/tests/unit/process/limits/delayedfleet.cpp
@@ -208,12 +208,12 @@
     vm.inbox.clear();
     vm.confirmations.clear();
     relay.fillGaps(vm.limiter->record(), this->now);
+    const std::shared_ptr<UnreportedAdmissions> unreported = std::make_shared<UnreportedAdmissions>(vm.limiter->collectUnreported());
+    unreported->vm = std::to_string(number);
     vm.visibleUntil = this->now;
     vm.limiter->recordVisibleShare(this->now, this->now, vm.visibleShare);
     vm.limiter->fillGaps(relay.record(this->now));
-    for (const std::pair<const std::string, std::uint32_t> &unconfirmed : vm.limiter->collectUnconfirmed(vm.number + 1)) {
-        this->distribute(number, unconfirmed.second);
-    }
+    this->distributeUnreported(number, unreported);
     vm.confirmations.push_back({this->now + delay, 0});
 }
 
@@ -248,7 +248,11 @@
 void DelayedFleet::receive(Vm &vm)
 {
     for (; !vm.inbox.empty() && vm.inbox.front().due <= this->now; vm.inbox.pop_front()) {
-        vm.limiter->addRemoteAdmissions("red", vm.inbox.front().count);
+        if (vm.inbox.front().unreported != nullptr) {
+            vm.limiter->addUnreported(*vm.inbox.front().unreported);
+        } else {
+            vm.limiter->addRemoteAdmissions("red", vm.inbox.front().count);
+        }
     }
     for (; !vm.confirmations.empty() && vm.confirmations.front().due <= this->now; vm.confirmations.pop_front()) {
         vm.limiter->confirm(vm.confirmations.front().number);
@@ -288,7 +292,21 @@
     }
     for (std::size_t to = 0; to < this->vms.size(); ++to) {
         if (to != from && this->receivesFrom(to, from) && this->vms[to].isConnected) {
-            this->vms[to].inbox.push_back({this->now + delay, count});
+            this->vms[to].inbox.push_back({this->now + delay, count, nullptr});
+        }
+    }
+}
+
+void DelayedFleet::distributeUnreported(std::size_t from, const std::shared_ptr<const UnreportedAdmissions> &unreported)
+{
+    for (std::size_t relay = 0; relay < relays; ++relay) {
+        if (this->receivesFrom(relay, from)) {
+            this->relayHistories[relay].addUnreported(*unreported, 1 / static_cast<double>(this->vms.size()), this->now);
+        }
+    }
+    for (std::size_t to = 0; to < this->vms.size(); ++to) {
+        if (to != from && this->receivesFrom(to, from) && this->vms[to].isConnected) {
+            this->vms[to].inbox.push_back({this->now + delay, 0, unreported});
         }
     }
 }
--- a/tests/unit/process/limits/delayedfleet.h
+++ b/tests/unit/process/limits/delayedfleet.h
@@ -45,6 +45,8 @@
     struct Message {
         SteadyTime due;
         std::uint32_t count = 0;
+        /// Set instead of the count when a VM reports what it admitted while it was disconnected.
+        std::shared_ptr<const UnreportedAdmissions> unreported;
     };
     struct Confirmation {
         SteadyTime due;
@@ -83,6 +85,7 @@
     void request(Vm &vm);
     std::uint64_t report(std::size_t from);
     void distribute(std::size_t from, std::uint32_t count);
+    void distributeUnreported(std::size_t from, const std::shared_ptr<const UnreportedAdmissions> &unreported);
 
     const SharedRateLimiter::Options options;
     const TeamRate rate;
--- a/tests/unit/process/limits/sharedratelimitertest.cpp
+++ b/tests/unit/process/limits/sharedratelimitertest.cpp
@@ -323,9 +323,15 @@
     CATCH_REQUIRE(vm.isGranted());
     CATCH_REQUIRE(vm.isGranted());
     vm.limiter->confirm(1);
-    CATCH_CHECK(vm.limiter->collectUnconfirmed(3) == std::map<std::string, std::uint32_t>{{"red", 1}});
+    vm.now += std::chrono::milliseconds(300);
+    const UnreportedAdmissions unreported = vm.limiter->collectUnreported();
+    CATCH_REQUIRE(unreported.admitted.size() == 1);
+    CATCH_REQUIRE(unreported.admitted.at("red").size() == 1);
+    CATCH_CHECK(unreported.admitted.at("red").front().count == 1);
+    CATCH_CHECK(unreported.admitted.at("red").front().age == std::chrono::milliseconds(300));
+    CATCH_CHECK(unreported.fromAge == std::chrono::milliseconds(300));
     vm.limiter->confirm(0);
-    CATCH_CHECK(vm.limiter->collectUnconfirmed(3).empty());
+    CATCH_CHECK(vm.limiter->collectUnreported().admitted.empty());
 }
 
 // Guards against false refusals when a VM gets several requests of a team at once, far below the team's limit.
--- a/tests/unit/process/relay/relayhubtest.cpp
+++ b/tests/unit/process/relay/relayhubtest.cpp
@@ -246,3 +246,27 @@
     CATCH_REQUIRE(received.heard_size() >= 1);
     CATCH_CHECK(fixture.hub->peerGreeting(*fixture.peers[0]).admissions().teams_size() == 1);
 }
+
+// Guards against VMs that assume full use of the limits by a VM that was cut off, because its relay keeps the VM's report to itself.
+CATCH_TEST_CASE("What a VM admitted while no relay received its reports reaches the other VMs and relays", "[relay][fleet-limit]")
+{
+    HubFixture fixture;
+    RelayMessages::Update greeting;
+    greeting.mutable_greeting()->set_vm("vm-3");
+    RelayMessages::UnreportedAdmissions &unreported = *greeting.add_unreported();
+    unreported.set_vm("vm-3");
+    unreported.set_from_age_milliseconds(3000);
+    RelayMessages::TeamAdmissions &team = *unreported.add_teams();
+    team.set_team("red");
+    team.add_ages_milliseconds(2000);
+    team.add_counts(4);
+    const std::shared_ptr<RelaySubscriber> third = fixture.hub->connect(greeting);
+    for (UpdateBuffer *buffer : {&fixture.first->buffer, &fixture.second->buffer, &fixture.peers[0]->buffer, &fixture.peers[1]->buffer}) {
+        const RelayMessages::Update update = fixture.nextMessage(*buffer);
+        CATCH_REQUIRE(update.unreported_size() == 1);
+        CATCH_CHECK(update.unreported(0).teams(0).counts(0) == 4);
+    }
+    CATCH_CHECK(fixture.nextMessage(third->buffer).unreported().empty());
+    // A VM that connects later gets it with the record of the window.
+    CATCH_CHECK(fixture.nextMessage(fixture.connect("vm-4")->buffer).admissions().teams(0).counts(0) == 4);
+}
