--- a/tests/integration/relayedfleettest.cpp
+++ b/tests/integration/relayedfleettest.cpp
@@ -2,15 +2,19 @@
 #include "harness/httprequest.h"
 #include "harness/ports.h"
 #include "harness/testfleet.h"
+#include "process/hooks.h"
 #include "support/rawupstream.h"
 
 #include <boost/leaf/handle_errors.hpp>
 #include <catch2/catch.hpp>
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
 #include <filesystem>
 #include <fstream>
+#include <mutex>
 #include <thread>
+#include <vector>
 
 using namespace Hyssophall;
 using namespace std::chrono_literals;
@@ -133,9 +137,14 @@
     }
 
     int registerUpstream(int through, const std::string &state, int sequence)
+    {
+        return this->registerInstance(through, "i-1", this->upstream.port(), state, sequence);
+    }
+
+    int registerInstance(int through, const std::string &id, std::uint16_t port, const std::string &state, int sequence)
     {
         const Json json{{"service", "s1"},
-            {"address", "127.0.0.1:" + std::to_string(this->upstream.port())},
+            {"address", "127.0.0.1:" + std::to_string(port)},
             {"zone", "a"},
             {"version", "v1"},
             {"max_concurrency", 3},
@@ -143,7 +152,7 @@
             {"warmup_left_ms", 0},
             {"seq", sequence},
             {"born", 1000}};
-        return static_cast<int>(this->control(through, "PUT", "/v1/instances/i-1", json.dump()).status);
+        return static_cast<int>(this->control(through, "PUT", "/v1/instances/" + id, json.dump()).status);
     }
 
     bool answersEverywhere(const std::string &key, long status)
@@ -198,6 +207,57 @@
     std::vector<std::unique_ptr<Harness::ChildProcess>> processes;
 };
 
+/// An instance that names a limit in its responses, in requests per second, and keeps the times of its requests.
+class LimitedUpstream
+{
+public:
+    LimitedUpstream()
+        : upstream([this](RawConnection &connection, const std::string &) {
+            std::string headers = "X-Response-Signature: signed\r\n";
+            {
+                std::lock_guard<std::mutex> lock(this->mutex);
+                this->times.push_back(std::chrono::steady_clock::now());
+                headers += this->limit.empty() ? "" : "Hyssophall-Request-Limit: " + this->limit + "\r\n";
+            }
+            connection.write(RawUpstream::answer("ok", headers));
+        })
+    {
+    }
+
+    void setLimit(const std::string &newLimit)
+    {
+        std::lock_guard<std::mutex> lock(this->mutex);
+        this->limit = newLimit;
+    }
+
+    /// Largest number of requests in any four seconds of the time after @p from.
+    std::size_t mostInFourSeconds(SteadyTime from) const
+    {
+        std::lock_guard<std::mutex> lock(this->mutex);
+        std::size_t most = 0;
+        for (std::size_t first = 0; first < this->times.size(); ++first) {
+            if (this->times[first] >= from) {
+                most = std::max(most,
+                    static_cast<std::size_t>(std::count_if(this->times.begin() + static_cast<std::ptrdiff_t>(first),
+                        this->times.end(),
+                        [this, first](SteadyTime time) { return time - this->times[first] < 4s; })));
+            }
+        }
+        return most;
+    }
+
+    std::uint16_t port() const
+    {
+        return this->upstream.port();
+    }
+
+private:
+    mutable std::mutex mutex;
+    std::string limit;
+    std::vector<SteadyTime> times;
+    RawUpstream upstream;
+};
+
 } // namespace
 
 // Guards against a whole path that works only with an operator's help, and against keys or teams that cross to the wrong side.
@@ -330,3 +390,35 @@
     CATCH_CHECK(Harness::waitUntil(5s, [&fleet] { return fleet.tells(2, "hyssophall_known_vms 2"); }));
     CATCH_CHECK(fleet.tells(2, "hyssophall_visible_vms 0"));
 }
+
+// Guards against an instance in need that gets several times the requests that it takes, because VMs ignore the limit that it names or count alone.
+CATCH_TEST_CASE("An instance that names a limit gets no more than that over all VMs, and others serve the rest", "[integration][relay][load-shedding]")
+{
+    RelayedFleet fleet;
+    LimitedUpstream limited;
+    CATCH_REQUIRE(fleet.putConfiguration(4, "key-1", {0, 1, 2}));
+    CATCH_REQUIRE(fleet.registerInstance(1, "i-2", limited.port(), "ready", 1) == 200);
+    CATCH_REQUIRE(Harness::waitUntil(3s, [&fleet] { return fleet.answersEverywhere("key-1", 200); }));
+    CATCH_REQUIRE(fleet.registerUpstream(1, "ready", 1) == 200);
+    const auto callFor = [&fleet](SteadyTime::duration duration) {
+        int unserved = 0;
+        const SteadyTime end = std::chrono::steady_clock::now() + duration;
+        for (int number = 0; std::chrono::steady_clock::now() < end; ++number) {
+            unserved += fleet.call(number % RelayedFleet::entries, "key-1").status == 200 ? 0 : 1;
+            std::this_thread::sleep_for(30ms);
+        }
+        return unserved;
+    };
+    // VMs prefer the instance that has succeeded before.
+    CATCH_CHECK(callFor(1s) == 0);
+    limited.setLimit("2");
+    const SteadyTime inForce = std::chrono::steady_clock::now() + 3s;
+    CATCH_CHECK(callFor(9s) == 0);
+    // One and a half times the limit and 5 requests.
+    CATCH_CHECK(limited.mostInFourSeconds(inForce) <= 17);
+    // It is used up to its limit, and fully once its responses don't name the limit any more.
+    CATCH_CHECK(limited.mostInFourSeconds(inForce) >= 4);
+    limited.setLimit("");
+    CATCH_CHECK(callFor(6s) == 0);
+    CATCH_CHECK(limited.mostInFourSeconds(inForce) >= 25);
+}
