Health: Keep to the limit that an instance names, over all VMs

Back ends saw: an instance in need that named a limit of 3.6 requests a second got 42 in 4 s, as many as before (27 allowed), and one that named 1 a second got 12 (11 allowed), while other instances of the service had free slots.

Cause: nothing evaluated the header; it was forwarded to the callers like any other. A class with gray failures: what an instance says of its state has to reach the choice of all VMs.

Change: a VM reports a limit that it reads in a response, and its end, to the other VMs at once. Each VM keeps a token bucket for such an instance, from which the reported requests of all VMs are taken, retries included, and doesn't choose the instance while no token is left, so requests go to others. A VM that sees a part of the fleet uses the same part of the limit. The name of the header is a setting. The log has each limit and its end, and the limit at each choice. Fleets without relays don't evaluate it yet.

--- a/libraries/process/health/instanceselector.cpp
+++ b/libraries/process/health/instanceselector.cpp
@@ -28,6 +28,7 @@
 /// Cost of a failed try that may be retried: some time, and a part of the retry budget.
 constexpr double retryableFailureCost = 0.25;
 constexpr double bytesPerKilobyte = 1024;
+constexpr double thousandths = 1000;
 /// Cost of each request in flight. Prefers idle instances among those with free slots, since instances slow down when they are nearly full.
 constexpr double inFlightCost = 0.02;
 /// Cost of each request queued for a slot. The first one waits for about a third of the usual duration of a request, and few miss their
@@ -66,6 +67,11 @@
     return time ? std::chrono::duration_cast<std::chrono::milliseconds>(now - *time).count() : -1;
 }
 
+std::optional<double> limitOf(std::uint32_t limitThousandths)
+{
+    return limitThousandths > 0 ? std::optional<double>(limitThousandths / thousandths) : std::nullopt;
+}
+
 std::uint32_t summaryAgeMilliseconds(const std::optional<SteadyTime> &time, SteadyTime now)
 {
     return time ? static_cast<std::uint32_t>(std::max<std::int64_t>(1, ageMilliseconds(time, now))) : 0;
@@ -121,8 +127,12 @@
     decay(service, now);
     if (outcomes.started() > 0) {
         requests.start(outcomes.started(), now);
+        state.limit.addStarted(outcomes.started(), now);
         state.lastStart = now;
     }
+    if (outcomes.limit_thousandths() > 0 || outcomes.limit_ended()) {
+        state.limit.set(limitOf(outcomes.limit_thousandths()), now);
+    }
     requests.end(outcomes.succeeded() + outcomes.failed() + outcomes.rejected() + outcomes.unreachable() + outcomes.neutral());
     for (std::uint32_t count = 0; count < outcomes.failed(); ++count) {
         state.gray.addFailure(now, this->options.model);
@@ -148,8 +158,24 @@
     }
 }
 
+std::uint32_t InstanceSelector::limitThousandths(std::optional<double> requestsPerSecond)
+{
+    return requestsPerSecond ? static_cast<std::uint32_t>(std::max(1.0, std::round(*requestsPerSecond * thousandths))) : 0;
+}
+
+bool InstanceSelector::setLimit(std::uint32_t handle, std::optional<double> requestsPerSecond, SteadyTime now)
+{
+    InstanceState *state = this->findState(handle);
+    if (state == nullptr || limitThousandths(state->limit.requestsPerSecond()) == limitThousandths(requestsPerSecond)) {
+        return false;
+    }
+    state->limit.set(requestsPerSecond, now);
+    return true;
+}
+
 void InstanceSelector::setVisibleShare(double share)
 {
+    this->visibleShare = share;
     if (share >= (1 - notableShareFall) * this->countedShare) {
         this->countedShare = std::max(this->countedShare, share);
         return;
@@ -175,6 +201,9 @@
         return;
     }
     InstanceState &state = known->second;
+    if (summary.limit_thousandths() != limitThousandths(state.limit.requestsPerSecond())) {
+        state.limit.set(limitOf(summary.limit_thousandths()), now);
+    }
     // The relay counts the requests of this VM, too.
     const std::uint32_t ownInFlight = static_cast<std::uint32_t>(state.ownRequests.count());
     state.otherRequests.clear();
@@ -204,6 +233,7 @@
         summary.set_instance(entry.first);
         summary.set_success_age_milliseconds(summaryAgeMilliseconds(entry.second.lastSuccess, now));
         summary.set_failure_age_milliseconds(summaryAgeMilliseconds(entry.second.lastFailure, now));
+        summary.set_limit_thousandths(limitThousandths(entry.second.limit.requestsPerSecond()));
         summary.set_in_flight(static_cast<std::uint32_t>(entry.second.inFlight()));
     }
     return all;
@@ -227,7 +257,7 @@
         }
         this->countHangingRequests(state, service, now);
         const double slots = std::max<std::uint32_t>(1, registration.slots());
-        if (static_cast<double>(state.inFlight()) < maximumOccupancy * slots) {
+        if (static_cast<double>(state.inFlight()) < maximumOccupancy * slots && state.limit.allowsRequest(this->visibleShare, now)) {
             candidates.push_back({&registration, &state, this->costOf(registration, state, service, costs, now)});
         }
     }
@@ -371,9 +401,10 @@
         return "gone";
     }
     const double gray = state->second.gray.probability(now, this->options.model);
+    const std::optional<double> limit = state->second.limit.requestsPerSecond();
     return "gray=" + std::to_string(gray).substr(0, 4) + " in_flight=" + std::to_string(state->second.inFlight()) + " own_in_flight="
         + std::to_string(state->second.ownRequests.count()) + " success_age_ms=" + std::to_string(ageMilliseconds(state->second.lastSuccess, now))
-        + " failure_age_ms=" + std::to_string(ageMilliseconds(state->second.lastFailure, now));
+        + " failure_age_ms=" + std::to_string(ageMilliseconds(state->second.lastFailure, now)) + (limit ? " limit=" + std::to_string(*limit) : "");
 }
 
 const InstanceTable &InstanceSelector::table() const
--- a/libraries/process/health/instanceselector.h
+++ b/libraries/process/health/instanceselector.h
@@ -2,6 +2,7 @@
 
 #include "process/health/grayestimate.h"
 #include "process/health/inflightrequests.h"
+#include "process/health/instancelimit.h"
 #include "process/health/instancequery.h"
 #include "process/hooks.h"
 #include "process/relay/instancetable.h"
@@ -61,6 +62,12 @@
     /// Adds the outcomes of this VM's own tries.
     void applyOwn(const RelayMessages::InstanceOutcomes &outcomes, SteadyTime now);
 
+    /// A limit in requests per second in the unit of InstanceOutcomes: at least 1, and 0 for none.
+    static std::uint32_t limitThousandths(std::optional<double> requestsPerSecond);
+
+    /// Sets the limit that an instance names in a response to this VM, or that it names none. Returns whether this VM knew another one.
+    bool setLimit(std::uint32_t handle, std::optional<double> requestsPerSecond, SteadyTime now);
+
     /// Sets the share of the fleet's VMs whose outcomes arrive here. When it falls, the requests in flight of other VMs are no longer counted,
     /// since the end of some of them would never be reported.
     void setVisibleShare(double share);
@@ -80,7 +87,7 @@
     std::optional<RelayMessages::Registration> choose(const InstanceQuery &query, std::size_t responseBytes, SteadyTime now);
 
     /// State of an instance for the log: "gray=0.04 in_flight=1 own_in_flight=1 success_age_ms=120 failure_age_ms=-1". The requests of all VMs are
-    /// in_flight. An age of -1 means never; an unknown instance gives "gone".
+    /// in_flight. A limit that the instance names follows as "limit=3.600000". An age of -1 means never; an unknown instance gives "gone".
     std::string describeInstance(const std::string &instanceId, SteadyTime now) const;
 
     const InstanceTable &table() const;
@@ -92,6 +99,7 @@
         /// Requests in flight of this VM, and those that other VMs reported.
         InFlightRequests ownRequests;
         InFlightRequests otherRequests;
+        InstanceLimit limit;
         bool isAssumedGray = false;
         std::optional<SteadyTime> lastSuccess;
         std::optional<SteadyTime> lastFailure;
@@ -151,6 +159,8 @@
     std::map<std::string, Service> services;
     /// Share of the fleet's VMs whose requests in flight are counted.
     double countedShare = 0;
+    /// Share of the fleet's VMs that is visible at present.
+    double visibleShare = 1;
 };
 
 } // namespace Hyssophall
--- a/libraries/process/proxy/upstreamtries.cpp
+++ b/libraries/process/proxy/upstreamtries.cpp
@@ -1,8 +1,10 @@
 #include "process/proxy/upstreamtries.h"
 
 #include "connection/headerfilter.h"
+#include "request/requestlimitheader.h"
 
 #include <boost/leaf/handle_errors.hpp>
+#include <glog/logging.h>
 
 #include <algorithm>
 #include <utility>
@@ -15,6 +17,8 @@
 constexpr int poisonConnectionLosses = 2;
 /// After a try that reached no instance the next instance is tried, whatever the retry budget, but at most this many times per request.
 constexpr int maximumUnsentTries = 4;
+/// Of this many responses with an invalid limit in a row, one is logged.
+constexpr int invalidLimitLogInterval = 100;
 
 HttpResponse forwardedResponse(const HttpResponse &response, const CallerRequest &request)
 {
@@ -101,6 +105,7 @@
     state.preSendRefusal.reset();
     const UpstreamResult result = this->sender.send(this->createCall(context, instance, record, tryRecord.spanId, state));
     const TryClassification classification(result, this->admission.headerNames().notRun);
+    this->reportLimit(instance, result, classification.outcome());
     this->health.finish(instance, classification.outcome(), result.latency, context.fingerprint);
     tryRecord.duration = result.latency;
     tryRecord.outcome = classification.outcome();
@@ -111,6 +116,19 @@
     this->evaluateTry(context, record, result, classification, state);
 }
 
+void UpstreamTries::reportLimit(const hyssophall::fleet::v1::Instance &instance, const UpstreamResult &result, TryOutcome outcome)
+{
+    if (!result.response || outcome == TryOutcome::WrongInstance) {
+        return;
+    }
+    const RequestLimitHeader header(*result.response, this->admission.headerNames().requestLimit);
+    if (header.isValid()) {
+        this->health.limitNamed(instance, header.requestsPerSecond());
+    } else {
+        LOG_EVERY_N(WARNING, invalidLimitLogInterval) << "Instance " << instance.id() << " names a request limit that isn't a number";
+    }
+}
+
 void UpstreamTries::evaluateTry(
     const RequestContext &context, RequestRecord &record, const UpstreamResult &result, const TryClassification &classification, State &state)
 {
--- a/libraries/process/relay/entrynode.cpp
+++ b/libraries/process/relay/entrynode.cpp
@@ -250,6 +250,28 @@
     this->relayUplink->send(update);
 }
 
+void EntryNode::limitNamed(const hyssophall::fleet::v1::Instance &instance, std::optional<double> requestsPerSecond)
+{
+    RelayMessages::Update update;
+    RelayMessages::InstanceOutcomes &outcomes = *update.add_outcomes();
+    outcomes.set_instance(InstanceTable::handleOf(incarnationOf(instance)));
+    {
+        std::lock_guard<std::mutex> lock(this->mutex);
+        if (!this->board.setLimit(outcomes.instance(), requestsPerSecond, this->clock())) {
+            return;
+        }
+    }
+    if (requestsPerSecond) {
+        LOG(INFO) << "Instance " << instance.id() << " of service " << instance.service() << " names a limit of " << *requestsPerSecond
+                  << " requests per second";
+        outcomes.set_limit_thousandths(InstanceSelector::limitThousandths(requestsPerSecond));
+    } else {
+        LOG(INFO) << "Instance " << instance.id() << " of service " << instance.service() << " no longer names a limit";
+        outcomes.set_limit_ended(true);
+    }
+    this->relayUplink->send(update);
+}
+
 bool EntryNode::isPoison(std::uint64_t fingerprint) const
 {
     return this->lostRequests.isPoison(fingerprint, this->clock());
--- a/libraries/process/relay/entrynode.h
+++ b/libraries/process/relay/entrynode.h
@@ -48,6 +48,7 @@
     std::optional<hyssophall::fleet::v1::Instance> choose(const InstanceQuery &query) override;
     std::optional<std::chrono::milliseconds> perTryTimeout(const std::string &route) const override;
     void finish(const hyssophall::fleet::v1::Instance &instance, TryOutcome outcome, std::chrono::microseconds latency, std::uint64_t fingerprint) override;
+    void limitNamed(const hyssophall::fleet::v1::Instance &instance, std::optional<double> requestsPerSecond) override;
     bool isPoison(std::uint64_t fingerprint) const override;
     /// Reports the outcome of the request to the other VMs.
     void requestFinished(const RequestRecord &record) override;
--- a/libraries/process/relay/updatebuffer.cpp
+++ b/libraries/process/relay/updatebuffer.cpp
@@ -17,6 +17,10 @@
     sum.set_unreachable(sum.unreachable() + added.unreachable());
     sum.set_neutral(sum.neutral() + added.neutral());
     sum.set_latency_milliseconds(sum.latency_milliseconds() + added.latency_milliseconds());
+    if (added.limit_thousandths() > 0 || added.limit_ended()) {
+        sum.set_limit_thousandths(added.limit_thousandths());
+        sum.set_limit_ended(added.limit_ended());
+    }
 }
 
 } // namespace
@@ -61,7 +65,7 @@
 bool UpdateBuffer::isUrgent(const RelayMessages::Update &update)
 {
     const bool hasFailure = std::any_of(update.outcomes().begin(), update.outcomes().end(), [](const RelayMessages::InstanceOutcomes &outcomes) {
-        return outcomes.failed() + outcomes.rejected() + outcomes.unreachable() > 0;
+        return outcomes.failed() + outcomes.rejected() + outcomes.unreachable() > 0 || outcomes.limit_thousandths() > 0 || outcomes.limit_ended();
     });
     const bool hasScarceTeam = std::any_of(update.teams().begin(), update.teams().end(), [](const RelayMessages::TeamUse &use) { return use.scarce(); });
     return hasFailure || hasScarceTeam || update.has_configuration() || !update.registrations().empty() || !update.lost_requests().empty()
--- a/libraries/request/headernames.h
+++ b/libraries/request/headernames.h
@@ -16,6 +16,8 @@
     std::string targetInstance;
     /// From upstreams: present, with a value other than "false", if the request wasn't run and won't be run later.
     std::string notRun = "Hyssophall-Not-Run";
+    /// From upstreams: the number of requests per second that the instance takes from all VMs together, while it names one.
+    std::string requestLimit = "Hyssophall-Request-Limit";
     /// True: the caller's X-Request-Id is forwarded to upstreams. False: each try is sent with an id of its own.
     bool forwardsRequestId = false;
 
--- a/tests/integration/relayedfleettest.cpp
+++ b/tests/integration/relayedfleettest.cpp
@@ -10,6 +10,7 @@
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
+#include <atomic>
 #include <filesystem>
 #include <fstream>
 #include <mutex>
@@ -207,18 +208,19 @@
     std::vector<std::unique_ptr<Harness::ChildProcess>> processes;
 };
 
-/// An instance that names a limit in its responses, in requests per second, and keeps the times of its requests.
+/// An instance that keeps the times of its requests and may name a limit in its responses, in requests per second.
 class LimitedUpstream
 {
 public:
-    LimitedUpstream()
-        : upstream([this](RawConnection &connection, const std::string &) {
+    explicit LimitedUpstream(std::chrono::milliseconds duration)
+        : upstream([this, duration](RawConnection &connection, const std::string &) {
             std::string headers = "X-Response-Signature: signed\r\n";
             {
                 std::lock_guard<std::mutex> lock(this->mutex);
                 this->times.push_back(std::chrono::steady_clock::now());
                 headers += this->limit.empty() ? "" : "Hyssophall-Request-Limit: " + this->limit + "\r\n";
             }
+            std::this_thread::sleep_for(duration);
             connection.write(RawUpstream::answer("ok", headers));
         })
     {
@@ -395,22 +397,29 @@
 CATCH_TEST_CASE("An instance that names a limit gets no more than that over all VMs, and others serve the rest", "[integration][relay][load-shedding]")
 {
     RelayedFleet fleet;
-    LimitedUpstream limited;
+    LimitedUpstream limited(1ms);
+    LimitedUpstream other(150ms);
     CATCH_REQUIRE(fleet.putConfiguration(4, "key-1", {0, 1, 2}));
-    CATCH_REQUIRE(fleet.registerInstance(1, "i-2", limited.port(), "ready", 1) == 200);
+    CATCH_REQUIRE(fleet.registerInstance(1, "i-1", limited.port(), "ready", 1) == 200);
+    CATCH_REQUIRE(fleet.registerInstance(1, "i-2", other.port(), "ready", 1) == 200);
     CATCH_REQUIRE(Harness::waitUntil(3s, [&fleet] { return fleet.answersEverywhere("key-1", 200); }));
-    CATCH_REQUIRE(fleet.registerUpstream(1, "ready", 1) == 200);
+    // Eight callers keep the other instance busy, so that the limited one is the better choice whenever it takes a request.
     const auto callFor = [&fleet](SteadyTime::duration duration) {
-        int unserved = 0;
-        const SteadyTime end = std::chrono::steady_clock::now() + duration;
-        for (int number = 0; std::chrono::steady_clock::now() < end; ++number) {
-            unserved += fleet.call(number % RelayedFleet::entries, "key-1").status == 200 ? 0 : 1;
-            std::this_thread::sleep_for(30ms);
+        std::atomic<int> unserved{0};
+        std::vector<std::thread> callers;
+        for (int caller = 0; caller < 8; ++caller) {
+            callers.emplace_back([&fleet, &unserved, caller, end = std::chrono::steady_clock::now() + duration] {
+                while (std::chrono::steady_clock::now() < end) {
+                    unserved += fleet.call(caller % RelayedFleet::entries, "key-1").status == 200 ? 0 : 1;
+                    std::this_thread::sleep_for(100ms);
+                }
+            });
+        }
+        for (std::thread &caller : callers) {
+            caller.join();
         }
-        return unserved;
+        return unserved.load();
     };
-    // VMs prefer the instance that has succeeded before.
-    CATCH_CHECK(callFor(1s) == 0);
     limited.setLimit("2");
     const SteadyTime inForce = std::chrono::steady_clock::now() + 3s;
     CATCH_CHECK(callFor(9s) == 0);
--- a/tests/unit/process/health/instanceselectortest.cpp
+++ b/tests/unit/process/health/instanceselectortest.cpp
@@ -435,6 +435,102 @@
     CATCH_CHECK(selector.describeInstance("i-1", start).find(" in_flight=5 own_in_flight=2 ") != std::string::npos);
 }
 
+// Guards against VMs that each keep to the limit of an instance alone, and against requests that are refused although another instance is free.
+CATCH_TEST_CASE("An instance that names a limit is chosen up to it over all VMs, and others get the rest", "[health][load-shedding]")
+{
+    std::mt19937_64 random(15);
+    constexpr std::size_t vms = 6;
+    constexpr double limit = 3.4;
+    const RelayMessages::Registration limited = registrationOf("limited", 1, 1, 1000);
+    RelayMessages::Registration other = registrationOf("other", 1, 1, 1001);
+    other.set_failure_domain("b");
+    InstanceSelector::Options options = optionsWith(random);
+    // The limited instance is the best one whenever its limit allows a request.
+    options.crossDomainCost = 1;
+    std::vector<InstanceSelector> selectors(vms, InstanceSelector(options));
+    RelayMessages::InstanceOutcomes named = outcomesOf(limited);
+    named.set_succeeded(1);
+    named.set_limit_thousandths(InstanceSelector::limitThousandths(limit));
+    for (InstanceSelector &selector : selectors) {
+        selector.apply(limited);
+        selector.apply(other);
+        selector.apply(named, start);
+    }
+    struct Report {
+        SteadyTime due;
+        std::size_t from = 0;
+    };
+    std::queue<Report> reports;
+    std::vector<SteadyTime> times;
+    // 20 requests a second on each VM, which learn of each other's 25 ms later.
+    for (Milliseconds at(0); at < Milliseconds(20000); at += Milliseconds(50)) {
+        for (std::size_t vm = 0; vm < vms; ++vm) {
+            const SteadyTime now = start + at + Milliseconds(8 * vm);
+            for (; !reports.empty() && reports.front().due <= now; reports.pop()) {
+                RelayMessages::InstanceOutcomes outcomes = outcomesOf(limited);
+                outcomes.set_started(1);
+                outcomes.set_succeeded(1);
+                outcomes.set_latency_milliseconds(100);
+                for (std::size_t to = 0; to < vms; ++to) {
+                    if (to != reports.front().from) {
+                        selectors[to].apply(outcomes, now);
+                    }
+                }
+            }
+            const std::optional<RelayMessages::Registration> chosen = selectors[vm].choose(queryOf(), 0, now);
+            CATCH_REQUIRE(chosen);
+            RelayMessages::InstanceOutcomes own = outcomesOf(*chosen);
+            own.set_started(1);
+            own.set_succeeded(1);
+            own.set_latency_milliseconds(100);
+            selectors[vm].applyOwn(own, now);
+            if (chosen->id() == "limited") {
+                times.push_back(now);
+                reports.push({now + Milliseconds(25), vm});
+            }
+        }
+    }
+    std::size_t most = 0;
+    for (std::size_t first = 0, next = 0; first < times.size(); ++first) {
+        while (next < times.size() && times[next] - times[first] < std::chrono::seconds(4)) {
+            ++next;
+        }
+        most = std::max(most, next - first);
+    }
+    CATCH_CHECK(static_cast<double>(most) <= 4 * 1.5 * limit + 5);
+    CATCH_CHECK(static_cast<double>(times.size()) >= 0.9 * 20 * limit);
+}
+
+// Guards against a limit that outlasts its end, and against a VM that doesn't learn of it when it connects.
+CATCH_TEST_CASE("A limit ends with the responses that don't name it, and VMs that connect learn of it", "[health][load-shedding]")
+{
+    std::mt19937_64 random(16);
+    InstanceSelector relay(optionsWith(random));
+    InstanceSelector selector(optionsWith(random));
+    const RelayMessages::Registration instance = registrationOf("i-1", 1, 1, 1000);
+    const std::uint32_t handle = InstanceTable::handleOf(instance);
+    relay.apply(instance);
+    selector.apply(instance);
+    CATCH_CHECK(!relay.setLimit(handle, std::nullopt, start));
+    CATCH_CHECK(relay.setLimit(handle, 0.5, start));
+    CATCH_CHECK(!relay.setLimit(handle, 0.5, start));
+    for (const RelayMessages::InstanceSummary &summary : relay.summaries(start)) {
+        selector.apply(summary, start);
+    }
+    CATCH_CHECK(!selector.choose(queryOf(), 0, start + Milliseconds(1000)));
+    CATCH_CHECK(selector.choose(queryOf(), 0, start + Milliseconds(2000)));
+    // A VM that sees half of the fleet uses half of the limit.
+    selector.setVisibleShare(0.5);
+    RelayMessages::InstanceOutcomes started = outcomesOf(instance);
+    started.set_started(1);
+    selector.applyOwn(started, start + Milliseconds(2000));
+    CATCH_CHECK(!selector.choose(queryOf(), 0, start + Milliseconds(5000)));
+    RelayMessages::InstanceOutcomes ended = outcomesOf(instance);
+    ended.set_limit_ended(true);
+    selector.apply(ended, start + Milliseconds(5000));
+    CATCH_CHECK(selector.choose(queryOf(), 0, start + Milliseconds(5000)));
+}
+
 // Guards against logs that don't show when and why instances were avoided.
 CATCH_TEST_CASE("Each change of whether an instance is assumed to be gray is reported once", "[health][gray]")
 {
--- a/tests/unit/process/relay/updatebuffertest.cpp
+++ b/tests/unit/process/relay/updatebuffertest.cpp
@@ -54,3 +54,28 @@
     CATCH_CHECK(message.outcomes(0).failed() == 1);
     CATCH_CHECK_FALSE(UpdateBuffer::isUrgent(success));
 }
+
+// Guards against a limit of an instance that is lost or outlasts its end when messages are merged.
+CATCH_TEST_CASE("Of several limits of an instance, the latest is sent", "[relay][load-shedding]")
+{
+    UpdateBuffer buffer;
+    RelayMessages::Update update;
+    RelayMessages::InstanceOutcomes &outcomes = *update.add_outcomes();
+    outcomes.set_instance(7);
+    outcomes.set_limit_thousandths(3400);
+    CATCH_CHECK(UpdateBuffer::isUrgent(update));
+    buffer.add(update);
+    outcomes.set_limit_thousandths(0);
+    outcomes.set_started(1);
+    buffer.add(update);
+    RelayMessages::Update message = buffer.nextMessage(SteadyTime(), {}).value();
+    CATCH_CHECK(message.outcomes(0).limit_thousandths() == 3400);
+    outcomes.set_limit_thousandths(3400);
+    buffer.add(update);
+    outcomes.set_limit_thousandths(0);
+    outcomes.set_limit_ended(true);
+    buffer.add(update);
+    message = buffer.nextMessage(SteadyTime(), {}).value();
+    CATCH_CHECK(message.outcomes(0).limit_thousandths() == 0);
+    CATCH_CHECK(message.outcomes(0).limit_ended());
+}
