Health: Leave an instance alone whose address belongs to another one

Cause: an instance that rejects a request as meant for another one proves that the other one has ended, and VMs that can't hear of it from a relay took that for a failed connection and tried again after 0.5 to 2 s, each for itself. Two such tries use up a route's attempts.

Change: such an outcome is reported as one of its own, and the instance isn't chosen for 20 s while there is another one, unless it registers anew.

--- a/libraries/process/health/instanceselector.cpp
+++ b/libraries/process/health/instanceselector.cpp
@@ -21,6 +21,8 @@
 /// An unreachable instance is avoided for a time that doubles from the initial to the maximum backoff. A success or a failure there resets it.
 constexpr std::chrono::milliseconds initialUnreachableBackoff{500};
 constexpr std::chrono::milliseconds maximumUnreachableBackoff{2000};
+/// An instance whose address belongs to another one has ended, so only a new registration makes it reachable. A limit, in case a response was wrong.
+constexpr std::chrono::seconds misaddressedBackoff{20};
 /// An instance that rejected a request as full has a free slot again after about half the usual duration of a request.
 constexpr std::chrono::milliseconds fullBackoff{150};
 /// Increase of the failure cost for each request in flight on an instance that may be gray, since these requests would fail together.
@@ -150,6 +152,9 @@
         state.unreachableBackoff = std::clamp(2 * state.unreachableBackoff, initialUnreachableBackoff, maximumUnreachableBackoff);
         state.unreachableUntil = now + state.unreachableBackoff;
     }
+    if (outcomes.misaddressed() > 0) {
+        state.unreachableUntil = now + misaddressedBackoff;
+    }
     if (outcomes.succeeded() + outcomes.failed() > 0) {
         state.unreachableBackoff = std::chrono::milliseconds(0);
     }
--- a/libraries/process/relay/entrynode.cpp
+++ b/libraries/process/relay/entrynode.cpp
@@ -81,8 +81,11 @@
     case TryOutcome::Shed:
         counts.set_rejected(1);
         return;
-    case TryOutcome::ConnectFailed:
     case TryOutcome::WrongInstance:
+        counts.set_misaddressed(1);
+        counts.set_unreachable(1);
+        return;
+    case TryOutcome::ConnectFailed:
         counts.set_unreachable(1);
         return;
     case TryOutcome::Neutral:
--- a/tests/unit/process/health/instanceselectortest.cpp
+++ b/tests/unit/process/health/instanceselectortest.cpp
@@ -531,6 +531,29 @@
     CATCH_CHECK(selector.choose(queryOf(), 0, start + Milliseconds(5000)));
 }
 
+// Guards against VMs that can't hear of an instance's end and try its address again and again, although another instance there rejects all requests.
+CATCH_TEST_CASE("An instance whose address belongs to another one isn't tried again soon", "[health]")
+{
+    std::mt19937_64 random(17);
+    InstanceSelector selector(optionsWith(random));
+    const RelayMessages::Registration ended = registrationOf("ended", 1, 1, 1000);
+    RelayMessages::Registration other = registrationOf("other", 1, 1, 1001);
+    other.set_failure_domain("b");
+    selector.apply(ended);
+    selector.apply(other);
+    RelayMessages::InstanceOutcomes outcomes = outcomesOf(ended);
+    outcomes.set_unreachable(1);
+    outcomes.set_misaddressed(1);
+    selector.applyOwn(outcomes, start);
+    InstanceQuery query = queryOf();
+    for (const bool receivesFleetOutcomes : {true, false}) {
+        query.receivesFleetOutcomes = receivesFleetOutcomes;
+        for (int second = 0; second < 15; ++second) {
+            CATCH_CHECK(selector.choose(query, 0, start + std::chrono::seconds(second))->id() == "other");
+        }
+    }
+}
+
 // Guards against logs that don't show when and why instances were avoided.
 CATCH_TEST_CASE("Each change of whether an instance is assumed to be gray is reported once", "[health][gray]")
 {
