Health: Keep the limit of an instance when a VM connects to a new relay

An instance that names a limit would get more for a moment after a relay has started: such a relay knows no limits, and each VM that connected to it forgot the ones that it had learned, until the instance's next response. Found by reading.

A summary without a limit no longer ends a known one; responses do. 'A limit ends with the responses that don't name it, and VMs that connect learn of it' has the case and fails without the change (2 of 7 checks).

--- a/libraries/process/health/instanceselector.cpp
+++ b/libraries/process/health/instanceselector.cpp
@@ -206,7 +206,8 @@
         return;
     }
     InstanceState &state = known->second;
-    if (summary.limit_thousandths() != limitThousandths(state.limit.requestsPerSecond())) {
+    // A relay that has just started knows no limits, so a summary without one doesn't end a limit that this VM knows.
+    if (summary.limit_thousandths() > 0) {
         state.limit.set(limitOf(summary.limit_thousandths()), now);
     }
     // The relay counts the requests of this VM, too.
--- a/tests/unit/process/health/instanceselectortest.cpp
+++ b/tests/unit/process/health/instanceselectortest.cpp
@@ -517,6 +517,10 @@
     for (const RelayMessages::InstanceSummary &summary : relay.summaries(start)) {
         selector.apply(summary, start);
     }
+    // A relay that has just started knows of no limit.
+    RelayMessages::InstanceSummary unlimited;
+    unlimited.set_instance(handle);
+    selector.apply(unlimited, start);
     CATCH_CHECK(!selector.choose(queryOf(), 0, start + Milliseconds(1000)));
     CATCH_CHECK(selector.choose(queryOf(), 0, start + Milliseconds(2000)));
     // A VM that sees half of the fleet uses half of the limit.
