--- a/libraries/process/health/instancelimit.h
+++ b/libraries/process/health/instancelimit.h
@@ -16,7 +16,7 @@
 class InstanceLimit
 {
 public:
-    /// Sets the limit; nothing removes it.
+    /// Sets the limit, or removes it if @p requestsPerSecond is empty.
     void set(std::optional<double> requestsPerSecond, SteadyTime now);
     std::optional<double> requestsPerSecond() const;
 
