--- a/tests/unit/process/relay/relayuplinktest.cpp
+++ b/tests/unit/process/relay/relayuplinktest.cpp
@@ -189,11 +189,7 @@
 {
     ForgetfulRelay relay;
     int port = 0;
-    grpc::ServerBuilder builder;
-    builder.AddListeningPort("127.0.0.1:0", grpc::InsecureServerCredentials(), &port);
-    builder.RegisterService(&relay);
-    const std::unique_ptr<grpc::Server> server = builder.BuildAndStart();
-    CATCH_REQUIRE(server != nullptr);
+    const std::unique_ptr<grpc::Server> server = startRelay(relay, port);
 
     std::atomic<std::uint64_t> version{4};
     RelayUplink::Options options;
