Relay: Don't use the node while its greeting may come first

Operators would see: an entry VM that ends with a segmentation fault (code 139) at its start.

The thread of RelayUplink greets a relay as soon as it runs, which may be before the constructor has returned and EntryNode has stored the pointer to it.

Change: RelayUplink passes the function that drops them to the greeting, which uses nothing else of the uplink.

--- a/libraries/process/limits/sharedratelimiter.cpp
+++ b/libraries/process/limits/sharedratelimiter.cpp
@@ -99,13 +99,11 @@
     this->confirmationReceived.notify_all();
 }
 
-UnreportedAdmissions SharedRateLimiter::collectUnreported()
+UnreportedAdmissions SharedRateLimiter::collectUnreported(const std::function<void()> &dropQueuedReports)
 {
     std::lock_guard<std::mutex> lock(this->mutex);
     const SteadyTime now = this->hooks.clock();
-    if (this->hooks.dropQueuedReports) {
-        this->hooks.dropQueuedReports();
-    }
+    dropQueuedReports();
     UnreportedAdmissions unreported;
     unreported.fromAge = std::chrono::duration_cast<std::chrono::milliseconds>(now - std::min(now, this->history.visibleUntil()));
     for (std::pair<const std::string, Team> &entry : this->teams) {
--- a/libraries/process/limits/sharedratelimiter.h
+++ b/libraries/process/limits/sharedratelimiter.h
@@ -58,8 +58,6 @@
         /// Reports an admission to the other VMs, without delay when the team's tokens are scarce. Returns the number of the message that contains
         /// the report, or nothing when no confirmation is needed. Called with the limiter's lock held.
         std::function<std::optional<std::uint64_t>(const std::string &, bool isScarce)> reportAdmission;
-        /// Drops the reports that haven't been sent. Called by collectUnreported() with the limiter's lock held.
-        std::function<void()> dropQueuedReports;
     };
 
     SharedRateLimiter(Options options, Hooks hooks);
@@ -77,8 +75,9 @@
     void confirm(std::uint64_t number);
 
     /// Returns this VM's admissions that no relay has confirmed, for the caller to report them when it connects to a relay anew. The next call of
-    /// confirm() confirms them. The name of the VM is left empty.
-    UnreportedAdmissions collectUnreported();
+    /// confirm() confirms them. The name of the VM is left empty. Calls @p dropQueuedReports with the limiter's lock held, so that no admission is
+    /// reported twice; it must drop the reports that haven't been sent.
+    UnreportedAdmissions collectUnreported(const std::function<void()> &dropQueuedReports);
 
     /// Adds the admissions that another VM couldn't report before.
     void addUnreported(const UnreportedAdmissions &unreported);
--- a/libraries/process/relay/entrynode.cpp
+++ b/libraries/process/relay/entrynode.cpp
@@ -129,7 +129,6 @@
         use.set_scarce(isScarce);
         return this->relayUplink->send(update);
     };
-    limiterHooks.dropQueuedReports = [this] { this->relayUplink->dropQueuedAdmissions(); };
     this->limiter = std::make_unique<SharedRateLimiter>(limiterOptions(settings), std::move(limiterHooks));
     SharedRetryBudget::Hooks retryHooks;
     retryHooks.visibleShare = [this] { return this->relayUplink->visibleShare(); };
@@ -150,7 +149,7 @@
     RelayUplink::Hooks hooks;
     hooks.clock = suspendAwareNow;
     hooks.random = std::move(random);
-    hooks.makeGreeting = [this] { return this->greeting(); };
+    hooks.makeGreeting = [this](const std::function<void()> &dropQueuedAdmissions) { return this->greeting(dropQueuedAdmissions); };
     hooks.confirmed = [this](std::uint64_t number) { this->limiter->confirm(number); };
     hooks.recordVisibleShare = [this](SteadyTime from, SteadyTime to, double share) { this->limiter->recordVisibleShare(from, to, share); };
     hooks.receive = [this](const RelayMessages::Update &update) { this->receive(update); };
@@ -307,11 +306,11 @@
     return this->board.describeInstance(instanceId, this->clock());
 }
 
-RelayMessages::Update EntryNode::greeting() const
+RelayMessages::Update EntryNode::greeting(const std::function<void()> &dropQueuedAdmissions) const
 {
     RelayMessages::Update first;
     *first.mutable_admissions() = encodeAdmissions(this->limiter->record());
-    UnreportedAdmissions unreported = this->limiter->collectUnreported();
+    UnreportedAdmissions unreported = this->limiter->collectUnreported(dropQueuedAdmissions);
     unreported.vm = this->settings.vm.id;
     *first.add_unreported() = encodeUnreported(unreported);
     std::lock_guard<std::mutex> lock(this->mutex);
--- a/libraries/process/relay/entrynode.h
+++ b/libraries/process/relay/entrynode.h
@@ -55,7 +55,7 @@
     std::string describeInstance(const std::string &instanceId) const override;
 
 private:
-    RelayMessages::Update greeting() const;
+    RelayMessages::Update greeting(const std::function<void()> &dropQueuedAdmissions) const;
     void receive(const RelayMessages::Update &update);
     void applyConfiguration(const CatalogueMessages::Configuration &configuration);
     void applyInstanceUpdates(const RelayMessages::Update &update);
--- a/libraries/process/relay/relayuplink.cpp
+++ b/libraries/process/relay/relayuplink.cpp
@@ -54,11 +54,6 @@
     return this->outgoing.add(update);
 }
 
-void RelayUplink::dropQueuedAdmissions()
-{
-    this->outgoing.clearTeams();
-}
-
 double RelayUplink::visibleShare() const
 {
     std::lock_guard<std::mutex> lock(this->mutex);
@@ -129,7 +124,7 @@
 RelayMessages::Update RelayUplink::greeting()
 {
     this->outgoing.clearOutcomesAndUses();
-    RelayMessages::Update first = this->hooks.makeGreeting();
+    RelayMessages::Update first = this->hooks.makeGreeting([this] { this->outgoing.clearTeams(); });
     std::lock_guard<std::mutex> lock(this->mutex);
     first.mutable_greeting()->set_known_vms(this->status.known_vms());
     return first;
--- a/libraries/process/relay/relayuplink.h
+++ b/libraries/process/relay/relayuplink.h
@@ -38,8 +38,9 @@
         /// Must include the time for which the machine was suspended.
         SteadyClock clock;
         RandomSource random;
-        /// Returns the first message for each connection.
-        std::function<RelayMessages::Update()> makeGreeting;
+        /// Returns the first message for each connection. Its argument drops the admissions that were queued by send() and haven't been sent. The
+        /// first call may come before the constructor has returned.
+        std::function<RelayMessages::Update(const std::function<void()> &dropQueuedAdmissions)> makeGreeting;
         /// The relay has applied all messages up to this sequence.
         std::function<void(std::uint64_t)> confirmed;
         /// The updates of a share of the fleet's VMs (0 to 1) have been received for this period. Called before receive() with the same message.
@@ -59,9 +60,6 @@
     /// Queues an update for the relay. Returns the sequence of the message that will contain it.
     std::uint64_t send(const RelayMessages::Update &update);
 
-    /// Drops the admissions that were queued by send() and haven't been sent.
-    void dropQueuedAdmissions();
-
     /// Share of the fleet's VMs whose updates this VM receives, as its relay reports it; ownShare() while the VM is partitioned from the relays.
     double visibleShare() const;
 
--- a/tests/unit/process/limits/delayedfleet.cpp
+++ b/tests/unit/process/limits/delayedfleet.cpp
@@ -208,7 +208,7 @@
     vm.inbox.clear();
     vm.confirmations.clear();
     relay.fillGaps(vm.limiter->record(), this->now);
-    const std::shared_ptr<UnreportedAdmissions> unreported = std::make_shared<UnreportedAdmissions>(vm.limiter->collectUnreported());
+    const std::shared_ptr<UnreportedAdmissions> unreported = std::make_shared<UnreportedAdmissions>(vm.limiter->collectUnreported([] {}));
     unreported->vm = std::to_string(number);
     vm.visibleUntil = this->now;
     vm.limiter->recordVisibleShare(this->now, this->now, vm.visibleShare);
--- a/tests/unit/process/limits/sharedratelimitertest.cpp
+++ b/tests/unit/process/limits/sharedratelimitertest.cpp
@@ -324,14 +324,16 @@
     CATCH_REQUIRE(vm.isGranted());
     vm.limiter->confirm(1);
     vm.now += std::chrono::milliseconds(300);
-    const UnreportedAdmissions unreported = vm.limiter->collectUnreported();
+    int drops = 0;
+    const UnreportedAdmissions unreported = vm.limiter->collectUnreported([&drops] { ++drops; });
+    CATCH_CHECK(drops == 1);
     CATCH_REQUIRE(unreported.admitted.size() == 1);
     CATCH_REQUIRE(unreported.admitted.at("red").size() == 1);
     CATCH_CHECK(unreported.admitted.at("red").front().count == 1);
     CATCH_CHECK(unreported.admitted.at("red").front().age == std::chrono::milliseconds(300));
     CATCH_CHECK(unreported.fromAge == std::chrono::milliseconds(300));
     vm.limiter->confirm(0);
-    CATCH_CHECK(vm.limiter->collectUnreported().admitted.empty());
+    CATCH_CHECK(vm.limiter->collectUnreported([] {}).admitted.empty());
 }
 
 // Guards against false refusals when a VM gets several requests of a team at once, far below the team's limit.
--- a/tests/unit/process/relay/relayuplinktest.cpp
+++ b/tests/unit/process/relay/relayuplinktest.cpp
@@ -106,7 +106,7 @@
     RelayUplink::Hooks hooks;
     hooks.clock = std::chrono::steady_clock::now;
     hooks.random = [] { return std::uint64_t{1}; };
-    hooks.makeGreeting = [] {
+    hooks.makeGreeting = [](const std::function<void()> &) {
         RelayMessages::Update first;
         first.mutable_greeting()->set_vm("vm-1");
         return first;
@@ -198,7 +198,7 @@
     RelayUplink::Hooks hooks;
     hooks.clock = std::chrono::steady_clock::now;
     hooks.random = [] { return std::uint64_t{1}; };
-    hooks.makeGreeting = [&version] {
+    hooks.makeGreeting = [&version](const std::function<void()> &) {
         RelayMessages::Update first;
         first.mutable_greeting()->set_vm("vm-1");
         first.mutable_greeting()->set_configuration_version(version);
