Connection: Tell a try without a connection from one on an open connection

The log showed "reused_connection": true for tries that had established no connection, so a partitioned VM's failures couldn't be told from stale pooled connections.

libcurl counts established connections alone, and none was taken for a reused one. A try now says whether it opened a connection, and counts as reusing one only if the request was sent. The new test fails on the former code: reusedConnection is true for a port on which nobody listens.

--- a/libraries/connection/upstreamconnection.cpp
+++ b/libraries/connection/upstreamconnection.cpp
@@ -206,11 +206,12 @@
         return code;
     }
 
-    bool reusedConnection() const
+    bool openedConnection() const
     {
+        // Counts only connections that were established.
         long openedConnections = 0;
         curl_easy_getinfo(this->easy.get(), CURLINFO_NUM_CONNECTS, &openedConnections);
-        return openedConnections == 0;
+        return openedConnections > 0;
     }
 
     // Owns the connection between transfers, so it must outlive the easy handle.
@@ -299,7 +300,8 @@
     const HeaderList headers = headerList(call, std::chrono::duration_cast<std::chrono::milliseconds>(call.deadline - now));
     this->handle->prepare(call, remaining, headers, transfer);
     const CURLcode code = this->handle->perform(transfer);
-    result.reusedConnection = this->handle->reusedConnection();
+    result.openedConnection = this->handle->openedConnection();
+    result.reusedConnection = transfer.sendCount > 0 && !result.openedConnection;
     if (code != CURLE_OK || !transfer.assembler.isComplete()) {
         this->handle->socket = CURL_SOCKET_BAD;
         result.failure = UpstreamFailure{failureKind(code, transfer), transfer.sendCount > 0, false};
--- a/libraries/connection/upstreamresult.h
+++ b/libraries/connection/upstreamresult.h
@@ -37,7 +37,10 @@
 struct UpstreamResult {
     std::optional<HttpResponse> response;
     std::optional<UpstreamFailure> failure;
+    /// The request was sent on a connection that was open before.
     bool reusedConnection = false;
+    /// A new connection was established, whether or not the request was sent on it.
+    bool openedConnection = false;
     /// Duration of the try, including connecting.
     std::chrono::microseconds latency{0};
 };
--- a/tests/unit/connection/upstreamclienttest.cpp
+++ b/tests/unit/connection/upstreamclienttest.cpp
@@ -457,3 +457,24 @@
     CATCH_CHECK(result.response);
     CATCH_CHECK(result.reusedConnection);
 }
+
+// Guards against logs that show a try as sent on an open connection although no connection was established.
+CATCH_TEST_CASE("A try that established no connection doesn't count as one on a reused connection", "[connection][observability]")
+{
+    UpstreamCall call;
+    {
+        RawUpstream upstream(respondOnce);
+        call = callTo(upstream, "GET");
+        UpstreamClient client({});
+        const UpstreamResult first = client.send(call);
+        CATCH_CHECK(first.openedConnection);
+        CATCH_CHECK(!first.reusedConnection);
+    }
+    // Nobody listens on the port any more.
+    UpstreamClient client({});
+    const UpstreamResult result = client.send(call);
+    CATCH_REQUIRE(result.failure);
+    CATCH_CHECK(result.failure->kind == UpstreamFailureKind::ConnectFailed);
+    CATCH_CHECK(!result.reusedConnection);
+    CATCH_CHECK(!result.openedConnection);
+}
