Health: Report when a VM is partitioned from all instances

Neither a log line nor a metric said that a VM had lost its instances or had them back, so a partition of the VM looked like many instances that had failed.

InstancePathMonitor decides it from the results of new connections: two hosts failed without a connection in between, and one of them serves other VMs meanwhile; four hosts if nothing is known of that. Requests on open connections aren't evidence, since these may go on while new ones are refused. Nothing acts on it yet; the VM logs the change and has the gauge hyssophall_instances_reachable.

--- a/libraries/process/health/instancehealth.h
+++ b/libraries/process/health/instancehealth.h
@@ -51,6 +51,11 @@
     /// it to the fleet, 100 ms at most for the owner of the fingerprint, so that a poison request is known before it is tried again.
     virtual void finish(const hyssophall::fleet::v1::Instance &instance, TryOutcome outcome, std::chrono::microseconds latency, std::uint64_t fingerprint) = 0;
 
+    /// Called when a try has opened a new connection to the instance, before finish().
+    virtual void connectionOpened(const hyssophall::fleet::v1::Instance &)
+    {
+    }
+
     /// Called for each complete response of an instance, before finish(), with the limit on its requests that it names: requests per second over all
     /// VMs together, or nothing if it names none.
     virtual void limitNamed(const hyssophall::fleet::v1::Instance &, std::optional<double>)
--- a/libraries/process/health/instanceselector.cpp
+++ b/libraries/process/health/instanceselector.cpp
@@ -413,6 +413,12 @@
         + " failure_age_ms=" + std::to_string(ageMilliseconds(state->second.lastFailure, now)) + (limit ? " limit=" + std::to_string(*limit) : "");
 }
 
+bool InstanceSelector::hasSucceededSince(std::uint32_t handle, SteadyTime time) const
+{
+    const auto known = this->states.find(handle);
+    return known != this->states.end() && known->second.lastSuccess && *known->second.lastSuccess >= time;
+}
+
 const InstanceTable &InstanceSelector::table() const
 {
     return this->instances;
--- a/libraries/process/proxy/upstreamtries.cpp
+++ b/libraries/process/proxy/upstreamtries.cpp
@@ -105,6 +105,9 @@
     state.preSendRefusal.reset();
     const UpstreamResult result = this->sender.send(this->createCall(context, instance, record, tryRecord.spanId, state));
     const TryClassification classification(result, this->admission.headerNames().notRun);
+    if (result.openedConnection) {
+        this->health.connectionOpened(instance);
+    }
     this->reportLimit(instance, result, classification.outcome());
     this->health.finish(instance, classification.outcome(), result.latency, context.fingerprint);
     tryRecord.duration = result.latency;
--- a/libraries/process/relay/entrynode.cpp
+++ b/libraries/process/relay/entrynode.cpp
@@ -18,6 +18,8 @@
 constexpr std::chrono::milliseconds fleetStartTime{3000};
 /// While a VM receives the updates of a smaller share of the fleet's VMs, they are too few to judge the instances by.
 constexpr double minimumVisibleShare = 0.3;
+/// An instance that a VM has had a response of within this time is working.
+constexpr std::chrono::milliseconds recentSuccessAge{1000};
 /// Longest wait of a request for the first configuration. After this wait, most requests can still be served within their target time.
 constexpr std::chrono::milliseconds maximumStartWait{800};
 
@@ -94,6 +96,17 @@
     }
 }
 
+InstancePathMonitor::Hooks pathHooks(const SteadyClock &clock)
+{
+    return {clock, [](bool isPartitioned, std::size_t failedHosts) {
+                if (isPartitioned) {
+                    LOG(WARNING) << "This VM is partitioned from all instances: connections to " << failedHosts << " hosts failed and none was established";
+                } else {
+                    LOG(INFO) << "This VM reaches instances again";
+                }
+            }};
+}
+
 RelayMessages::Registration incarnationOf(const hyssophall::fleet::v1::Instance &instance)
 {
     RelayMessages::Registration registration;
@@ -110,6 +123,7 @@
     , startedAt(this->clock())
     , board(boardOptions(settings, random))
     , activeCatalogue(std::make_shared<const ConfiguredCatalogue>(std::make_shared<const CatalogueMessages::Configuration>()))
+    , paths(pathHooks(this->clock))
 {
     SharedRateLimiter::Hooks limiterHooks;
     limiterHooks.clock = suspendAwareNow;
@@ -196,6 +210,11 @@
     return *this->relayUplink;
 }
 
+bool EntryNode::isPartitionedFromInstances() const
+{
+    return this->paths.isPartitioned();
+}
+
 std::optional<hyssophall::fleet::v1::Instance> EntryNode::choose(const InstanceQuery &query)
 {
     InstanceQuery completeQuery = query;
@@ -237,6 +256,9 @@
     RelayMessages::InstanceOutcomes &counts = *update.add_outcomes();
     counts.set_instance(InstanceTable::handleOf(incarnationOf(instance)));
     setOutcome(counts, outcome, latency);
+    if (outcome == TryOutcome::ConnectFailed) {
+        this->recordConnectFailed(instance);
+    }
     if (outcome == TryOutcome::ConnectionLost) {
         RelayMessages::LostRequest &lost = *update.add_lost_requests();
         lost.set_fingerprint(fingerprint);
@@ -252,6 +274,21 @@
     this->relayUplink->send(update);
 }
 
+void EntryNode::connectionOpened(const hyssophall::fleet::v1::Instance &instance)
+{
+    this->paths.recordConnected(instance.host());
+}
+
+void EntryNode::recordConnectFailed(const hyssophall::fleet::v1::Instance &instance)
+{
+    bool servesOthers = false;
+    {
+        std::lock_guard<std::mutex> lock(this->mutex);
+        servesOthers = this->board.hasSucceededSince(InstanceTable::handleOf(incarnationOf(instance)), this->clock() - recentSuccessAge);
+    }
+    this->paths.recordConnectFailed(instance.host(), servesOthers);
+}
+
 void EntryNode::limitNamed(const hyssophall::fleet::v1::Instance &instance, std::optional<double> requestsPerSecond)
 {
     RelayMessages::Update update;
--- a/libraries/process/relay/entrynode.h
+++ b/libraries/process/relay/entrynode.h
@@ -3,6 +3,7 @@
 #include "process/fleet/claimcoordinator.h"
 #include "process/fleet/servinglease.h"
 #include "process/health/instancehealth.h"
+#include "process/health/instancepathmonitor.h"
 #include "process/health/instanceselector.h"
 #include "process/health/poisonrequestdetector.h"
 #include "process/health/routestatistics.h"
@@ -45,9 +46,13 @@
     void awaitConfiguration(SteadyTime deadline);
     const RelayUplink &uplink() const;
 
+    /// Whether this VM is partitioned from all instances.
+    bool isPartitionedFromInstances() const;
+
     std::optional<hyssophall::fleet::v1::Instance> choose(const InstanceQuery &query) override;
     std::optional<std::chrono::milliseconds> perTryTimeout(const std::string &route) const override;
     void finish(const hyssophall::fleet::v1::Instance &instance, TryOutcome outcome, std::chrono::microseconds latency, std::uint64_t fingerprint) override;
+    void connectionOpened(const hyssophall::fleet::v1::Instance &instance) override;
     void limitNamed(const hyssophall::fleet::v1::Instance &instance, std::optional<double> requestsPerSecond) override;
     bool isPoison(std::uint64_t fingerprint) const override;
     /// Reports the outcome of the request to the other VMs.
@@ -58,6 +63,7 @@
     RelayMessages::Update greeting(const std::function<void()> &dropQueuedAdmissions) const;
     void receive(const RelayMessages::Update &update);
     void applyConfiguration(const CatalogueMessages::Configuration &configuration);
+    void recordConnectFailed(const hyssophall::fleet::v1::Instance &instance);
     void applyInstanceUpdates(const RelayMessages::Update &update);
 
     const Settings settings;
@@ -69,6 +75,7 @@
     std::shared_ptr<const ConfiguredCatalogue> activeCatalogue;
     std::condition_variable configured;
     PoisonRequestDetector lostRequests;
+    InstancePathMonitor paths;
     std::unique_ptr<SharedRateLimiter> limiter;
     std::unique_ptr<SharedRetryBudget> retryBudget;
     /// Declared last, since its thread uses all members above.
--- a/services/hyssophalld/relayparts.cpp
+++ b/services/hyssophalld/relayparts.cpp
@@ -145,6 +145,9 @@
     metrics.addGauge("hyssophall_relay_current", "1 while this VM's relay hears a majority of the relays and the leader of the control group.", [this] {
         return this->node->uplink().isCurrent() ? 1.0 : 0.0;
     });
+    metrics.addGauge("hyssophall_instances_reachable", "0 while this VM is partitioned from all instances, 1 otherwise.", [this] {
+        return this->node->isPartitionedFromInstances() ? 0.0 : 1.0;
+    });
     metrics.addGauge("hyssophall_visible_share", "Share of the fleet's VMs that this VM hears of.", [this] { return this->node->uplink().visibleShare(); });
     metrics.addGauge("hyssophall_knowledge_age_seconds", "Age of what this VM knows of the others; -1 before it has heard of them.", [this] {
         const std::optional<std::chrono::milliseconds> age = this->node->uplink().knowledgeAge();
