--- a/tests/unit/process/proxy/requesthandlertest.cpp
+++ b/tests/unit/process/proxy/requesthandlertest.cpp
@@ -223,3 +223,19 @@
     mocked.handle("GET", "/read", {{"X-Request-Timeout-Ms", "500"}});
     CATCH_CHECK_FALSE(mocked.sender.calls[2].tryDeadline);
 }
+
+// Guards against a response that tells the caller nothing although no instance was reached: an order that gets it can't be sent again.
+CATCH_TEST_CASE("A request whose tries reached no instance is refused as not run and told when to come back", "[proxy][true-refusal][lost-path]")
+{
+    for (const char *method : {"GET", "POST"}) {
+        MockedRequestHandler mocked;
+        for (int number = 0; number < 10; ++number) {
+            mocked.sender.addFailure(UpstreamFailureKind::ConnectFailed, false);
+        }
+        const CallerResponse response = mocked.handle(method, method == std::string("GET") ? "/read" : "/write");
+        CATCH_REQUIRE(response.refusal);
+        CATCH_CHECK(response.refusal->outcome == RequestOutcome::NotRun);
+        CATCH_CHECK(response.http.status == 503);
+        CATCH_CHECK(findHeader(response.http.headers, "Retry-After") != nullptr);
+    }
+}
