Proxy: Refuse a request that reached no instance as not run

A connection that isn't established now has a refusal code of its own, instance_unreachable: 503 with Retry-After of 1 s, as for other refusals that another VM may serve. If an earlier try may have run, it stays 502.

--- a/bench/outcomes/traffic.cpp
+++ b/bench/outcomes/traffic.cpp
@@ -13,7 +13,7 @@
 
 bool isFailureCode(const std::string &refusal)
 {
-    return refusal == "upstream_failed" || refusal == "answer_incomplete" || refusal == "deadline_exceeded";
+    return refusal == "upstream_failed" || refusal == "instance_unreachable" || refusal == "answer_incomplete" || refusal == "deadline_exceeded";
 }
 
 } // namespace
--- a/libraries/process/proxy/upstreamtries.cpp
+++ b/libraries/process/proxy/upstreamtries.cpp
@@ -143,7 +143,7 @@
     if (classification.isForwardable()) {
         total.response = CallerResponse{forwardedResponse(*result.response, *context.request), std::nullopt};
     } else {
-        Refusal refusal = state.preSendRefusal.value_or(classification.refusal(true));
+        Refusal refusal = state.preSendRefusal.value_or(classification.refusal(!total.mayHaveRun));
         refusal.outcome = total.mayHaveRun ? RequestOutcome::Unknown : RequestOutcome::NotRun;
         total.response = refusalResponse(refusal);
     }
--- a/libraries/request/refusal.cpp
+++ b/libraries/request/refusal.cpp
@@ -13,7 +13,7 @@
 };
 
 // In the order of RefusalCode.
-constexpr std::array<RefusalRow, 19> refusalRows{{
+constexpr std::array<RefusalRow, 20> refusalRows{{
     {"key_missing", 401},
     {"key_unknown", 401},
     {"route_unknown", 404},
@@ -31,6 +31,7 @@
     {"idempotency_key_reused", 422},
     {"poison_request", 422},
     {"deadline_exceeded", 504},
+    {"instance_unreachable", 503},
     {"upstream_failed", 502},
     {"answer_incomplete", 502},
 }};
--- a/libraries/request/refusal.h
+++ b/libraries/request/refusal.h
@@ -24,6 +24,8 @@
     IdempotencyKeyReused,
     PoisonRequest,
     DeadlineExceeded,
+    /// No connection to an instance could be established.
+    InstanceUnreachable,
     UpstreamFailed,
     AnswerIncomplete,
 };
--- a/libraries/request/tryclassification.cpp
+++ b/libraries/request/tryclassification.cpp
@@ -7,6 +7,9 @@
 /// 421 Misdirected Request: another instance now has the address that the request was sent to.
 constexpr int wrongInstanceStatus = 421;
 
+/// A caller that comes back after this time reaches another VM, or one that has learned meanwhile which instances work.
+constexpr std::chrono::milliseconds refusalRetryAfter{1000};
+
 /// Whether callers read the status as "the request wasn't run", as with the refusals of this fleet that have the same status.
 bool impliesNotRun(int status)
 {
@@ -44,6 +47,8 @@
 RefusalCode refusalCodeOf(UpstreamFailureKind kind)
 {
     switch (kind) {
+    case UpstreamFailureKind::ConnectFailed:
+        return RefusalCode::InstanceUnreachable;
     case UpstreamFailureKind::TimedOut:
         return RefusalCode::DeadlineExceeded;
     case UpstreamFailureKind::ResponseIncomplete:
@@ -124,8 +129,13 @@
 
 Refusal TryClassification::refusal(bool provenNotRun) const
 {
-    const std::chrono::milliseconds retryAfter(this->refusalCode == RefusalCode::Overloaded ? 1000 : 0);
-    return Refusal{this->refusalCode, provenNotRun ? RequestOutcome::NotRun : RequestOutcome::Unknown, retryAfter};
+    if (this->refusalCode == RefusalCode::InstanceUnreachable && !provenNotRun) {
+        // The status of this code would promise that the request wasn't run.
+        return Refusal{RefusalCode::UpstreamFailed, RequestOutcome::Unknown};
+    }
+    const bool mayComeBack = this->refusalCode == RefusalCode::Overloaded || this->refusalCode == RefusalCode::InstanceUnreachable;
+    return Refusal{
+        this->refusalCode, provenNotRun ? RequestOutcome::NotRun : RequestOutcome::Unknown, mayComeBack ? refusalRetryAfter : std::chrono::milliseconds(0)};
 }
 
 } // namespace Hyssophall
--- a/tests/unit/process/proxy/requesthandlertest.cpp
+++ b/tests/unit/process/proxy/requesthandlertest.cpp
@@ -239,3 +239,16 @@
         CATCH_CHECK(findHeader(response.http.headers, "Retry-After") != nullptr);
     }
 }
+
+// Guards against a refusal that promises that the request wasn't run, after a try that may have run it.
+CATCH_TEST_CASE("A request that reached no instance in its last try alone isn't refused as not run", "[proxy][true-refusal][lost-path]")
+{
+    MockedRequestHandler mocked;
+    mocked.sender.addFailure(UpstreamFailureKind::ConnectionLost, true);
+    for (int number = 0; number < 10; ++number) {
+        mocked.sender.addFailure(UpstreamFailureKind::ConnectFailed, false);
+    }
+    const CallerResponse response = mocked.handle("GET", "/read");
+    requireRefusal(response, RefusalCode::UpstreamFailed, RequestOutcome::Unknown);
+    CATCH_CHECK(response.http.status == 502);
+}
