Forwarding: Send the requests of a VM that reaches no instance through another VM

A partitioned VM tried one instance after the other, 300 ms each, while others had responses of the same instances.

Such a VM now passes each try to another VM, which only sends it to the instance and returns the result. Admission, key, limits, retry budget, deadline, choice and report stay with the VM that received the request, so each is counted once, and a try goes over one other VM at most. Relays report which VMs accept forwarded requests and which are partitioned themselves; a VM of the own failure domain goes first. A try that the other VM didn't get or accept wasn't sent and goes to another one; once a byte was sent, a missing result means that it may have run. If nobody accepts it, it is refused at once as not run. Failures on the way don't count against instances. The end of a partition is noticed by connections that are tried every 200 ms.

Tried before: the same over gRPC with a completion queue for each call. Tries now travel as HTTP posts with protobuf messages, on connections of their own. Also found there: requests that were sent before the partition and ended during it made three VMs believe that they reached instances again, since a connection counted when its request ended. It counts for the time at which it was opened.

--- a/libraries/connection/upstreamconnection.cpp
+++ b/libraries/connection/upstreamconnection.cpp
@@ -206,12 +206,15 @@
         return code;
     }
 
-    bool openedConnection() const
+    /// Time from the start of the transfer until a new connection was established; nothing if none was.
+    std::optional<std::chrono::microseconds> connectDuration() const
     {
         // Counts only connections that were established.
         long openedConnections = 0;
         curl_easy_getinfo(this->easy.get(), CURLINFO_NUM_CONNECTS, &openedConnections);
-        return openedConnections > 0;
+        curl_off_t microseconds = 0;
+        curl_easy_getinfo(this->easy.get(), CURLINFO_CONNECT_TIME_T, &microseconds);
+        return openedConnections > 0 ? std::optional<std::chrono::microseconds>(microseconds) : std::nullopt;
     }
 
     // Owns the connection between transfers, so it must outlive the easy handle.
@@ -300,8 +303,11 @@
     const HeaderList headers = headerList(call, std::chrono::duration_cast<std::chrono::milliseconds>(call.deadline - now));
     this->handle->prepare(call, remaining, headers, transfer);
     const CURLcode code = this->handle->perform(transfer);
-    result.openedConnection = this->handle->openedConnection();
-    result.reusedConnection = transfer.sendCount > 0 && !result.openedConnection;
+    const std::optional<std::chrono::microseconds> connectDuration = this->handle->connectDuration();
+    if (connectDuration) {
+        result.connectionOpenedAt = now + *connectDuration;
+    }
+    result.reusedConnection = transfer.sendCount > 0 && !connectDuration;
     if (code != CURLE_OK || !transfer.assembler.isComplete()) {
         this->handle->socket = CURL_SOCKET_BAD;
         result.failure = UpstreamFailure{failureKind(code, transfer), transfer.sendCount > 0, false};
--- a/libraries/connection/upstreamresult.h
+++ b/libraries/connection/upstreamresult.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "connection/httpmessage.h"
+#include "process/hooks.h"
 
 #include <chrono>
 #include <optional>
@@ -10,6 +11,8 @@
 enum class UpstreamFailureKind {
     /// No connection was established within the connect timeout or the deadline.
     ConnectFailed,
+    /// This VM is partitioned from all instances, and no other VM accepted the request.
+    NoPath,
     /// UpstreamCall::mayBeSent returned false.
     RejectedBeforeSend,
     /// The caller disconnected while the request was in flight, so it was aborted.
@@ -31,6 +34,8 @@
     bool mayHaveSent = false;
     /// A reused connection timed out although a new one could be established. The connection was stale, so the timeout isn't the fault of the instance.
     bool staleConnection = false;
+    /// The cause may lie between this VM and the instance, so the failure says nothing about the instance.
+    bool isPathFailure = false;
 };
 
 /// Result of one try on an upstream: exactly one of response and failure is set.
@@ -39,8 +44,10 @@
     std::optional<UpstreamFailure> failure;
     /// The request was sent on a connection that was open before.
     bool reusedConnection = false;
-    /// A new connection was established, whether or not the request was sent on it.
-    bool openedConnection = false;
+    /// When a new connection was established, whether or not the request was sent on it; empty if none was.
+    std::optional<SteadyTime> connectionOpenedAt = std::nullopt;
+    /// The VM that sent the request to the instance, if it wasn't this one.
+    std::string forwardedThrough;
     /// Duration of the try, including connecting.
     std::chrono::microseconds latency{0};
 };
--- a/libraries/connection/upstreamsender.h
+++ b/libraries/connection/upstreamsender.h
@@ -12,6 +12,9 @@
 
 /// One try of a request on one upstream instance.
 struct UpstreamCall {
+    /// Id of the instance and its failure domain; may be empty.
+    std::string instance;
+    std::string failureDomain;
     /// Numeric IPv4 or IPv6 address of the instance.
     std::string host;
     std::uint16_t port = 0;
--- a/libraries/process/health/instancehealth.h
+++ b/libraries/process/health/instancehealth.h
@@ -51,8 +51,8 @@
     /// it to the fleet, 100 ms at most for the owner of the fingerprint, so that a poison request is known before it is tried again.
     virtual void finish(const hyssophall::fleet::v1::Instance &instance, TryOutcome outcome, std::chrono::microseconds latency, std::uint64_t fingerprint) = 0;
 
-    /// Called when a try has opened a new connection to the instance, before finish().
-    virtual void connectionOpened(const hyssophall::fleet::v1::Instance &)
+    /// Called when a try that has ended opened a new connection to the instance at this time, before finish().
+    virtual void connectionOpened(const hyssophall::fleet::v1::Instance &, SteadyTime)
     {
     }
 
--- a/libraries/process/health/instancepathmonitor.cpp
+++ b/libraries/process/health/instancepathmonitor.cpp
@@ -23,12 +23,15 @@
 {
 }
 
-void InstancePathMonitor::recordConnected(const std::string &host)
+void InstancePathMonitor::recordConnected(const std::string &host, SteadyTime at)
 {
     std::size_t failedHosts = 0;
     {
         std::lock_guard<std::mutex> lock(this->mutex);
-        this->connectedAt = this->hooks.clock();
+        this->connectedAt = std::max(this->connectedAt.value_or(at), at);
+        if (this->failedAt && at < *this->failedAt) {
+            return;
+        }
         this->failures.erase(host);
         if (!this->partitioned) {
             this->failures.clear();
@@ -53,6 +56,7 @@
         std::lock_guard<std::mutex> lock(this->mutex);
         const SteadyTime now = this->hooks.clock();
         this->connectedInARow = 0;
+        this->failedAt = now;
         if (!this->partitioned) {
             std::erase_if(this->failures, [now](const std::pair<const std::string, Failure> &entry) { return now - entry.second.at > failureWindow; });
         }
--- a/libraries/process/health/instancepathmonitor.h
+++ b/libraries/process/health/instancepathmonitor.h
@@ -28,8 +28,9 @@
 
     explicit InstancePathMonitor(Hooks hooks);
 
-    /// A new connection to an instance on @p host was established.
-    void recordConnected(const std::string &host);
+    /// A new connection to an instance on @p host was established at this time, which may be some seconds ago. One that is older than the latest
+    /// failure shows nothing.
+    void recordConnected(const std::string &host, SteadyTime at);
 
     /// No connection to an instance on @p host could be established. @p servesOthers: other VMs have had responses of the instance meanwhile, so
     /// that the instance is unlikely to be the cause.
@@ -53,6 +54,7 @@
     /// Latest failure for each host since a connection was last established.
     std::map<std::string, Failure> failures;
     std::optional<SteadyTime> connectedAt;
+    std::optional<SteadyTime> failedAt;
     bool partitioned = false;
     /// Connections established in a row while partitioned.
     int connectedInARow = 0;
--- a/libraries/process/health/instancequery.h
+++ b/libraries/process/health/instancequery.h
@@ -16,6 +16,8 @@
     bool mayRetry = false;
     /// Whether this VM currently receives the outcomes of most other VMs.
     bool receivesFleetOutcomes = true;
+    /// Failure domain from which the request reaches the instance; empty for this VM's own.
+    std::string failureDomain;
     /// Size of the request's body.
     std::size_t requestBytes = 0;
     /// Ids of the instances on which this request was already tried.
--- a/libraries/process/health/instanceselector.cpp
+++ b/libraries/process/health/instanceselector.cpp
@@ -290,6 +290,7 @@
 InstanceSelector::RequestCosts InstanceSelector::requestCosts(const InstanceQuery &query, std::size_t responseBytes) const
 {
     RequestCosts costs;
+    costs.failureDomain = query.failureDomain.empty() ? this->options.ownFailureDomain : query.failureDomain;
     costs.failure = query.idempotent && query.mayRetry ? retryableFailureCost : 1;
     const double kilobytes = static_cast<double>(query.requestBytes + responseBytes) / bytesPerKilobyte;
     costs.crossDomain = this->options.crossDomainCost + this->options.crossDomainCostOfKilobyte * kilobytes;
@@ -324,7 +325,7 @@
     if (state.latency.count() > 0 && service.latency.count() > 0) {
         cost += std::clamp(highLatencyCost * (state.latency / service.latency - 1.3), 0.0, maximumHighLatencyCost);
     }
-    cost += registration.failure_domain() == this->options.ownFailureDomain ? 0 : costs.crossDomain;
+    cost += registration.failure_domain() == costs.failureDomain ? 0 : costs.crossDomain;
     cost += now < state.fullUntil ? fullInstanceCost : 0;
     // Far above the usual costs, so that an unreachable instance is chosen only when no other one is left.
     cost += now < state.unreachableUntil ? 10 : 0;
@@ -371,7 +372,7 @@
         std::erase_if(candidates, isUnhealthy);
     }
     for (Candidate &candidate : candidates) {
-        const bool isOtherDomain = candidate.registration->failure_domain() != this->options.ownFailureDomain;
+        const bool isOtherDomain = candidate.registration->failure_domain() != costs.failureDomain;
         const double randomFraction = static_cast<double>(this->options.random() % randomSteps) / randomSteps;
         candidate.cost
             = randomFraction * maximumRandomCost + (isOtherDomain ? costs.crossDomain : 0) + queueingCost * static_cast<double>(candidate.state->inFlight());
--- a/libraries/process/health/instanceselector.h
+++ b/libraries/process/health/instanceselector.h
@@ -140,6 +140,8 @@
     struct RequestCosts {
         double failure = 1;
         double crossDomain = 0;
+        /// Failure domain from which the request reaches the instance.
+        std::string failureDomain;
     };
 
     void applyTo(InstanceState &state, InFlightRequests &requests, const RelayMessages::InstanceOutcomes &outcomes, SteadyTime now);
--- a/libraries/process/proxy/upstreamtries.cpp
+++ b/libraries/process/proxy/upstreamtries.cpp
@@ -105,8 +105,8 @@
     state.preSendRefusal.reset();
     const UpstreamResult result = this->sender.send(this->createCall(context, instance, record, tryRecord.spanId, state));
     const TryClassification classification(result, this->admission.headerNames().notRun);
-    if (result.openedConnection) {
-        this->health.connectionOpened(instance);
+    if (result.connectionOpenedAt) {
+        this->health.connectionOpened(instance, *result.connectionOpenedAt);
     }
     this->reportLimit(instance, result, classification.outcome());
     this->health.finish(instance, classification.outcome(), result.latency, context.fingerprint);
@@ -114,6 +114,7 @@
     tryRecord.outcome = classification.outcome();
     tryRecord.status = result.response ? result.response->status : 0;
     tryRecord.reusedConnection = result.reusedConnection;
+    tryRecord.forwardedThrough = result.forwardedThrough;
     record.upstreamDuration += result.latency;
     record.tries.push_back(std::move(tryRecord));
     this->evaluateTry(context, record, result, classification, state);
@@ -186,6 +187,8 @@
 {
     const HeaderNames &names = this->admission.headerNames();
     UpstreamCall call;
+    call.instance = instance.id();
+    call.failureDomain = instance.failure_domain();
     call.host = instance.host();
     call.port = static_cast<std::uint16_t>(instance.port());
     call.request = context.request->http;
--- a/libraries/process/relay/entrynode.cpp
+++ b/libraries/process/relay/entrynode.cpp
@@ -96,15 +96,16 @@
     }
 }
 
-InstancePathMonitor::Hooks pathHooks(const SteadyClock &clock)
+hyssophall::fleet::v1::Instance instanceOf(const RelayMessages::Registration &registration)
 {
-    return {clock, [](bool isPartitioned, std::size_t failedHosts) {
-                if (isPartitioned) {
-                    LOG(WARNING) << "This VM is partitioned from all instances: connections to " << failedHosts << " hosts failed and none was established";
-                } else {
-                    LOG(INFO) << "This VM reaches instances again";
-                }
-            }};
+    hyssophall::fleet::v1::Instance instance;
+    instance.set_id(registration.id());
+    instance.set_service(registration.service());
+    instance.set_host(registration.host());
+    instance.set_port(registration.port());
+    instance.set_failure_domain(registration.failure_domain());
+    instance.set_incarnation(registration.started_at_milliseconds());
+    return instance;
 }
 
 RelayMessages::Registration incarnationOf(const hyssophall::fleet::v1::Instance &instance)
@@ -123,7 +124,9 @@
     , startedAt(this->clock())
     , board(boardOptions(settings, random))
     , activeCatalogue(std::make_shared<const ConfiguredCatalogue>(std::make_shared<const CatalogueMessages::Configuration>()))
-    , paths(pathHooks(this->clock))
+    , directory(settings.vm.id, settings.vm.failureDomain, random)
+    , random(random)
+    , paths({this->clock, [this](bool isPartitioned, std::size_t failedHosts) { this->pathStateChanged(isPartitioned, failedHosts); }})
 {
     SharedRateLimiter::Hooks limiterHooks;
     limiterHooks.clock = suspendAwareNow;
@@ -220,6 +223,9 @@
     InstanceQuery completeQuery = query;
     const double visibleShare = this->relayUplink->visibleShare();
     completeQuery.receivesFleetOutcomes = visibleShare >= minimumVisibleShare;
+    if (this->paths.isPartitioned()) {
+        completeQuery.failureDomain = this->directory.nearestFailureDomain(this->clock());
+    }
     RelayMessages::Update update;
     RelayMessages::InstanceOutcomes &counts = *update.add_outcomes();
     counts.set_started(1);
@@ -234,11 +240,7 @@
         }
         counts.set_instance(InstanceTable::handleOf(*chosen));
         this->board.applyOwn(counts, this->clock());
-        instance.set_id(chosen->id());
-        instance.set_service(chosen->service());
-        instance.set_host(chosen->host());
-        instance.set_port(chosen->port());
-        instance.set_incarnation(chosen->started_at_milliseconds());
+        instance = instanceOf(*chosen);
     }
     this->relayUplink->send(update);
     return instance;
@@ -301,9 +303,119 @@
     this->relayUplink->send(update);
 }
 
-void EntryNode::connectionOpened(const hyssophall::fleet::v1::Instance &instance)
+void EntryNode::connectionOpened(const hyssophall::fleet::v1::Instance &instance, SteadyTime at)
+{
+    this->recordConnected(instance.host(), at);
+}
+
+void EntryNode::recordConnected(const std::string &host, SteadyTime at)
+{
+    this->paths.recordConnected(host, at);
+}
+
+void EntryNode::pathStateChanged(bool isPartitioned, std::size_t failedHosts)
 {
-    this->paths.recordConnected(instance.host());
+    if (isPartitioned) {
+        LOG(WARNING) << "This VM is partitioned from all instances: connections to " << failedHosts << " hosts failed and none was established. "
+                     << this->directory.count(this->clock()) << " other VMs can forward its requests";
+    } else {
+        LOG(INFO) << "This VM reaches instances again";
+    }
+    this->reportPresence();
+    std::function<void(bool)> callback;
+    {
+        std::lock_guard<std::mutex> lock(this->mutex);
+        callback = this->pathChanged;
+    }
+    if (callback) {
+        callback(isPartitioned);
+    }
+}
+
+void EntryNode::setPathChanged(std::function<void(bool isPartitioned)> callback)
+{
+    std::lock_guard<std::mutex> lock(this->mutex);
+    this->pathChanged = std::move(callback);
+}
+
+void EntryNode::setForwardingAddress(const std::string &host, std::uint16_t port)
+{
+    {
+        std::lock_guard<std::mutex> lock(this->mutex);
+        this->forwardingHost = host;
+        this->forwardingPort = port;
+    }
+    this->reportPresence();
+}
+
+void EntryNode::clearForwardingAddress()
+{
+    this->setForwardingAddress(std::string(), 0);
+}
+
+VmDirectory &EntryNode::otherVms()
+{
+    return this->directory;
+}
+
+RelayMessages::VmPresence EntryNode::presence() const
+{
+    RelayMessages::VmPresence presence;
+    presence.set_vm(this->settings.vm.id);
+    presence.set_present(true);
+    presence.set_failure_domain(this->settings.vm.failureDomain);
+    presence.set_partitioned_from_instances(this->paths.isPartitioned());
+    std::lock_guard<std::mutex> lock(this->mutex);
+    presence.set_forwarding_host(this->forwardingHost);
+    presence.set_forwarding_port(this->forwardingPort);
+    return presence;
+}
+
+void EntryNode::reportPresence()
+{
+    RelayMessages::Update update;
+    *update.add_vms() = this->presence();
+    this->relayUplink->send(update);
+}
+
+bool EntryNode::isReady(const std::string &instanceId) const
+{
+    std::lock_guard<std::mutex> lock(this->mutex);
+    const RelayMessages::Registration *registration = this->board.table().find(instanceId);
+    return registration != nullptr && registration->state() == RelayMessages::REGISTRATION_STATE_READY;
+}
+
+std::optional<hyssophall::fleet::v1::Instance> EntryNode::randomInstance() const
+{
+    std::lock_guard<std::mutex> lock(this->mutex);
+    std::vector<const RelayMessages::Registration *> ready;
+    for (const std::pair<const std::string, RelayMessages::Registration> &entry : this->board.table().all()) {
+        if (entry.second.state() == RelayMessages::REGISTRATION_STATE_READY) {
+            ready.push_back(&entry.second);
+        }
+    }
+    return ready.empty() ? std::nullopt : std::optional<hyssophall::fleet::v1::Instance>(instanceOf(*ready[this->random() % ready.size()]));
+}
+
+void EntryNode::connectFailedForOtherVm(const std::string &instanceId, std::chrono::microseconds latency)
+{
+    RelayMessages::Update update;
+    RelayMessages::InstanceOutcomes &counts = *update.add_outcomes();
+    counts.set_started(1);
+    hyssophall::fleet::v1::Instance instance;
+    {
+        std::lock_guard<std::mutex> lock(this->mutex);
+        const RelayMessages::Registration *registration = this->board.table().find(instanceId);
+        if (registration == nullptr) {
+            return;
+        }
+        instance = instanceOf(*registration);
+        counts.set_instance(InstanceTable::handleOf(*registration));
+        this->board.applyOwn(counts, this->clock());
+    }
+    // The outcome that finish() reports ends a try, so its start is reported, too.
+    this->relayUplink->send(update);
+    this->finish(instance, TryOutcome::ConnectFailed, latency, 0);
 }
 
 void EntryNode::recordConnectFailed(const hyssophall::fleet::v1::Instance &instance)
@@ -382,6 +494,9 @@
     std::lock_guard<std::mutex> lock(this->mutex);
     first.mutable_greeting()->set_vm(this->settings.vm.id);
     first.mutable_greeting()->set_failure_domain(this->settings.vm.failureDomain);
+    first.mutable_greeting()->set_forwarding_host(this->forwardingHost);
+    first.mutable_greeting()->set_forwarding_port(this->forwardingPort);
+    first.mutable_greeting()->set_partitioned_from_instances(this->paths.isPartitioned());
     first.mutable_greeting()->set_configuration_version(this->activeCatalogue->configuration().version());
     // If all relays have restarted, they have no other source for instances that are leaving.
     for (const std::pair<const std::string, RelayMessages::Registration> &entry : this->board.table().all()) {
@@ -396,6 +511,7 @@
         this->applyConfiguration(update.configuration());
     }
     this->applyInstanceUpdates(update);
+    this->directory.apply(update);
     if (update.has_admissions()) {
         this->limiter->fillGaps(decodeAdmissions(update.admissions()));
     }
--- a/libraries/process/relay/entrynode.h
+++ b/libraries/process/relay/entrynode.h
@@ -2,6 +2,7 @@
 
 #include "process/fleet/claimcoordinator.h"
 #include "process/fleet/servinglease.h"
+#include "process/forwarding/vmdirectory.h"
 #include "process/health/instancehealth.h"
 #include "process/health/instancepathmonitor.h"
 #include "process/health/instanceselector.h"
@@ -50,10 +51,30 @@
     /// Whether this VM is partitioned from all instances.
     bool isPartitionedFromInstances() const;
 
+    /// Sets what is called, on any thread, when this VM becomes partitioned from all instances or reaches them again; may be empty.
+    void setPathChanged(std::function<void(bool isPartitioned)> callback);
+
+    /// Reports to the other VMs where this VM accepts forwarded requests, or that it accepts none, as at the start.
+    void setForwardingAddress(const std::string &host, std::uint16_t port);
+    void clearForwardingAddress();
+    VmDirectory &otherVms();
+
+    /// Whether the instance is registered and not leaving.
+    bool isReady(const std::string &instanceId) const;
+
+    /// A registered instance chosen at random, or nothing if there is none.
+    std::optional<hyssophall::fleet::v1::Instance> randomInstance() const;
+
+    /// Called when a connection to an instance on this host was established for another purpose than a request of this VM.
+    void recordConnected(const std::string &host, SteadyTime at);
+
+    /// Called when this VM couldn't connect to the instance for a request of another VM.
+    void connectFailedForOtherVm(const std::string &instanceId, std::chrono::microseconds latency);
+
     std::optional<hyssophall::fleet::v1::Instance> choose(const InstanceQuery &query) override;
     std::optional<std::chrono::milliseconds> perTryTimeout(const std::string &route) const override;
     void finish(const hyssophall::fleet::v1::Instance &instance, TryOutcome outcome, std::chrono::microseconds latency, std::uint64_t fingerprint) override;
-    void connectionOpened(const hyssophall::fleet::v1::Instance &instance) override;
+    void connectionOpened(const hyssophall::fleet::v1::Instance &instance, SteadyTime at) override;
     void limitNamed(const hyssophall::fleet::v1::Instance &instance, std::optional<double> requestsPerSecond) override;
     bool isPoison(std::uint64_t fingerprint) const override;
     /// Reports the outcome of the request to the other VMs.
@@ -65,6 +86,9 @@
     void receive(const RelayMessages::Update &update);
     void applyConfiguration(const CatalogueMessages::Configuration &configuration);
     void recordConnectFailed(const hyssophall::fleet::v1::Instance &instance);
+    void pathStateChanged(bool isPartitioned, std::size_t failedHosts);
+    RelayMessages::VmPresence presence() const;
+    void reportPresence();
     /// Reports the connection failures whose cause is known by now.
     void reportConnectFailures();
     void applyInstanceUpdates(const RelayMessages::Update &update);
@@ -78,6 +102,11 @@
     std::shared_ptr<const ConfiguredCatalogue> activeCatalogue;
     std::condition_variable configured;
     PoisonRequestDetector lostRequests;
+    VmDirectory directory;
+    std::string forwardingHost;
+    std::uint16_t forwardingPort = 0;
+    std::function<void(bool)> pathChanged;
+    const RandomSource random;
     InstancePathMonitor paths;
     PendingConnectFailures connectFailures;
     std::unique_ptr<SharedRateLimiter> limiter;
--- a/libraries/process/relay/relayhub.cpp
+++ b/libraries/process/relay/relayhub.cpp
@@ -19,6 +19,18 @@
     return reduced;
 }
 
+RelayMessages::VmPresence presenceOf(const RelayMessages::Greeting &greeting)
+{
+    RelayMessages::VmPresence presence;
+    presence.set_vm(greeting.vm());
+    presence.set_present(true);
+    presence.set_failure_domain(greeting.failure_domain());
+    presence.set_forwarding_host(greeting.forwarding_host());
+    presence.set_forwarding_port(greeting.forwarding_port());
+    presence.set_partitioned_from_instances(greeting.partitioned_from_instances());
+    return presence;
+}
+
 } // namespace
 
 RelayHub::RelayHub(Options options, Hooks hooks)
@@ -143,7 +155,12 @@
         if (subscriber->isRelay()) {
             initial.clear_summaries();
         } else {
-            this->recordVm(subscriber->greeting.vm(), true);
+            subscriber->presence = presenceOf(subscriber->greeting);
+            this->recordVm(*subscriber);
+            initial.set_all_vms(true);
+            for (const std::pair<const std::string, RelayMessages::VmPresence> &entry : this->connectedVms()) {
+                *initial.add_vms() = entry.second;
+            }
             if (this->configuration->version() > subscriber->greeting.configuration_version()) {
                 *initial.mutable_configuration() = *this->configuration;
             }
@@ -171,14 +188,7 @@
         if (!subscriber.isRelay()) {
             this->sendToPeers(changed);
         }
-        for (const RelayMessages::VmPresence &vm : update.vms()) {
-            if (vm.present()) {
-                subscriber.vms.insert(vm.vm());
-            } else {
-                subscriber.vms.erase(vm.vm());
-            }
-            this->vmsLastSeen[vm.vm()] = this->options.clock();
-        }
+        this->applyPresence(subscriber, update);
     }
     subscriber.confirmed = update.sequence();
     if (!update.registrations().empty() || !update.teams().empty()) {
@@ -208,7 +218,8 @@
             this->subscribers.end(),
             [&subscriber](const std::shared_ptr<RelaySubscriber> &other) { return other->greeting.vm() == subscriber->greeting.vm(); });
         if (!subscriber->isRelay() && !hasReconnected) {
-            this->recordVm(subscriber->greeting.vm(), false);
+            subscriber->presence.set_present(false);
+            this->recordVm(*subscriber);
         }
     }
     LOG(INFO) << (subscriber->isRelay() ? "Relay " : "VM ") << subscriber->greeting.vm() << " disconnected";
@@ -228,9 +239,7 @@
     first.mutable_greeting()->set_known_vms(this->knownVms(this->options.clock()));
     for (const std::shared_ptr<RelaySubscriber> &subscriber : this->subscribers) {
         if (!subscriber->isRelay()) {
-            RelayMessages::VmPresence &vm = *first.add_vms();
-            vm.set_vm(subscriber->greeting.vm());
-            vm.set_present(true);
+            *first.add_vms() = subscriber->presence;
         }
     }
     return first;
@@ -309,7 +318,9 @@
         }
         const auto peer = this->peers.find(subscriber->greeting.relay_address());
         if (peer != this->peers.end() && peer->second->isConnected) {
-            visible.insert(subscriber->vms.begin(), subscriber->vms.end());
+            for (const std::pair<const std::string, RelayMessages::VmPresence> &entry : subscriber->vms) {
+                visible.insert(entry.first);
+            }
         }
     }
     for (const std::string &vm : visible) {
@@ -389,14 +400,54 @@
     this->sendToVms(update, nullptr);
 }
 
-void RelayHub::recordVm(const std::string &vm, bool present)
+void RelayHub::recordVm(const RelaySubscriber &subscriber)
 {
-    this->vmsLastSeen[vm] = this->options.clock();
+    this->vmsLastSeen[subscriber.presence.vm()] = this->options.clock();
     RelayMessages::Update update;
-    RelayMessages::VmPresence &presence = *update.add_vms();
-    presence.set_vm(vm);
-    presence.set_present(present);
+    *update.add_vms() = subscriber.presence;
     this->sendToPeers(update);
+    // A VM that has moved to another relay is still present.
+    if (subscriber.presence.present() || !this->connectedVms().contains(subscriber.presence.vm())) {
+        this->sendToVms(update, &subscriber);
+    }
+}
+
+void RelayHub::applyPresence(RelaySubscriber &subscriber, const RelayMessages::Update &update)
+{
+    for (const RelayMessages::VmPresence &vm : update.vms()) {
+        if (!subscriber.isRelay()) {
+            subscriber.presence = vm;
+            subscriber.presence.set_vm(subscriber.greeting.vm());
+            subscriber.presence.set_present(true);
+            this->recordVm(subscriber);
+            continue;
+        }
+        if (vm.present()) {
+            subscriber.vms[vm.vm()] = vm;
+        } else {
+            subscriber.vms.erase(vm.vm());
+        }
+        this->vmsLastSeen[vm.vm()] = this->options.clock();
+        // A VM that has moved to another relay may be reported by that one before the former relay reports its end.
+        if (vm.present() || !this->connectedVms().contains(vm.vm())) {
+            RelayMessages::Update presence;
+            *presence.add_vms() = vm;
+            this->sendToVms(presence, nullptr);
+        }
+    }
+}
+
+std::map<std::string, RelayMessages::VmPresence> RelayHub::connectedVms() const
+{
+    std::map<std::string, RelayMessages::VmPresence> connected;
+    for (const std::shared_ptr<RelaySubscriber> &subscriber : this->subscribers) {
+        if (subscriber->isRelay()) {
+            connected.insert(subscriber->vms.begin(), subscriber->vms.end());
+        } else {
+            connected[subscriber->presence.vm()] = subscriber->presence;
+        }
+    }
+    return connected;
 }
 
 RelayMessages::Update RelayHub::fullState()
--- a/libraries/process/relay/relayhub.h
+++ b/libraries/process/relay/relayhub.h
@@ -26,8 +26,10 @@
     UpdateBuffer buffer;
     /// Highest sequence among the subscriber's messages that this relay has applied.
     std::atomic<std::uint64_t> confirmed{0};
-    /// For a relay: the VMs that are connected to it.
-    std::set<std::string> vms;
+    /// For a VM: what it reports of itself.
+    RelayMessages::VmPresence presence;
+    /// For a relay: the VMs that are connected to it, by name.
+    std::map<std::string, RelayMessages::VmPresence> vms;
 
     bool isRelay() const
     {
@@ -128,7 +130,10 @@
     void sendToVms(const RelayMessages::Update &update, const RelaySubscriber *excluded);
     void sendToPeers(const RelayMessages::Update &update);
     void sendRelayState(const RelayPeer &peer);
-    void recordVm(const std::string &vm, bool present);
+    void recordVm(const RelaySubscriber &subscriber);
+    void applyPresence(RelaySubscriber &subscriber, const RelayMessages::Update &update);
+    /// The VMs that are connected to this relay or to a relay that is connected to it, by name.
+    std::map<std::string, RelayMessages::VmPresence> connectedVms() const;
     RelayMessages::Update fullState();
     /// The VMs that are connected to this relay or to a relay that it is connected to. Also records their share of the fleet.
     std::set<std::string> visibleVms(SteadyTime now);
--- a/libraries/process/relay/updatebuffer.cpp
+++ b/libraries/process/relay/updatebuffer.cpp
@@ -52,6 +52,7 @@
     this->pending.mutable_lost_requests()->MergeFrom(update.lost_requests());
     this->pending.mutable_relays()->MergeFrom(update.relays());
     this->pending.mutable_vms()->MergeFrom(update.vms());
+    this->pending.set_all_vms(this->pending.all_vms() || update.all_vms());
     this->pending.mutable_unreported()->MergeFrom(update.unreported());
     if (update.has_admissions()) {
         *this->pending.mutable_admissions() = update.admissions();
--- a/libraries/process/telemetry/requestlog.cpp
+++ b/libraries/process/telemetry/requestlog.cpp
@@ -27,6 +27,9 @@
             {"status", tried.status},
             {"reused_connection", tried.reusedConnection},
             {"ms", milliseconds(tried.duration)}});
+        if (!tried.forwardedThrough.empty()) {
+            tries.back()["through"] = tried.forwardedThrough;
+        }
     }
     return tries;
 }
--- a/libraries/request/requestrecord.h
+++ b/libraries/request/requestrecord.h
@@ -27,6 +27,8 @@
     /// HTTP status; zero if no complete response was received.
     int status = 0;
     bool reusedConnection = false;
+    /// The VM that sent the request to the instance, if it wasn't this one.
+    std::string forwardedThrough = {};
 };
 
 /// One finished request, for telemetry. It never contains the caller's key.
--- a/libraries/request/tryclassification.cpp
+++ b/libraries/request/tryclassification.cpp
@@ -26,9 +26,13 @@
 
 TryOutcome outcomeOf(const UpstreamFailure &failure)
 {
+    if (failure.isPathFailure && failure.kind != UpstreamFailureKind::ConnectFailed) {
+        return TryOutcome::Neutral;
+    }
     switch (failure.kind) {
     case UpstreamFailureKind::ConnectFailed:
         return TryOutcome::ConnectFailed;
+    case UpstreamFailureKind::NoPath:
     case UpstreamFailureKind::RejectedBeforeSend:
     case UpstreamFailureKind::CallerDisconnected:
         return TryOutcome::Neutral;
@@ -48,6 +52,7 @@
 {
     switch (kind) {
     case UpstreamFailureKind::ConnectFailed:
+    case UpstreamFailureKind::NoPath:
         return RefusalCode::InstanceUnreachable;
     case UpstreamFailureKind::TimedOut:
         return RefusalCode::DeadlineExceeded;
@@ -68,10 +73,10 @@
         this->provenNotRun = !result.failure->mayHaveSent;
         this->outcomeOfTry = outcomeOf(*result.failure);
         this->refusalCode = refusalCodeOf(result.failure->kind);
-        // A retry would be refused before sending as well, get a response that is too large as well, or have no caller to respond to.
+        // A retry would find no path and be refused before sending as well, get a response that is too large as well, or have no caller to respond to.
         const UpstreamFailureKind kind = result.failure->kind;
-        this->retryable = kind != UpstreamFailureKind::RejectedBeforeSend && kind != UpstreamFailureKind::ResponseTooLarge
-            && kind != UpstreamFailureKind::CallerDisconnected;
+        this->retryable = kind != UpstreamFailureKind::NoPath && kind != UpstreamFailureKind::RejectedBeforeSend
+            && kind != UpstreamFailureKind::ResponseTooLarge && kind != UpstreamFailureKind::CallerDisconnected;
         return;
     }
     if (provesNotRun(*result.response, notRunHeader)) {
--- a/services/hyssophalld/daemon.cpp
+++ b/services/hyssophalld/daemon.cpp
@@ -9,6 +9,7 @@
 #include <glog/logging.h>
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
 #include <thread>
 
 namespace Hyssophall {
@@ -68,8 +69,8 @@
     if (!telemetry) {
         return telemetry.error();
     }
-    BOOST_LEAF_CHECK(this->startParts());
     this->client = std::make_unique<UpstreamClient>(clientOptions(this->settings));
+    BOOST_LEAF_CHECK(this->startParts());
     this->requestHandler = std::make_unique<RequestHandler>(this->requestHandlerDependencies(), requestHandlerOptions(this->settings));
     this->addGauges();
     return this->startCallerEndpoint();
@@ -80,7 +81,7 @@
     const std::function<std::string()> metricsText = [this] { return this->metrics->text(); };
     const std::function<bool()> isAcceptingCallers = [this] { return !this->stopping; };
     if (this->settings.relay.enabled) {
-        BOOST_LEAF_ASSIGN(this->parts, RelayParts::create(this->settings, {metricsText, isAcceptingCallers}));
+        BOOST_LEAF_ASSIGN(this->parts, RelayParts::create(this->settings, *this->client, {metricsText, isAcceptingCallers}));
         return {};
     }
     BOOST_LEAF_ASSIGN(this->parts, FleetParts::create(this->settings, *this->store, {metricsText, isAcceptingCallers}));
@@ -125,7 +126,7 @@
         this->parts->claims(),
         this->parts->capacity(),
         this->parts->health(),
-        *this->client,
+        this->parts->sender(*this->client),
         this->parts->retries(),
         std::chrono::steady_clock::now,
         systemRandom,
@@ -153,13 +154,19 @@
     steps.markUnready = [this] {
         this->stopping = true;
         this->callers->beginDrain();
+        this->parts->beginDrain();
     };
     steps.sleep = [](std::chrono::milliseconds duration) { std::this_thread::sleep_for(duration); };
     steps.stopAccepting = [this] {
         this->requestHandler->stopAccepting();
         this->callers->stopAccepting();
     };
-    steps.waitUntilIdle = [this](std::chrono::milliseconds limit) { return this->callers->waitUntilIdle(limit); };
+    steps.waitUntilIdle = [this](std::chrono::milliseconds limit) {
+        const SteadyTime end = std::chrono::steady_clock::now() + limit;
+        const bool isIdle = this->callers->waitUntilIdle(limit);
+        const SteadyTime now = std::chrono::steady_clock::now();
+        return this->parts->waitUntilIdle(std::max(std::chrono::milliseconds(0), std::chrono::duration_cast<std::chrono::milliseconds>(end - now))) && isIdle;
+    };
     steps.leaveFleet = [this] { this->parts->leave(); };
     LOG(INFO) << "Shutting down with " << this->callers->requestsInFlight() << " requests in flight";
     const bool finished = ShutdownSequence(this->settings.shutdown, steps).run();
--- a/services/hyssophalld/relayparts.cpp
+++ b/services/hyssophalld/relayparts.cpp
@@ -1,5 +1,6 @@
 #include "relayparts.h"
 
+#include "connection/connectprobe.h"
 #include "systemrandom.h"
 
 #include <glog/logging.h>
@@ -9,6 +10,13 @@
 
 namespace Hyssophall {
 
+namespace {
+
+/// A hundred times the round trip between failure domains.
+constexpr std::chrono::milliseconds probeTimeout{200};
+
+} // namespace
+
 /// The serving lease of a fleet with relays. A partitioned VM continues to serve with the state that it has, unless the setting fail_closed is on.
 class RelayParts::Lease : public ServingLease
 {
@@ -67,9 +75,12 @@
     };
 };
 
-boost::leaf::result<std::unique_ptr<RelayParts>> RelayParts::create(const Settings &settings, Hooks hooks)
+boost::leaf::result<std::unique_ptr<RelayParts>> RelayParts::create(const Settings &settings, UpstreamSender &direct, Hooks hooks)
 {
     std::unique_ptr<RelayParts> parts(new RelayParts(settings, std::move(hooks)));
+    BOOST_LEAF_ASSIGN(parts->forwarding, ForwardingNode::create(settings, *parts->node, direct, [](const InstancePathProbe::Address &address) {
+        return canConnect(address.host, address.port, probeTimeout);
+    }));
     BOOST_LEAF_ASSIGN(parts->administration,
         Administration::AdministrationServer::create([raw = parts.get()](const Administration::HttpRequest &request) { return raw->status->handle(request); },
             settings.listen.administration,
@@ -148,6 +159,15 @@
     metrics.addGauge("hyssophall_instances_reachable", "0 while this VM is partitioned from all instances, 1 otherwise.", [this] {
         return this->node->isPartitionedFromInstances() ? 0.0 : 1.0;
     });
+    metrics.addGauge("hyssophall_forwarding_vms", "Other VMs that can forward requests of this VM.", [this] {
+        return static_cast<double>(this->node->otherVms().count(std::chrono::steady_clock::now()));
+    });
+    metrics.addGauge("hyssophall_forwarded_requests", "Tries that other VMs have sent for this VM since the start.", [this] {
+        return static_cast<double>(this->forwarding->sender().forwardedCount());
+    });
+    metrics.addGauge("hyssophall_forwarded_for_others", "Tries of other VMs that this VM has sent since the start.", [this] {
+        return static_cast<double>(this->forwarding->acceptedCount());
+    });
     metrics.addGauge("hyssophall_visible_share", "Share of the fleet's VMs that this VM hears of.", [this] { return this->node->uplink().visibleShare(); });
     metrics.addGauge("hyssophall_knowledge_age_seconds", "Age of what this VM knows of the others; -1 before it has heard of them.", [this] {
         const std::optional<std::chrono::milliseconds> age = this->node->uplink().knowledgeAge();
@@ -163,6 +183,21 @@
     this->node->awaitConfiguration(deadline);
 }
 
+UpstreamSender &RelayParts::sender(UpstreamSender &)
+{
+    return this->forwarding->sender();
+}
+
+void RelayParts::beginDrain()
+{
+    this->forwarding->stopAccepting();
+}
+
+bool RelayParts::waitUntilIdle(std::chrono::milliseconds limit)
+{
+    return this->forwarding->waitUntilIdle(limit);
+}
+
 void RelayParts::leave()
 {
     LOG(INFO) << "Leaving the fleet";
--- a/services/hyssophalld/relayparts.h
+++ b/services/hyssophalld/relayparts.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "process/administration/administrationserver.h"
+#include "process/forwarding/forwardingnode.h"
 #include "process/relay/entrynode.h"
 #include "process/settings/settings.h"
 #include "statusendpoint.h"
@@ -24,8 +25,9 @@
         std::function<bool()> isAcceptingCallers;
     };
 
-    /// Starts to connect to a relay and opens the administration port. Errors: Administration::ServerNotStarted.
-    static boost::leaf::result<std::unique_ptr<RelayParts>> create(const Settings &settings, Hooks hooks);
+    /// Starts to connect to a relay and opens the administration port and the fleet port. @p direct sends requests to instances and must outlive the
+    /// parts. Errors: Administration::ServerNotStarted, EndpointFailure.
+    static boost::leaf::result<std::unique_ptr<RelayParts>> create(const Settings &settings, UpstreamSender &direct, Hooks hooks);
     ~RelayParts() override;
 
     CatalogueLookupSource catalogue() override;
@@ -38,6 +40,9 @@
     RequestObserver *observer() override;
     void addGauges(RequestMetrics &metrics) override;
     void awaitCatalogue(SteadyTime deadline) override;
+    UpstreamSender &sender(UpstreamSender &direct) override;
+    void beginDrain() override;
+    bool waitUntilIdle(std::chrono::milliseconds limit) override;
     void leave() override;
 
 private:
@@ -51,6 +56,7 @@
 
     const Hooks hooks;
     std::unique_ptr<EntryNode> node;
+    std::unique_ptr<ForwardingNode> forwarding;
     std::unique_ptr<Lease> lease;
     std::unique_ptr<RefusingClaimCoordinator> claimCoordinator;
     std::unique_ptr<UnlimitedCapacityQueue> capacityQueue;
--- a/services/hyssophalld/vmparts.h
+++ b/services/hyssophalld/vmparts.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "connection/upstreamsender.h"
 #include "process/fleet/claimcoordinator.h"
 #include "process/fleet/servinglease.h"
 #include "process/health/instancehealth.h"
@@ -36,6 +37,23 @@
     {
     }
 
+    /// Sends the tries of this VM's requests. @p direct sends them from this VM itself.
+    virtual UpstreamSender &sender(UpstreamSender &direct)
+    {
+        return direct;
+    }
+
+    /// The first step of a shutdown: from now on accepts no work of other VMs.
+    virtual void beginDrain()
+    {
+    }
+
+    /// Waits until no work of other VMs is in flight, or for @p limit. Returns whether none is.
+    virtual bool waitUntilIdle(std::chrono::milliseconds)
+    {
+        return true;
+    }
+
     /// Leaves the fleet; the last step of a shutdown.
     virtual void leave() = 0;
 };
--- a/tests/unit/connection/upstreamclienttest.cpp
+++ b/tests/unit/connection/upstreamclienttest.cpp
@@ -467,7 +467,7 @@
         call = callTo(upstream, "GET");
         UpstreamClient client({});
         const UpstreamResult first = client.send(call);
-        CATCH_CHECK(first.openedConnection);
+        CATCH_CHECK(first.connectionOpenedAt);
         CATCH_CHECK(!first.reusedConnection);
     }
     // Nobody listens on the port any more.
@@ -476,5 +476,5 @@
     CATCH_REQUIRE(result.failure);
     CATCH_CHECK(result.failure->kind == UpstreamFailureKind::ConnectFailed);
     CATCH_CHECK(!result.reusedConnection);
-    CATCH_CHECK(!result.openedConnection);
+    CATCH_CHECK(!result.connectionOpenedAt);
 }
--- a/tests/unit/process/forwarding/forwardingfleet.h
+++ b/tests/unit/process/forwarding/forwardingfleet.h
@@ -3,6 +3,7 @@
 #include "harness/ports.h"
 #include "harness/testfleet.h"
 #include "process/fleet/fleetserver.h"
+#include "process/forwarding/forwardingnode.h"
 #include "process/proxy/requesthandler.h"
 #include "process/relay/entrynode.h"
 #include "process/relay/relayhub.h"
@@ -31,12 +32,15 @@
             result.failure = Hyssophall::UpstreamFailure{Hyssophall::UpstreamFailureKind::ConnectFailed, false, false};
             return result;
         }
-        result.openedConnection = true;
+        result.connectionOpenedAt = std::chrono::steady_clock::now();
         if (call.mayBeSent && !call.mayBeSent()) {
             result.failure = Hyssophall::UpstreamFailure{Hyssophall::UpstreamFailureKind::RejectedBeforeSend, false, false};
             return result;
         }
         const std::string *order = Hyssophall::findHeader(call.request.headers, "X-Order");
+        for (const Hyssophall::HttpHeader &header : call.request.headers) {
+            this->sawKey = this->sawKey || header.value.find("red-key") != std::string::npos;
+        }
         std::lock_guard<std::mutex> lock(this->mutex);
         ++this->runs[order == nullptr ? std::string() : *order];
         ++this->runsOnHost[call.host];
@@ -57,6 +61,8 @@
     }
 
     std::atomic<bool> isPartitioned{false};
+    /// Whether a request had the caller's key in a header.
+    std::atomic<bool> sawKey{false};
 
 private:
     std::mutex mutex;
@@ -69,14 +75,16 @@
 {
 public:
     ForwardingVm(const std::string &id, const std::string &host, const std::string &relayHost, int fleetPort)
-        : node(settingsOf(id, host, relayHost, fleetPort), std::chrono::steady_clock::now, [this] { return ++this->counter; })
+        : settings(settingsOf(id, host, relayHost, fleetPort))
+        , node(this->settings, std::chrono::steady_clock::now, [this] { return ++this->counter; })
+        , forwarding(this->createForwarding())
         , handler({[this] { return this->lookup; },
                       this->lease,
                       this->limiter,
                       this->claims,
                       this->capacity,
                       this->node,
-                      this->instances,
+                      this->forwarding->sender(),
                       this->node.retries(),
                       std::chrono::steady_clock::now,
                       [this] { return ++this->counter; },
@@ -100,10 +108,27 @@
     MockClaims claims;
     MockCapacity capacity;
     std::atomic<std::uint64_t> counter{0};
+    const Hyssophall::Settings settings;
     Hyssophall::EntryNode node;
+    std::unique_ptr<Hyssophall::ForwardingNode> forwarding;
     Hyssophall::RequestHandler handler;
 
 private:
+    std::unique_ptr<Hyssophall::ForwardingNode> createForwarding()
+    {
+        std::unique_ptr<Hyssophall::ForwardingNode> created;
+        boost::leaf::try_handle_all(
+            [&]() -> boost::leaf::result<void> {
+                BOOST_LEAF_ASSIGN(created,
+                    Hyssophall::ForwardingNode::create(this->settings, this->node, this->instances, [this](const Hyssophall::InstancePathProbe::Address &) {
+                        return !this->instances.isPartitioned;
+                    }));
+                return {};
+            },
+            [] { CATCH_FAIL("The VM's fleet port can't be opened"); });
+        return created;
+    }
+
     static Hyssophall::Settings settingsOf(const std::string &id, const std::string &host, const std::string &relayHost, int fleetPort)
     {
         Hyssophall::Settings settings;
@@ -161,7 +186,8 @@
         }
     }
 
-    void addInstance(const std::string &id, const std::string &host, std::uint32_t port, const std::string &failureDomain) const
+    static Hyssophall::RelayMessages::Registration registrationOf(
+        const std::string &id, const std::string &host, std::uint32_t port, const std::string &failureDomain)
     {
         Hyssophall::RelayMessages::Registration registration;
         registration.set_id(id);
@@ -173,7 +199,12 @@
         registration.set_state(Hyssophall::RelayMessages::REGISTRATION_STATE_READY);
         registration.set_started_at_milliseconds(1);
         registration.set_sequence(1);
-        this->hub->publish(registration, false, Hyssophall::SteadyTime());
+        return registration;
+    }
+
+    void addInstance(const std::string &id, const std::string &host, std::uint32_t port, const std::string &failureDomain) const
+    {
+        this->hub->publish(registrationOf(id, host, port, failureDomain), false, Hyssophall::SteadyTime());
     }
 
     const int fleetPort = Hyssophall::Harness::findFreePort();
--- a/tests/unit/process/health/instancepathmonitortest.cpp
+++ b/tests/unit/process/health/instancepathmonitortest.cpp
@@ -27,9 +27,9 @@
     CATCH_CHECK(fixture.monitor.isPartitioned());
     CATCH_CHECK(fixture.changes == 1);
     // One connection may be a coincidence.
-    fixture.monitor.recordConnected("10.0.0.3");
+    fixture.monitor.recordConnected("10.0.0.3", fixture.now);
     CATCH_CHECK(fixture.monitor.isPartitioned());
-    fixture.monitor.recordConnected("10.0.0.4");
+    fixture.monitor.recordConnected("10.0.0.4", fixture.now);
     CATCH_CHECK(!fixture.monitor.isPartitioned());
     CATCH_CHECK(fixture.changes == 2);
 }
@@ -43,7 +43,7 @@
         fixture.monitor.recordConnectFailed("10.0.0.1", true);
     }
     CATCH_CHECK(!fixture.monitor.isPartitioned());
-    fixture.monitor.recordConnected("10.0.0.2");
+    fixture.monitor.recordConnected("10.0.0.2", fixture.now);
     fixture.monitor.recordConnectFailed("10.0.0.3", true);
     CATCH_CHECK(!fixture.monitor.isPartitioned());
     fixture.now += 3s;
@@ -62,3 +62,20 @@
     fixture.monitor.recordConnectFailed("10.0.0.4", false);
     CATCH_CHECK(fixture.monitor.isPartitioned());
 }
+
+// Guards against a request that was sent before the partition and ends during it, and so seems to show that the VM reaches instances.
+CATCH_TEST_CASE("A connection that was opened before the latest failure doesn't end a partition", "[health][lost-path]")
+{
+    MonitorFixture fixture;
+    const SteadyTime before = fixture.now;
+    fixture.now += 300ms;
+    fixture.monitor.recordConnectFailed("10.0.0.1", true);
+    fixture.monitor.recordConnected("10.0.0.2", before);
+    fixture.monitor.recordConnectFailed("10.0.0.3", true);
+    CATCH_REQUIRE(fixture.monitor.isPartitioned());
+    fixture.now += 1s;
+    fixture.monitor.recordConnected("10.0.0.4", before);
+    fixture.monitor.recordConnected("10.0.0.5", before);
+    CATCH_CHECK(fixture.monitor.isPartitioned());
+    CATCH_CHECK(fixture.monitor.lastConnected() == before);
+}
--- a/tests/unit/process/relay/relayhubtest.cpp
+++ b/tests/unit/process/relay/relayhubtest.cpp
@@ -270,3 +270,46 @@
     // A VM that connects later gets it with the record of the window.
     CATCH_CHECK(fixture.nextMessage(fixture.connect("vm-4")->buffer).admissions().teams(0).counts(0) == 4);
 }
+
+// Guards against VMs that forward to one that has ended or is partitioned, and against one that is forgotten because it moved to another relay.
+CATCH_TEST_CASE("Relays report to VMs which other VMs accept forwarded requests", "[relay][forwarding]")
+{
+    HubFixture fixture;
+    const std::shared_ptr<RelaySubscriber> relay = fixture.connect("relay-2", "10.0.0.2:7000");
+    RelayMessages::Update remote;
+    remote.add_vms()->set_vm("vm-9");
+    remote.mutable_vms(0)->set_present(true);
+    remote.mutable_vms(0)->set_forwarding_host("10.0.1.9");
+    fixture.hub->receive(*relay, remote);
+    CATCH_CHECK(fixture.nextMessage(fixture.first->buffer).vms(0).forwarding_host() == "10.0.1.9");
+
+    // A VM that becomes partitioned is reported to the other VMs and relays.
+    fixture.nextMessage(fixture.second->buffer);
+    fixture.nextMessage(fixture.peers[0]->buffer);
+    RelayMessages::Update partitioned;
+    partitioned.add_vms()->set_partitioned_from_instances(true);
+    fixture.hub->receive(*fixture.first, partitioned);
+    for (UpdateBuffer *buffer : {&fixture.second->buffer, &fixture.peers[0]->buffer}) {
+        const RelayMessages::Update message = fixture.nextMessage(*buffer);
+        CATCH_REQUIRE(message.vms_size() == 1);
+        CATCH_CHECK(message.vms(0).vm() == "vm-1");
+        CATCH_CHECK(message.vms(0).partitioned_from_instances());
+    }
+
+    // A VM that connects gets all of them.
+    const std::shared_ptr<RelaySubscriber> third = fixture.connect("vm-3");
+    const RelayMessages::Update initial = fixture.nextMessage(third->buffer);
+    CATCH_CHECK(initial.all_vms());
+    CATCH_CHECK(initial.vms_size() == 4);
+
+    // It moved to this relay before the other one reported its end.
+    const std::shared_ptr<RelaySubscriber> moved = fixture.connect("vm-9");
+    fixture.nextMessage(fixture.second->buffer);
+    remote.mutable_vms(0)->set_present(false);
+    fixture.hub->receive(*relay, remote);
+    CATCH_CHECK(fixture.nextMessage(fixture.second->buffer).vms_size() == 0);
+    fixture.hub->disconnect(moved);
+    const RelayMessages::Update ended = fixture.nextMessage(fixture.second->buffer);
+    CATCH_REQUIRE(ended.vms_size() == 1);
+    CATCH_CHECK(!ended.vms(0).present());
+}
