Tests: Reproduce an instance that asks for rest and one that is leaving, known red

Simulated instances that reject requests with Retry-After, or say in their responses that they are leaving.

--- a/tests/unit/process/forwarding/forwardingfleet.h
+++ b/tests/unit/process/forwarding/forwardingfleet.h
@@ -14,10 +14,13 @@
 #include <catch2/catch.hpp>
 
 #include <atomic>
+#include <functional>
 #include <map>
 #include <memory>
 #include <mutex>
 #include <string>
+#include <utility>
+#include <vector>
 
 namespace HyssophallTest {
 
@@ -42,6 +45,11 @@
             this->sawKey = this->sawKey || header.value.find("red-key") != std::string::npos;
         }
         std::lock_guard<std::mutex> lock(this->mutex);
+        this->arrivals[call.instance].push_back(std::chrono::steady_clock::now());
+        if (this->respond) {
+            result.response = this->respond(call.instance);
+            return result;
+        }
         ++this->runs[order == nullptr ? std::string() : *order];
         ++this->runsOnHost[call.host];
         result.response = Hyssophall::HttpResponse{200, {{"Content-Type", "text/plain"}}, "done"};
@@ -60,6 +68,20 @@
         return this->runsOnHost[host];
     }
 
+    /// Times of the requests that arrived at the instance with this id.
+    std::vector<Hyssophall::SteadyTime> arrivalsAt(const std::string &instance)
+    {
+        std::lock_guard<std::mutex> lock(this->mutex);
+        return this->arrivals[instance];
+    }
+
+    /// Replaces the response of the instance with this id.
+    void setResponse(std::function<Hyssophall::HttpResponse(const std::string &instance)> newRespond)
+    {
+        std::lock_guard<std::mutex> lock(this->mutex);
+        this->respond = std::move(newRespond);
+    }
+
     std::atomic<bool> isPartitioned{false};
     /// Whether a request had the caller's key in a header.
     std::atomic<bool> sawKey{false};
@@ -68,6 +90,8 @@
     std::mutex mutex;
     std::map<std::string, int> runs;
     std::map<std::string, int> runsOnHost;
+    std::map<std::string, std::vector<Hyssophall::SteadyTime>> arrivals;
+    std::function<Hyssophall::HttpResponse(const std::string &)> respond;
 };
 
 /// An entry VM with a connection to a relay, whose instances are simulated.
