Health: Read and remember in one place what an instance says of itself

No change of behaviour. RequestLimitHeader becomes InstanceNotice, which reads all that an instance says about itself in a response, and InstanceRestrictions remembers it; so far that is the limit alone.

--- a/libraries/process/health/instancehealth.h
+++ b/libraries/process/health/instancehealth.h
@@ -3,6 +3,7 @@
 #include "process/fleet/instancedirectory.h"
 #include "process/health/instancequery.h"
 #include "process/hooks.h"
+#include "request/instancenotice.h"
 
 #include <chrono>
 #include <cstdint>
@@ -56,9 +57,8 @@
     {
     }
 
-    /// Called for each complete response of an instance, before finish(), with the limit on its requests that it names: requests per second over all
-    /// VMs together, or nothing if it names none.
-    virtual void limitNamed(const hyssophall::fleet::v1::Instance &, std::optional<double>)
+    /// Called for each complete response of an instance, before finish(), with what the instance says about itself.
+    virtual void noticed(const hyssophall::fleet::v1::Instance &, const InstanceNotice &)
     {
     }
 
--- a/libraries/process/health/instanceselector.cpp
+++ b/libraries/process/health/instanceselector.cpp
@@ -129,11 +129,11 @@
     decay(service, now);
     if (outcomes.started() > 0) {
         requests.start(outcomes.started(), now);
-        state.limit.addStarted(outcomes.started(), now);
+        state.restrictions.limit().addStarted(outcomes.started(), now);
         state.lastStart = now;
     }
     if (outcomes.limit_thousandths() > 0 || outcomes.limit_ended()) {
-        state.limit.set(limitOf(outcomes.limit_thousandths()), now);
+        state.restrictions.limit().set(limitOf(outcomes.limit_thousandths()), now);
     }
     requests.end(outcomes.succeeded() + outcomes.failed() + outcomes.rejected() + outcomes.unreachable() + outcomes.neutral());
     for (std::uint32_t count = 0; count < outcomes.failed(); ++count) {
@@ -171,10 +171,10 @@
 bool InstanceSelector::setLimit(std::uint32_t handle, std::optional<double> requestsPerSecond, SteadyTime now)
 {
     InstanceState *state = this->findState(handle);
-    if (state == nullptr || limitThousandths(state->limit.requestsPerSecond()) == limitThousandths(requestsPerSecond)) {
+    if (state == nullptr || limitThousandths(state->restrictions.limit().requestsPerSecond()) == limitThousandths(requestsPerSecond)) {
         return false;
     }
-    state->limit.set(requestsPerSecond, now);
+    state->restrictions.limit().set(requestsPerSecond, now);
     return true;
 }
 
@@ -208,7 +208,7 @@
     InstanceState &state = known->second;
     // A relay that has just started knows no limits, so a summary without one doesn't end a limit that this VM knows.
     if (summary.limit_thousandths() > 0) {
-        state.limit.set(limitOf(summary.limit_thousandths()), now);
+        state.restrictions.limit().set(limitOf(summary.limit_thousandths()), now);
     }
     // The relay counts the requests of this VM, too.
     const std::uint32_t ownInFlight = static_cast<std::uint32_t>(state.ownRequests.count());
@@ -239,7 +239,7 @@
         summary.set_instance(entry.first);
         summary.set_success_age_milliseconds(summaryAgeMilliseconds(entry.second.lastSuccess, now));
         summary.set_failure_age_milliseconds(summaryAgeMilliseconds(entry.second.lastFailure, now));
-        summary.set_limit_thousandths(limitThousandths(entry.second.limit.requestsPerSecond()));
+        summary.set_limit_thousandths(limitThousandths(entry.second.restrictions.limit().requestsPerSecond()));
         summary.set_in_flight(static_cast<std::uint32_t>(entry.second.inFlight()));
     }
     return all;
@@ -263,7 +263,7 @@
         }
         this->countHangingRequests(state, service, now);
         const double slots = std::max<std::uint32_t>(1, registration.slots());
-        if (static_cast<double>(state.inFlight()) < maximumOccupancy * slots && state.limit.allowsRequest(this->visibleShare, now)) {
+        if (static_cast<double>(state.inFlight()) < maximumOccupancy * slots && state.restrictions.allowsRequest(this->visibleShare, now)) {
             candidates.push_back({&registration, &state, this->costOf(registration, state, service, costs, now)});
         }
     }
@@ -408,7 +408,7 @@
         return "gone";
     }
     const double gray = state->second.gray.probability(now, this->options.model);
-    const std::optional<double> limit = state->second.limit.requestsPerSecond();
+    const std::optional<double> limit = state->second.restrictions.limit().requestsPerSecond();
     return "gray=" + std::to_string(gray).substr(0, 4) + " in_flight=" + std::to_string(state->second.inFlight()) + " own_in_flight="
         + std::to_string(state->second.ownRequests.count()) + " success_age_ms=" + std::to_string(ageMilliseconds(state->second.lastSuccess, now))
         + " failure_age_ms=" + std::to_string(ageMilliseconds(state->second.lastFailure, now)) + (limit ? " limit=" + std::to_string(*limit) : "");
--- a/libraries/process/health/instanceselector.h
+++ b/libraries/process/health/instanceselector.h
@@ -2,8 +2,8 @@
 
 #include "process/health/grayestimate.h"
 #include "process/health/inflightrequests.h"
-#include "process/health/instancelimit.h"
 #include "process/health/instancequery.h"
+#include "process/health/instancerestrictions.h"
 #include "process/hooks.h"
 #include "process/relay/instancetable.h"
 
@@ -105,7 +105,7 @@
         /// Requests in flight of this VM, and those that other VMs reported.
         InFlightRequests ownRequests;
         InFlightRequests otherRequests;
-        InstanceLimit limit;
+        InstanceRestrictions restrictions;
         bool isAssumedGray = false;
         std::optional<SteadyTime> lastSuccess;
         std::optional<SteadyTime> lastFailure;
--- a/libraries/process/proxy/upstreamtries.cpp
+++ b/libraries/process/proxy/upstreamtries.cpp
@@ -1,7 +1,7 @@
 #include "process/proxy/upstreamtries.h"
 
 #include "connection/headerfilter.h"
-#include "request/requestlimitheader.h"
+#include "request/instancenotice.h"
 
 #include <boost/leaf/handle_errors.hpp>
 #include <glog/logging.h>
@@ -17,8 +17,8 @@
 constexpr int poisonConnectionLosses = 2;
 /// After a try that reached no instance the next instance is tried, whatever the retry budget, but at most this many times per request.
 constexpr int maximumUnsentTries = 4;
-/// Of this many responses with an invalid limit in a row, one is logged.
-constexpr int invalidLimitLogInterval = 100;
+/// Of this many responses with an invalid header, one is logged.
+constexpr int invalidHeaderLogInterval = 100;
 
 HttpResponse forwardedResponse(const HttpResponse &response, const CallerRequest &request)
 {
@@ -108,7 +108,7 @@
     if (result.connectionOpenedAt) {
         this->health.connectionOpened(instance, *result.connectionOpenedAt);
     }
-    this->reportLimit(instance, result, classification.outcome());
+    this->reportNotice(instance, result, classification.outcome());
     this->health.finish(instance, classification.outcome(), result.latency, context.fingerprint);
     tryRecord.duration = result.latency;
     tryRecord.outcome = classification.outcome();
@@ -120,17 +120,16 @@
     this->evaluateTry(context, record, result, classification, state);
 }
 
-void UpstreamTries::reportLimit(const hyssophall::fleet::v1::Instance &instance, const UpstreamResult &result, TryOutcome outcome)
+void UpstreamTries::reportNotice(const hyssophall::fleet::v1::Instance &instance, const UpstreamResult &result, TryOutcome outcome)
 {
     if (!result.response || outcome == TryOutcome::WrongInstance) {
         return;
     }
-    const RequestLimitHeader header(*result.response, this->admission.headerNames().requestLimit);
-    if (header.isValid()) {
-        this->health.limitNamed(instance, header.requestsPerSecond());
-    } else {
-        LOG_EVERY_N(WARNING, invalidLimitLogInterval) << "Instance " << instance.id() << " names a request limit that isn't a number";
+    const InstanceNotice notice(*result.response, this->admission.headerNames());
+    if (!notice.isLimitValid()) {
+        LOG_EVERY_N(WARNING, invalidHeaderLogInterval) << "Instance " << instance.id() << " names a request limit that isn't a number";
     }
+    this->health.noticed(instance, notice);
 }
 
 void UpstreamTries::evaluateTry(
--- a/libraries/process/proxy/upstreamtries.h
+++ b/libraries/process/proxy/upstreamtries.h
@@ -50,8 +50,8 @@
     };
 
     void tryOnce(const RequestContext &context, const hyssophall::fleet::v1::Instance &instance, RequestRecord &record, State &state);
-    /// Reports the limit on its requests that an instance names in its response.
-    void reportLimit(const hyssophall::fleet::v1::Instance &instance, const UpstreamResult &result, TryOutcome outcome);
+    /// Reports what an instance says about itself in its response.
+    void reportNotice(const hyssophall::fleet::v1::Instance &instance, const UpstreamResult &result, TryOutcome outcome);
     void evaluateTry(const RequestContext &context, RequestRecord &record, const UpstreamResult &result, const TryClassification &classification, State &state);
     InstanceQuery createQuery(const RequestContext &context, const State &state) const;
     /// True if the next try of this request can be followed by a retry: the request is idempotent, and neither its route's limit of attempts nor
--- a/libraries/process/relay/entrynode.cpp
+++ b/libraries/process/relay/entrynode.cpp
@@ -428,6 +428,13 @@
     this->paths.recordConnectFailed(instance.host(), servesOthers);
 }
 
+void EntryNode::noticed(const hyssophall::fleet::v1::Instance &instance, const InstanceNotice &notice)
+{
+    if (notice.isLimitValid()) {
+        this->limitNamed(instance, notice.requestsPerSecond());
+    }
+}
+
 void EntryNode::limitNamed(const hyssophall::fleet::v1::Instance &instance, std::optional<double> requestsPerSecond)
 {
     RelayMessages::Update update;
--- a/libraries/process/relay/entrynode.h
+++ b/libraries/process/relay/entrynode.h
@@ -75,7 +75,7 @@
     std::optional<std::chrono::milliseconds> perTryTimeout(const std::string &route) const override;
     void finish(const hyssophall::fleet::v1::Instance &instance, TryOutcome outcome, std::chrono::microseconds latency, std::uint64_t fingerprint) override;
     void connectionOpened(const hyssophall::fleet::v1::Instance &instance, SteadyTime at) override;
-    void limitNamed(const hyssophall::fleet::v1::Instance &instance, std::optional<double> requestsPerSecond) override;
+    void noticed(const hyssophall::fleet::v1::Instance &instance, const InstanceNotice &notice) override;
     bool isPoison(std::uint64_t fingerprint) const override;
     /// Reports the outcome of the request to the other VMs.
     void requestFinished(const RequestRecord &record) override;
@@ -86,6 +86,7 @@
     void receive(const RelayMessages::Update &update);
     void applyConfiguration(const CatalogueMessages::Configuration &configuration);
     void recordConnectFailed(const hyssophall::fleet::v1::Instance &instance);
+    void limitNamed(const hyssophall::fleet::v1::Instance &instance, std::optional<double> requestsPerSecond);
     void pathStateChanged(bool isPartitioned, std::size_t failedHosts);
     RelayMessages::VmPresence presence() const;
     void reportPresence();
--- /dev/null
+++ b/libraries/request/instancenotice.cpp
@@ -0,0 +1,54 @@
+#include "request/instancenotice.h"
+
+#include <charconv>
+#include <cmath>
+
+namespace Hyssophall {
+
+namespace {
+
+/// Far above what an instance can take; a larger value isn't a limit.
+constexpr double largestLimit = 1e6;
+
+/// A decimal number without sign, exponent or spaces that isn't above @p largest.
+std::optional<double> parseDecimal(const std::string &text, double largest)
+{
+    double parsed = 0;
+    const char *end = text.data() + text.size();
+    const std::from_chars_result result = std::from_chars(text.data(), end, parsed, std::chars_format::fixed);
+    const bool isValid = result.ec == std::errc() && result.ptr == end && std::isfinite(parsed) && parsed >= 0 && parsed <= largest;
+    return isValid ? std::optional<double>(parsed) : std::nullopt;
+}
+
+const std::string *findNamed(const HttpResponse &response, const std::string &name)
+{
+    return name.empty() ? nullptr : findHeader(response.headers, name);
+}
+
+} // namespace
+
+InstanceNotice::InstanceNotice(const HttpResponse &response, const HeaderNames &names)
+{
+    this->readLimit(response, names.requestLimit);
+}
+
+void InstanceNotice::readLimit(const HttpResponse &response, const std::string &name)
+{
+    const std::string *value = findNamed(response, name);
+    if (value != nullptr) {
+        this->limit = parseDecimal(*value, largestLimit);
+        this->limitValid = this->limit.has_value();
+    }
+}
+
+bool InstanceNotice::isLimitValid() const
+{
+    return this->limitValid;
+}
+
+std::optional<double> InstanceNotice::requestsPerSecond() const
+{
+    return this->limit;
+}
+
+} // namespace Hyssophall
