Health: Keep to the rest that an instance asks this VM for

Nothing read Retry-After of an instance; a rejection made all VMs avoid it for 150 ms, whatever it asked for.

The VM now doesn't choose the instance until the rest is over, and neither sends requests of other VMs there. The log has a line when an instance asks.

--- a/libraries/process/forwarding/forwardingnode.cpp
+++ b/libraries/process/forwarding/forwardingnode.cpp
@@ -22,8 +22,9 @@
 ForwardingService::Hooks serviceHooks(EntryNode &node)
 {
     ForwardingService::Hooks hooks;
-    hooks.maySend = [&node](const std::string &instance) { return !node.isPartitionedFromInstances() && node.isReady(instance); };
+    hooks.maySend = [&node](const std::string &instance) { return !node.isPartitionedFromInstances() && node.takesRequests(instance); };
     hooks.connectionOpened = [&node](const std::string &host, SteadyTime at) { node.recordConnected(host, at); };
+    hooks.responded = [&node](const std::string &instance, const HttpResponse &response) { node.noticedForOtherVm(instance, response); };
     hooks.connectFailed = [&node](const std::string &instance, std::chrono::microseconds latency) { node.connectFailedForOtherVm(instance, latency); };
     return hooks;
 }
--- a/libraries/process/forwarding/forwardingservice.cpp
+++ b/libraries/process/forwarding/forwardingservice.cpp
@@ -94,7 +94,8 @@
     if (result.connectionOpenedAt) {
         this->hooks.connectionOpened(request.host(), *result.connectionOpenedAt);
     }
-    if (!result.failure) {
+    if (result.response) {
+        this->hooks.responded(request.instance(), *result.response);
         return;
     }
     LOG(WARNING) << "Request " << request.request_id() << " of VM " << request.vm() << " got no response of instance " << request.instance() << ", "
--- a/libraries/process/forwarding/forwardingservice.h
+++ b/libraries/process/forwarding/forwardingservice.h
@@ -25,10 +25,13 @@
     static constexpr const char *credentialHeader = "Hyssophall-Fleet";
 
     struct Hooks {
-        /// Whether this VM may send requests to the instance now: it isn't partitioned itself, and the instance is registered and not leaving.
+        /// Whether this VM may send requests to the instance now: it isn't partitioned itself, and the instance is registered and takes requests of this
+        /// VM.
         std::function<bool(const std::string &instance)> maySend;
         /// Called with the host when a new connection was established, with the time at which it was.
         std::function<void(const std::string &host, SteadyTime at)> connectionOpened;
+        /// Called for each complete response.
+        std::function<void(const std::string &instance, const HttpResponse &response)> responded;
         /// Called when no connection to the instance could be established.
         std::function<void(const std::string &instance, std::chrono::microseconds latency)> connectFailed;
     };
--- a/libraries/process/health/instancehealth.h
+++ b/libraries/process/health/instancehealth.h
@@ -62,6 +62,12 @@
     {
     }
 
+    /// Time until an instance of the service that has asked for rest takes requests of this VM again; nothing if none has.
+    virtual std::optional<std::chrono::milliseconds> shortestRest(const std::string &) const
+    {
+        return std::nullopt;
+    }
+
     /// State of the instance with this id, for the log: what is known of it and how old that is.
     virtual std::string describeInstance(const std::string &) const
     {
--- a/libraries/process/health/instancerestrictions.cpp
+++ b/libraries/process/health/instancerestrictions.cpp
@@ -1,5 +1,7 @@
 #include "process/health/instancerestrictions.h"
 
+#include <algorithm>
+
 namespace Hyssophall {
 
 InstanceLimit &InstanceRestrictions::limit()
@@ -14,7 +16,19 @@
 
 bool InstanceRestrictions::allowsRequest(double visibleShare, SteadyTime now)
 {
-    return this->requestLimit.allowsRequest(visibleShare, now);
+    return now >= this->restEnd && this->requestLimit.allowsRequest(visibleShare, now);
+}
+
+bool InstanceRestrictions::addRest(std::chrono::milliseconds duration, SteadyTime now)
+{
+    const bool hadNone = now >= this->restEnd;
+    this->restEnd = std::max(this->restEnd, now + duration);
+    return hadNone;
+}
+
+SteadyTime InstanceRestrictions::restUntil() const
+{
+    return this->restEnd;
 }
 
 } // namespace Hyssophall
--- a/libraries/process/health/instancerestrictions.h
+++ b/libraries/process/health/instancerestrictions.h
@@ -2,6 +2,8 @@
 
 #include "process/health/instancelimit.h"
 
+#include <chrono>
+
 namespace Hyssophall {
 
 /// What an instance has said about the requests that it takes, as far as it is in force. Not thread-safe.
@@ -12,11 +14,19 @@
     InstanceLimit &limit();
     const InstanceLimit &limit() const;
 
+    /// The instance wants no requests of this VM for this long. A shorter rest than the one in force changes nothing. Returns whether the instance had
+    /// none in force.
+    bool addRest(std::chrono::milliseconds duration, SteadyTime now);
+
+    /// End of the rest; in the past if the instance has none.
+    SteadyTime restUntil() const;
+
     /// Whether one more request of this VM may be started; see InstanceLimit::allowsRequest() for @p visibleShare.
     bool allowsRequest(double visibleShare, SteadyTime now);
 
 private:
     InstanceLimit requestLimit;
+    SteadyTime restEnd;
 };
 
 } // namespace Hyssophall
--- a/libraries/process/health/instanceselector.cpp
+++ b/libraries/process/health/instanceselector.cpp
@@ -178,6 +178,33 @@
     return true;
 }
 
+bool InstanceSelector::addRest(std::uint32_t handle, std::chrono::milliseconds duration, SteadyTime now)
+{
+    InstanceState *state = this->findState(handle);
+    return state != nullptr && state->restrictions.addRest(duration, now);
+}
+
+bool InstanceSelector::takesRequests(const std::string &instanceId, SteadyTime now)
+{
+    const RelayMessages::Registration *registration = this->instances.find(instanceId);
+    if (registration == nullptr || registration->state() != RelayMessages::REGISTRATION_STATE_READY) {
+        return false;
+    }
+    return this->states[InstanceTable::handleOf(*registration)].restrictions.allowsRequest(this->visibleShare, now);
+}
+
+std::optional<std::chrono::milliseconds> InstanceSelector::shortestRest(const std::string &service, SteadyTime now) const
+{
+    std::optional<SteadyTime> first;
+    for (const std::pair<const std::string, RelayMessages::Registration> &entry : this->instances.all()) {
+        const auto state = this->states.find(InstanceTable::handleOf(entry.second));
+        if (entry.second.service() == service && state != this->states.end() && state->second.restrictions.restUntil() > now) {
+            first = std::min(first.value_or(SteadyTime::max()), state->second.restrictions.restUntil());
+        }
+    }
+    return first ? std::optional<std::chrono::milliseconds>(std::chrono::ceil<std::chrono::milliseconds>(*first - now)) : std::nullopt;
+}
+
 void InstanceSelector::setVisibleShare(double share)
 {
     this->visibleShare = share;
--- a/libraries/process/health/instanceselector.h
+++ b/libraries/process/health/instanceselector.h
@@ -68,6 +68,15 @@
     /// Sets the limit that an instance names in a response to this VM, or that it names none. Returns whether this VM knew another one.
     bool setLimit(std::uint32_t handle, std::optional<double> requestsPerSecond, SteadyTime now);
 
+    /// The instance wants no requests of this VM for this long. Returns whether it had no rest in force; false for an unknown instance.
+    bool addRest(std::uint32_t handle, std::chrono::milliseconds duration, SteadyTime now);
+
+    /// Whether the instance takes requests of this VM now, as far as it has said so itself. False for one that isn't registered or is leaving.
+    bool takesRequests(const std::string &instanceId, SteadyTime now);
+
+    /// Time until the first rest of an instance of the service ends; nothing if none of them has a rest.
+    std::optional<std::chrono::milliseconds> shortestRest(const std::string &service, SteadyTime now) const;
+
     /// Sets the share of the fleet's VMs whose outcomes arrive here. When it falls, the requests in flight of other VMs are no longer counted,
     /// since the end of some of them would never be reported.
     void setVisibleShare(double share);
--- a/libraries/process/relay/entrynode.cpp
+++ b/libraries/process/relay/entrynode.cpp
@@ -378,11 +378,30 @@
     this->relayUplink->send(update);
 }
 
-bool EntryNode::isReady(const std::string &instanceId) const
+bool EntryNode::takesRequests(const std::string &instanceId)
 {
     std::lock_guard<std::mutex> lock(this->mutex);
-    const RelayMessages::Registration *registration = this->board.table().find(instanceId);
-    return registration != nullptr && registration->state() == RelayMessages::REGISTRATION_STATE_READY;
+    return this->board.takesRequests(instanceId, this->clock());
+}
+
+std::optional<std::chrono::milliseconds> EntryNode::shortestRest(const std::string &service) const
+{
+    std::lock_guard<std::mutex> lock(this->mutex);
+    return this->board.shortestRest(service, this->clock());
+}
+
+void EntryNode::noticedForOtherVm(const std::string &instanceId, const HttpResponse &response)
+{
+    hyssophall::fleet::v1::Instance instance;
+    {
+        std::lock_guard<std::mutex> lock(this->mutex);
+        const RelayMessages::Registration *registration = this->board.table().find(instanceId);
+        if (registration == nullptr) {
+            return;
+        }
+        instance = instanceOf(*registration);
+    }
+    this->noticed(instance, InstanceNotice(response, this->settings.headers));
 }
 
 std::optional<hyssophall::fleet::v1::Instance> EntryNode::randomInstance() const
@@ -433,6 +452,21 @@
     if (notice.isLimitValid()) {
         this->limitNamed(instance, notice.requestsPerSecond());
     }
+    if (notice.rest()) {
+        this->restAsked(instance, *notice.rest());
+    }
+}
+
+void EntryNode::restAsked(const hyssophall::fleet::v1::Instance &instance, std::chrono::milliseconds duration)
+{
+    bool isNew = false;
+    {
+        std::lock_guard<std::mutex> lock(this->mutex);
+        isNew = this->board.addRest(InstanceTable::handleOf(incarnationOf(instance)), duration, this->clock());
+    }
+    if (isNew) {
+        LOG(INFO) << "Instance " << instance.id() << " of service " << instance.service() << " asks this VM for a rest of " << duration.count() << " ms";
+    }
 }
 
 void EntryNode::limitNamed(const hyssophall::fleet::v1::Instance &instance, std::optional<double> requestsPerSecond)
--- a/libraries/process/relay/entrynode.h
+++ b/libraries/process/relay/entrynode.h
@@ -59,8 +59,8 @@
     void clearForwardingAddress();
     VmDirectory &otherVms();
 
-    /// Whether the instance is registered and not leaving.
-    bool isReady(const std::string &instanceId) const;
+    /// Whether the instance is registered, isn't leaving, and takes requests of this VM as far as it has said.
+    bool takesRequests(const std::string &instanceId);
 
     /// A registered instance chosen at random, or nothing if there is none.
     std::optional<hyssophall::fleet::v1::Instance> randomInstance() const;
@@ -68,6 +68,9 @@
     /// Called when a connection to an instance on this host was established for another purpose than a request of this VM.
     void recordConnected(const std::string &host, SteadyTime at);
 
+    /// Called for each response of an instance to a request of another VM that this VM has sent.
+    void noticedForOtherVm(const std::string &instanceId, const HttpResponse &response);
+
     /// Called when this VM couldn't connect to the instance for a request of another VM.
     void connectFailedForOtherVm(const std::string &instanceId, std::chrono::microseconds latency);
 
@@ -76,6 +79,7 @@
     void finish(const hyssophall::fleet::v1::Instance &instance, TryOutcome outcome, std::chrono::microseconds latency, std::uint64_t fingerprint) override;
     void connectionOpened(const hyssophall::fleet::v1::Instance &instance, SteadyTime at) override;
     void noticed(const hyssophall::fleet::v1::Instance &instance, const InstanceNotice &notice) override;
+    std::optional<std::chrono::milliseconds> shortestRest(const std::string &service) const override;
     bool isPoison(std::uint64_t fingerprint) const override;
     /// Reports the outcome of the request to the other VMs.
     void requestFinished(const RequestRecord &record) override;
@@ -86,6 +90,7 @@
     void receive(const RelayMessages::Update &update);
     void applyConfiguration(const CatalogueMessages::Configuration &configuration);
     void recordConnectFailed(const hyssophall::fleet::v1::Instance &instance);
+    void restAsked(const hyssophall::fleet::v1::Instance &instance, std::chrono::milliseconds duration);
     void limitNamed(const hyssophall::fleet::v1::Instance &instance, std::optional<double> requestsPerSecond);
     void pathStateChanged(bool isPartitioned, std::size_t failedHosts);
     RelayMessages::VmPresence presence() const;
--- a/libraries/request/instancenotice.cpp
+++ b/libraries/request/instancenotice.cpp
@@ -1,5 +1,6 @@
 #include "request/instancenotice.h"
 
+#include <algorithm>
 #include <charconv>
 #include <cmath>
 
@@ -9,6 +10,11 @@
 
 /// Far above what an instance can take; a larger value isn't a limit.
 constexpr double largestLimit = 1e6;
+constexpr int unavailableStatus = 503;
+/// A longer rest is cut to this, so that a mistaken value doesn't keep the instance out of use for good.
+constexpr std::chrono::hours longestRest{1};
+/// In seconds; larger values are taken for mistakes.
+constexpr double largestRetryAfter = 1e9;
 
 /// A decimal number without sign, exponent or spaces that isn't above @p largest.
 std::optional<double> parseDecimal(const std::string &text, double largest)
@@ -30,6 +36,21 @@
 InstanceNotice::InstanceNotice(const HttpResponse &response, const HeaderNames &names)
 {
     this->readLimit(response, names.requestLimit);
+    this->readRest(response);
+}
+
+void InstanceNotice::readRest(const HttpResponse &response)
+{
+    const std::string *value = response.status == unavailableStatus ? findNamed(response, "Retry-After") : nullptr;
+    if (value == nullptr) {
+        return;
+    }
+    const std::optional<double> seconds = parseDecimal(*value, largestRetryAfter);
+    this->restValid = seconds.has_value();
+    if (seconds) {
+        const std::chrono::duration<double> asked(*seconds);
+        this->restTime = std::chrono::ceil<std::chrono::milliseconds>(std::min<std::chrono::duration<double>>(asked, longestRest));
+    }
 }
 
 void InstanceNotice::readLimit(const HttpResponse &response, const std::string &name)
@@ -51,4 +72,14 @@
     return this->limit;
 }
 
+bool InstanceNotice::isRestValid() const
+{
+    return this->restValid;
+}
+
+std::optional<std::chrono::milliseconds> InstanceNotice::rest() const
+{
+    return this->restTime;
+}
+
 } // namespace Hyssophall
--- a/libraries/request/instancenotice.h
+++ b/libraries/request/instancenotice.h
@@ -3,6 +3,7 @@
 #include "connection/httpmessage.h"
 #include "request/headernames.h"
 
+#include <chrono>
 #include <optional>
 #include <string>
 
@@ -20,11 +21,20 @@
     /// The limit on requests that the instance names while it is in need, in requests per second over all VMs together; nothing if it names none.
     std::optional<double> requestsPerSecond() const;
 
+    /// False if a rejection has a Retry-After without a valid value, which is then ignored. Dates aren't valid.
+    bool isRestValid() const;
+
+    /// The time for which an instance that rejects a request with status 503 wants no requests of this VM; nothing if it asks for none. At most an hour.
+    std::optional<std::chrono::milliseconds> rest() const;
+
 private:
+    void readRest(const HttpResponse &response);
     void readLimit(const HttpResponse &response, const std::string &name);
 
     bool limitValid = true;
     std::optional<double> limit;
+    bool restValid = true;
+    std::optional<std::chrono::milliseconds> restTime;
 };
 
 } // namespace Hyssophall
--- a/tests/unit/process/forwarding/forwardingclienttest.cpp
+++ b/tests/unit/process/forwarding/forwardingclienttest.cpp
@@ -97,7 +97,10 @@
     SimulatedInstance instance;
     ForwardingService service{secret,
         this->instance,
-        {[](const std::string &) { return true; }, [](const std::string &, SteadyTime) {}, [](const std::string &, std::chrono::microseconds) {}}};
+        {[](const std::string &) { return true; },
+            [](const std::string &, SteadyTime) {},
+            [](const std::string &, const HttpResponse &) {},
+            [](const std::string &, std::chrono::microseconds) {}}};
     std::unique_ptr<CallerEndpoint> endpoint;
 };
 
--- a/tests/unit/process/forwarding/instancenoticetest.cpp
+++ b/tests/unit/process/forwarding/instancenoticetest.cpp
@@ -64,6 +64,28 @@
     CATCH_CHECK(Harness::waitUntil(3s, [&fleet] { return fleet.other->handle("GET", "/read").http.status == 200; }));
 }
 
+// Guards against a VM that keeps to a rest with its own requests alone, since the instance can't tell whose request it gets.
+CATCH_TEST_CASE("A VM keeps to a rest for the requests of other VMs, too", "[forwarding][load-shedding]")
+{
+    ForwardingFleet fleet;
+    fleet.partitioned->instances.isPartitioned = true;
+    callFor(*fleet.partitioned, 100ms);
+    CATCH_REQUIRE(fleet.partitioned->node.isPartitionedFromInstances());
+    fleet.other->instances.setResponse([](const std::string &) { return rejection("2"); });
+    callFor(*fleet.partitioned, 1000ms);
+    std::size_t arrivals = 0;
+    for (const std::string &instance : instanceIds()) {
+        CATCH_CHECK(!fleet.other->node.takesRequests(instance));
+        arrivals += fleet.other->instances.arrivalsAt(instance).size();
+    }
+    callFor(*fleet.other, 200ms);
+    callFor(*fleet.partitioned, 200ms);
+    for (const std::string &instance : instanceIds()) {
+        arrivals -= fleet.other->instances.arrivalsAt(instance).size();
+    }
+    CATCH_CHECK(arrivals == 0);
+}
+
 // Guards against requests to an instance that has said in a response that it is leaving, before or without its registration saying so.
 CATCH_TEST_CASE("An instance whose responses say that it is leaving gets no further requests from that VM", "[forwarding][leaving-upstream]")
 {
