Health: Send nothing more to an instance whose responses say that it leaves

Nothing read it; only the registration took an instance out of use.

A VM that gets such a response doesn't choose the instance any more until it starts anew, and neither sends requests of other VMs there. The header's name is the setting headers.leaving.

--- a/libraries/process/health/instancerestrictions.cpp
+++ b/libraries/process/health/instancerestrictions.cpp
@@ -1,6 +1,7 @@
 #include "process/health/instancerestrictions.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace Hyssophall {
 
@@ -16,7 +17,7 @@
 
 bool InstanceRestrictions::allowsRequest(double visibleShare, SteadyTime now)
 {
-    return now >= this->restEnd && this->requestLimit.allowsRequest(visibleShare, now);
+    return !this->leaving && now >= this->restEnd && this->requestLimit.allowsRequest(visibleShare, now);
 }
 
 bool InstanceRestrictions::addRest(std::chrono::milliseconds duration, SteadyTime now)
@@ -26,6 +27,11 @@
     return hadNone;
 }
 
+bool InstanceRestrictions::setLeaving()
+{
+    return !std::exchange(this->leaving, true);
+}
+
 SteadyTime InstanceRestrictions::restUntil() const
 {
     return this->restEnd;
--- a/libraries/process/health/instancerestrictions.h
+++ b/libraries/process/health/instancerestrictions.h
@@ -21,12 +21,16 @@
     /// End of the rest; in the past if the instance has none.
     SteadyTime restUntil() const;
 
+    /// The instance wants no further requests of this VM. Returns whether it hadn't said so before.
+    bool setLeaving();
+
     /// Whether one more request of this VM may be started; see InstanceLimit::allowsRequest() for @p visibleShare.
     bool allowsRequest(double visibleShare, SteadyTime now);
 
 private:
     InstanceLimit requestLimit;
     SteadyTime restEnd;
+    bool leaving = false;
 };
 
 } // namespace Hyssophall
--- a/libraries/process/health/instanceselector.cpp
+++ b/libraries/process/health/instanceselector.cpp
@@ -184,6 +184,12 @@
     return state != nullptr && state->restrictions.addRest(duration, now);
 }
 
+bool InstanceSelector::setLeaving(std::uint32_t handle)
+{
+    InstanceState *state = this->findState(handle);
+    return state != nullptr && state->restrictions.setLeaving();
+}
+
 bool InstanceSelector::takesRequests(const std::string &instanceId, SteadyTime now)
 {
     const RelayMessages::Registration *registration = this->instances.find(instanceId);
--- a/libraries/process/health/instanceselector.h
+++ b/libraries/process/health/instanceselector.h
@@ -71,6 +71,9 @@
     /// The instance wants no requests of this VM for this long. Returns whether it had no rest in force; false for an unknown instance.
     bool addRest(std::uint32_t handle, std::chrono::milliseconds duration, SteadyTime now);
 
+    /// The instance has told this VM that it is leaving. Returns whether it hadn't said so before; false for an unknown instance.
+    bool setLeaving(std::uint32_t handle);
+
     /// Whether the instance takes requests of this VM now, as far as it has said so itself. False for one that isn't registered or is leaving.
     bool takesRequests(const std::string &instanceId, SteadyTime now);
 
--- a/libraries/process/relay/entrynode.cpp
+++ b/libraries/process/relay/entrynode.cpp
@@ -455,6 +455,21 @@
     if (notice.rest()) {
         this->restAsked(instance, *notice.rest());
     }
+    if (notice.isLeaving()) {
+        this->leavingSaid(instance);
+    }
+}
+
+void EntryNode::leavingSaid(const hyssophall::fleet::v1::Instance &instance)
+{
+    bool isNew = false;
+    {
+        std::lock_guard<std::mutex> lock(this->mutex);
+        isNew = this->board.setLeaving(InstanceTable::handleOf(incarnationOf(instance)));
+    }
+    if (isNew) {
+        LOG(INFO) << "Instance " << instance.id() << " of service " << instance.service() << " says in a response that it is leaving";
+    }
 }
 
 void EntryNode::restAsked(const hyssophall::fleet::v1::Instance &instance, std::chrono::milliseconds duration)
--- a/libraries/process/relay/entrynode.h
+++ b/libraries/process/relay/entrynode.h
@@ -90,6 +90,7 @@
     void receive(const RelayMessages::Update &update);
     void applyConfiguration(const CatalogueMessages::Configuration &configuration);
     void recordConnectFailed(const hyssophall::fleet::v1::Instance &instance);
+    void leavingSaid(const hyssophall::fleet::v1::Instance &instance);
     void restAsked(const hyssophall::fleet::v1::Instance &instance, std::chrono::milliseconds duration);
     void limitNamed(const hyssophall::fleet::v1::Instance &instance, std::optional<double> requestsPerSecond);
     void pathStateChanged(bool isPartitioned, std::size_t failedHosts);
--- a/libraries/process/settings/settingfields.cpp
+++ b/libraries/process/settings/settingfields.cpp
@@ -212,6 +212,7 @@
         {"headers.team", headerField([](Settings &settings) -> std::string & { return settings.headers.team; })},
         {"headers.target_instance", headerField([](Settings &settings) -> std::string & { return settings.headers.targetInstance; })},
         {"headers.not_run", headerField([](Settings &settings) -> std::string & { return settings.headers.notRun; })},
+        {"headers.leaving", headerField([](Settings &settings) -> std::string & { return settings.headers.leaving; })},
         {"headers.request_limit", headerField([](Settings &settings) -> std::string & { return settings.headers.requestLimit; })},
         {"headers.forward_request_id", flagField([](Settings &settings) -> bool & { return settings.headers.forwardsRequestId; })},
     };
--- a/libraries/request/headernames.h
+++ b/libraries/request/headernames.h
@@ -18,6 +18,8 @@
     std::string notRun = "Hyssophall-Not-Run";
     /// From upstreams: the number of requests per second that the instance takes from all VMs together, while it names one.
     std::string requestLimit = "Hyssophall-Request-Limit";
+    /// From upstreams: present, with a value other than "0" or "false", in each response of an instance that is leaving.
+    std::string leaving = "Hyssophall-Leaving";
     /// True: the caller's X-Request-Id is forwarded to upstreams. False: each try is sent with an id of its own.
     bool forwardsRequestId = false;
 
--- a/libraries/request/instancenotice.cpp
+++ b/libraries/request/instancenotice.cpp
@@ -37,6 +37,8 @@
 {
     this->readLimit(response, names.requestLimit);
     this->readRest(response);
+    const std::string *leavingValue = findNamed(response, names.leaving);
+    this->leaving = leavingValue != nullptr && *leavingValue != "0" && *leavingValue != "false";
 }
 
 void InstanceNotice::readRest(const HttpResponse &response)
@@ -82,4 +84,9 @@
     return this->restTime;
 }
 
+bool InstanceNotice::isLeaving() const
+{
+    return this->leaving;
+}
+
 } // namespace Hyssophall
--- a/libraries/request/instancenotice.h
+++ b/libraries/request/instancenotice.h
@@ -27,6 +27,9 @@
     /// The time for which an instance that rejects a request with status 503 wants no requests of this VM; nothing if it asks for none. At most an hour.
     std::optional<std::chrono::milliseconds> rest() const;
 
+    /// Whether the instance says that it is leaving.
+    bool isLeaving() const;
+
 private:
     void readRest(const HttpResponse &response);
     void readLimit(const HttpResponse &response, const std::string &name);
@@ -35,6 +38,7 @@
     std::optional<double> limit;
     bool restValid = true;
     std::optional<std::chrono::milliseconds> restTime;
+    bool leaving = false;
 };
 
 } // namespace Hyssophall
--- a/tests/unit/request/instancenoticetest.cpp
+++ b/tests/unit/request/instancenoticetest.cpp
@@ -57,3 +57,15 @@
     CATCH_CHECK(!restOf("3", 429).rest());
     CATCH_CHECK(restOf("soon", 200).isRestValid());
 }
+
+// Guards against an instance that is taken out of use because its responses say that it isn't leaving.
+CATCH_TEST_CASE("An instance is leaving if a response says so with a value that isn't a negation", "[leaving-upstream]")
+{
+    const auto isLeaving = [](const std::string &value) { return InstanceNotice({200, {{HeaderNames().leaving, value}}, ""}, HeaderNames()).isLeaving(); };
+    CATCH_CHECK(isLeaving("1"));
+    CATCH_CHECK(isLeaving("true"));
+    CATCH_CHECK(!isLeaving("0"));
+    CATCH_CHECK(!isLeaving("false"));
+    const InstanceNotice absent{HttpResponse(), HeaderNames()};
+    CATCH_CHECK(!absent.isLeaving());
+}
