--- a/libraries/process/health/instancehealth.h
+++ b/libraries/process/health/instancehealth.h
@@ -3,6 +3,7 @@
 #include "process/fleet/instancedirectory.h"
 #include "process/health/instancequery.h"
 #include "process/hooks.h"
+#include "request/instancenotice.h"
 
 #include <chrono>
 #include <cstdint>
@@ -51,17 +52,22 @@
     /// it to the fleet, 100 ms at most for the owner of the fingerprint, so that a poison request is known before it is tried again.
     virtual void finish(const hyssophall::fleet::v1::Instance &instance, TryOutcome outcome, std::chrono::microseconds latency, std::uint64_t fingerprint) = 0;
 
-    /// Called when a try has opened a new connection to the instance, before finish().
-    virtual void connectionOpened(const hyssophall::fleet::v1::Instance &)
+    /// Called when a try that has ended opened a new connection to the instance at this time, before finish().
+    virtual void connectionOpened(const hyssophall::fleet::v1::Instance &, SteadyTime)
     {
     }
 
-    /// Called for each complete response of an instance, before finish(), with the limit on its requests that it names: requests per second over all
-    /// VMs together, or nothing if it names none.
-    virtual void limitNamed(const hyssophall::fleet::v1::Instance &, std::optional<double>)
+    /// Called for each complete response of an instance, before finish(), with what the instance says about itself.
+    virtual void noticed(const hyssophall::fleet::v1::Instance &, const InstanceNotice &)
     {
     }
 
+    /// Time until an instance of the service that has asked for rest takes requests of this VM again; nothing if none has.
+    virtual std::optional<std::chrono::milliseconds> shortestRest(const std::string &) const
+    {
+        return std::nullopt;
+    }
+
     /// State of the instance with this id, for the log: what is known of it and how old that is.
     virtual std::string describeInstance(const std::string &) const
     {
--- /dev/null
+++ b/libraries/process/health/instancerestrictions.cpp
@@ -0,0 +1,40 @@
+#include "process/health/instancerestrictions.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace Hyssophall {
+
+InstanceLimit &InstanceRestrictions::limit()
+{
+    return this->requestLimit;
+}
+
+const InstanceLimit &InstanceRestrictions::limit() const
+{
+    return this->requestLimit;
+}
+
+bool InstanceRestrictions::allowsRequest(double visibleShare, SteadyTime now)
+{
+    return !this->leaving && now >= this->restEnd && this->requestLimit.allowsRequest(visibleShare, now);
+}
+
+bool InstanceRestrictions::addRest(std::chrono::milliseconds duration, SteadyTime now)
+{
+    const bool hadNone = now >= this->restEnd;
+    this->restEnd = std::max(this->restEnd, now + duration);
+    return hadNone;
+}
+
+bool InstanceRestrictions::setLeaving()
+{
+    return !std::exchange(this->leaving, true);
+}
+
+SteadyTime InstanceRestrictions::restUntil() const
+{
+    return this->restEnd;
+}
+
+} // namespace Hyssophall
--- a/libraries/process/health/instanceselector.cpp
+++ b/libraries/process/health/instanceselector.cpp
@@ -129,11 +129,11 @@
     decay(service, now);
     if (outcomes.started() > 0) {
         requests.start(outcomes.started(), now);
-        state.limit.addStarted(outcomes.started(), now);
+        state.restrictions.limit().addStarted(outcomes.started(), now);
         state.lastStart = now;
     }
     if (outcomes.limit_thousandths() > 0 || outcomes.limit_ended()) {
-        state.limit.set(limitOf(outcomes.limit_thousandths()), now);
+        state.restrictions.limit().set(limitOf(outcomes.limit_thousandths()), now);
     }
     requests.end(outcomes.succeeded() + outcomes.failed() + outcomes.rejected() + outcomes.unreachable() + outcomes.neutral());
     for (std::uint32_t count = 0; count < outcomes.failed(); ++count) {
@@ -171,13 +171,46 @@
 bool InstanceSelector::setLimit(std::uint32_t handle, std::optional<double> requestsPerSecond, SteadyTime now)
 {
     InstanceState *state = this->findState(handle);
-    if (state == nullptr || limitThousandths(state->limit.requestsPerSecond()) == limitThousandths(requestsPerSecond)) {
+    if (state == nullptr || limitThousandths(state->restrictions.limit().requestsPerSecond()) == limitThousandths(requestsPerSecond)) {
         return false;
     }
-    state->limit.set(requestsPerSecond, now);
+    state->restrictions.limit().set(requestsPerSecond, now);
     return true;
 }
 
+bool InstanceSelector::addRest(std::uint32_t handle, std::chrono::milliseconds duration, SteadyTime now)
+{
+    InstanceState *state = this->findState(handle);
+    return state != nullptr && state->restrictions.addRest(duration, now);
+}
+
+bool InstanceSelector::setLeaving(std::uint32_t handle)
+{
+    InstanceState *state = this->findState(handle);
+    return state != nullptr && state->restrictions.setLeaving();
+}
+
+bool InstanceSelector::takesRequests(const std::string &instanceId, SteadyTime now)
+{
+    const RelayMessages::Registration *registration = this->instances.find(instanceId);
+    if (registration == nullptr || registration->state() != RelayMessages::REGISTRATION_STATE_READY) {
+        return false;
+    }
+    return this->states[InstanceTable::handleOf(*registration)].restrictions.allowsRequest(this->visibleShare, now);
+}
+
+std::optional<std::chrono::milliseconds> InstanceSelector::shortestRest(const std::string &service, SteadyTime now) const
+{
+    std::optional<SteadyTime> first;
+    for (const std::pair<const std::string, RelayMessages::Registration> &entry : this->instances.all()) {
+        const auto state = this->states.find(InstanceTable::handleOf(entry.second));
+        if (entry.second.service() == service && state != this->states.end() && state->second.restrictions.restUntil() > now) {
+            first = std::min(first.value_or(SteadyTime::max()), state->second.restrictions.restUntil());
+        }
+    }
+    return first ? std::optional<std::chrono::milliseconds>(std::chrono::ceil<std::chrono::milliseconds>(*first - now)) : std::nullopt;
+}
+
 void InstanceSelector::setVisibleShare(double share)
 {
     this->visibleShare = share;
@@ -208,7 +241,7 @@
     InstanceState &state = known->second;
     // A relay that has just started knows no limits, so a summary without one doesn't end a limit that this VM knows.
     if (summary.limit_thousandths() > 0) {
-        state.limit.set(limitOf(summary.limit_thousandths()), now);
+        state.restrictions.limit().set(limitOf(summary.limit_thousandths()), now);
     }
     // The relay counts the requests of this VM, too.
     const std::uint32_t ownInFlight = static_cast<std::uint32_t>(state.ownRequests.count());
@@ -239,7 +272,7 @@
         summary.set_instance(entry.first);
         summary.set_success_age_milliseconds(summaryAgeMilliseconds(entry.second.lastSuccess, now));
         summary.set_failure_age_milliseconds(summaryAgeMilliseconds(entry.second.lastFailure, now));
-        summary.set_limit_thousandths(limitThousandths(entry.second.limit.requestsPerSecond()));
+        summary.set_limit_thousandths(limitThousandths(entry.second.restrictions.limit().requestsPerSecond()));
         summary.set_in_flight(static_cast<std::uint32_t>(entry.second.inFlight()));
     }
     return all;
@@ -263,7 +296,7 @@
         }
         this->countHangingRequests(state, service, now);
         const double slots = std::max<std::uint32_t>(1, registration.slots());
-        if (static_cast<double>(state.inFlight()) < maximumOccupancy * slots && state.limit.allowsRequest(this->visibleShare, now)) {
+        if (static_cast<double>(state.inFlight()) < maximumOccupancy * slots && state.restrictions.allowsRequest(this->visibleShare, now)) {
             candidates.push_back({&registration, &state, this->costOf(registration, state, service, costs, now)});
         }
     }
@@ -290,6 +323,7 @@
 InstanceSelector::RequestCosts InstanceSelector::requestCosts(const InstanceQuery &query, std::size_t responseBytes) const
 {
     RequestCosts costs;
+    costs.failureDomain = query.failureDomain.empty() ? this->options.ownFailureDomain : query.failureDomain;
     costs.failure = query.idempotent && query.mayRetry ? retryableFailureCost : 1;
     const double kilobytes = static_cast<double>(query.requestBytes + responseBytes) / bytesPerKilobyte;
     costs.crossDomain = this->options.crossDomainCost + this->options.crossDomainCostOfKilobyte * kilobytes;
@@ -324,7 +358,7 @@
     if (state.latency.count() > 0 && service.latency.count() > 0) {
         cost += std::clamp(highLatencyCost * (state.latency / service.latency - 1.3), 0.0, maximumHighLatencyCost);
     }
-    cost += registration.failure_domain() == this->options.ownFailureDomain ? 0 : costs.crossDomain;
+    cost += registration.failure_domain() == costs.failureDomain ? 0 : costs.crossDomain;
     cost += now < state.fullUntil ? fullInstanceCost : 0;
     // Far above the usual costs, so that an unreachable instance is chosen only when no other one is left.
     cost += now < state.unreachableUntil ? 10 : 0;
@@ -371,7 +405,7 @@
         std::erase_if(candidates, isUnhealthy);
     }
     for (Candidate &candidate : candidates) {
-        const bool isOtherDomain = candidate.registration->failure_domain() != this->options.ownFailureDomain;
+        const bool isOtherDomain = candidate.registration->failure_domain() != costs.failureDomain;
         const double randomFraction = static_cast<double>(this->options.random() % randomSteps) / randomSteps;
         candidate.cost
             = randomFraction * maximumRandomCost + (isOtherDomain ? costs.crossDomain : 0) + queueingCost * static_cast<double>(candidate.state->inFlight());
@@ -407,12 +441,21 @@
         return "gone";
     }
     const double gray = state->second.gray.probability(now, this->options.model);
-    const std::optional<double> limit = state->second.limit.requestsPerSecond();
+    const std::optional<double> limit = state->second.restrictions.limit().requestsPerSecond();
     return "gray=" + std::to_string(gray).substr(0, 4) + " in_flight=" + std::to_string(state->second.inFlight()) + " own_in_flight="
         + std::to_string(state->second.ownRequests.count()) + " success_age_ms=" + std::to_string(ageMilliseconds(state->second.lastSuccess, now))
         + " failure_age_ms=" + std::to_string(ageMilliseconds(state->second.lastFailure, now)) + (limit ? " limit=" + std::to_string(*limit) : "");
 }
 
+void InstanceSelector::forgetUnreachable(std::uint32_t handle)
+{
+    InstanceState *state = this->findState(handle);
+    if (state != nullptr) {
+        state->unreachableUntil = SteadyTime();
+        state->unreachableBackoff = std::chrono::milliseconds(0);
+    }
+}
+
 bool InstanceSelector::hasSucceededSince(std::uint32_t handle, SteadyTime time) const
 {
     const auto known = this->states.find(handle);
--- a/libraries/process/health/instanceselector.h
+++ b/libraries/process/health/instanceselector.h
@@ -2,8 +2,8 @@
 
 #include "process/health/grayestimate.h"
 #include "process/health/inflightrequests.h"
-#include "process/health/instancelimit.h"
 #include "process/health/instancequery.h"
+#include "process/health/instancerestrictions.h"
 #include "process/hooks.h"
 #include "process/relay/instancetable.h"
 
@@ -68,6 +68,18 @@
     /// Sets the limit that an instance names in a response to this VM, or that it names none. Returns whether this VM knew another one.
     bool setLimit(std::uint32_t handle, std::optional<double> requestsPerSecond, SteadyTime now);
 
+    /// The instance wants no requests of this VM for this long. Returns whether it had no rest in force; false for an unknown instance.
+    bool addRest(std::uint32_t handle, std::chrono::milliseconds duration, SteadyTime now);
+
+    /// The instance has told this VM that it is leaving. Returns whether it hadn't said so before; false for an unknown instance.
+    bool setLeaving(std::uint32_t handle);
+
+    /// Whether the instance takes requests of this VM now, as far as it has said so itself. False for one that isn't registered or is leaving.
+    bool takesRequests(const std::string &instanceId, SteadyTime now);
+
+    /// Time until the first rest of an instance of the service ends; nothing if none of them has a rest.
+    std::optional<std::chrono::milliseconds> shortestRest(const std::string &service, SteadyTime now) const;
+
     /// Sets the share of the fleet's VMs whose outcomes arrive here. When it falls, the requests in flight of other VMs are no longer counted,
     /// since the end of some of them would never be reported.
     void setVisibleShare(double share);
@@ -90,6 +102,9 @@
     /// in_flight. A limit that the instance names follows as "limit=3.600000". An age of -1 means never; an unknown instance gives "gone".
     std::string describeInstance(const std::string &instanceId, SteadyTime now) const;
 
+    /// Makes an instance that counted as unreachable eligible again, since the path of this VM was the cause.
+    void forgetUnreachable(std::uint32_t handle);
+
     /// Whether a request of any VM on this instance has succeeded since @p time.
     bool hasSucceededSince(std::uint32_t handle, SteadyTime time) const;
 
@@ -102,7 +117,7 @@
         /// Requests in flight of this VM, and those that other VMs reported.
         InFlightRequests ownRequests;
         InFlightRequests otherRequests;
-        InstanceLimit limit;
+        InstanceRestrictions restrictions;
         bool isAssumedGray = false;
         std::optional<SteadyTime> lastSuccess;
         std::optional<SteadyTime> lastFailure;
@@ -137,6 +152,8 @@
     struct RequestCosts {
         double failure = 1;
         double crossDomain = 0;
+        /// Failure domain from which the request reaches the instance.
+        std::string failureDomain;
     };
 
     void applyTo(InstanceState &state, InFlightRequests &requests, const RelayMessages::InstanceOutcomes &outcomes, SteadyTime now);
--- a/libraries/process/proxy/upstreamtries.cpp
+++ b/libraries/process/proxy/upstreamtries.cpp
@@ -1,7 +1,7 @@
 #include "process/proxy/upstreamtries.h"
 
 #include "connection/headerfilter.h"
-#include "request/requestlimitheader.h"
+#include "request/instancenotice.h"
 
 #include <boost/leaf/handle_errors.hpp>
 #include <glog/logging.h>
@@ -17,8 +17,8 @@
 constexpr int poisonConnectionLosses = 2;
 /// After a try that reached no instance the next instance is tried, whatever the retry budget, but at most this many times per request.
 constexpr int maximumUnsentTries = 4;
-/// Of this many responses with an invalid limit in a row, one is logged.
-constexpr int invalidLimitLogInterval = 100;
+/// Of this many responses with an invalid header, one is logged.
+constexpr int invalidHeaderLogInterval = 100;
 
 HttpResponse forwardedResponse(const HttpResponse &response, const CallerRequest &request)
 {
@@ -58,6 +58,7 @@
         const std::optional<hyssophall::fleet::v1::Instance> instance = this->health.choose(this->createQuery(context, state));
         if (!instance) {
             record.retryStopReason = "no instance is available for the request";
+            this->refuseUntilRestIsOver(context, state);
             break;
         }
         state.triedInstances.insert(instance->id());
@@ -66,6 +67,14 @@
     return std::move(state.result);
 }
 
+void UpstreamTries::refuseUntilRestIsOver(const RequestContext &context, State &state) const
+{
+    const std::optional<std::chrono::milliseconds> rest = this->health.shortestRest(context.service);
+    if (rest && !state.result.mayHaveRun) {
+        state.result.response = refusalResponse({RefusalCode::Overloaded, RequestOutcome::NotRun, *rest});
+    }
+}
+
 InstanceQuery UpstreamTries::createQuery(const RequestContext &context, const State &state) const
 {
     InstanceQuery query;
@@ -105,31 +114,34 @@
     state.preSendRefusal.reset();
     const UpstreamResult result = this->sender.send(this->createCall(context, instance, record, tryRecord.spanId, state));
     const TryClassification classification(result, this->admission.headerNames().notRun);
-    if (result.openedConnection) {
-        this->health.connectionOpened(instance);
+    if (result.connectionOpenedAt) {
+        this->health.connectionOpened(instance, *result.connectionOpenedAt);
     }
-    this->reportLimit(instance, result, classification.outcome());
+    this->reportNotice(instance, result, classification.outcome());
     this->health.finish(instance, classification.outcome(), result.latency, context.fingerprint);
     tryRecord.duration = result.latency;
     tryRecord.outcome = classification.outcome();
     tryRecord.status = result.response ? result.response->status : 0;
     tryRecord.reusedConnection = result.reusedConnection;
+    tryRecord.forwardedThrough = result.forwardedThrough;
     record.upstreamDuration += result.latency;
     record.tries.push_back(std::move(tryRecord));
     this->evaluateTry(context, record, result, classification, state);
 }
 
-void UpstreamTries::reportLimit(const hyssophall::fleet::v1::Instance &instance, const UpstreamResult &result, TryOutcome outcome)
+void UpstreamTries::reportNotice(const hyssophall::fleet::v1::Instance &instance, const UpstreamResult &result, TryOutcome outcome)
 {
     if (!result.response || outcome == TryOutcome::WrongInstance) {
         return;
     }
-    const RequestLimitHeader header(*result.response, this->admission.headerNames().requestLimit);
-    if (header.isValid()) {
-        this->health.limitNamed(instance, header.requestsPerSecond());
-    } else {
-        LOG_EVERY_N(WARNING, invalidLimitLogInterval) << "Instance " << instance.id() << " names a request limit that isn't a number";
+    const InstanceNotice notice(*result.response, this->admission.headerNames());
+    if (!notice.isLimitValid()) {
+        LOG_EVERY_N(WARNING, invalidHeaderLogInterval) << "Instance " << instance.id() << " names a request limit that isn't a number";
+    }
+    if (!notice.isRestValid()) {
+        LOG_EVERY_N(WARNING, invalidHeaderLogInterval) << "Instance " << instance.id() << " sent a Retry-After that isn't a number of seconds";
     }
+    this->health.noticed(instance, notice);
 }
 
 void UpstreamTries::evaluateTry(
@@ -143,7 +155,7 @@
     if (classification.isForwardable()) {
         total.response = CallerResponse{forwardedResponse(*result.response, *context.request), std::nullopt};
     } else {
-        Refusal refusal = state.preSendRefusal.value_or(classification.refusal(true));
+        Refusal refusal = state.preSendRefusal.value_or(classification.refusal(!total.mayHaveRun));
         refusal.outcome = total.mayHaveRun ? RequestOutcome::Unknown : RequestOutcome::NotRun;
         total.response = refusalResponse(refusal);
     }
@@ -186,6 +198,8 @@
 {
     const HeaderNames &names = this->admission.headerNames();
     UpstreamCall call;
+    call.instance = instance.id();
+    call.failureDomain = instance.failure_domain();
     call.host = instance.host();
     call.port = static_cast<std::uint16_t>(instance.port());
     call.request = context.request->http;
--- a/libraries/request/tryclassification.cpp
+++ b/libraries/request/tryclassification.cpp
@@ -7,6 +7,9 @@
 /// 421 Misdirected Request: another instance now has the address that the request was sent to.
 constexpr int wrongInstanceStatus = 421;
 
+/// A caller that comes back after this time reaches another VM, or one that has learned meanwhile which instances work.
+constexpr std::chrono::milliseconds refusalRetryAfter{1000};
+
 /// Whether callers read the status as "the request wasn't run", as with the refusals of this fleet that have the same status.
 bool impliesNotRun(int status)
 {
@@ -23,9 +26,13 @@
 
 TryOutcome outcomeOf(const UpstreamFailure &failure)
 {
+    if (failure.isPathFailure && failure.kind != UpstreamFailureKind::ConnectFailed) {
+        return TryOutcome::Neutral;
+    }
     switch (failure.kind) {
     case UpstreamFailureKind::ConnectFailed:
         return TryOutcome::ConnectFailed;
+    case UpstreamFailureKind::NoPath:
     case UpstreamFailureKind::RejectedBeforeSend:
     case UpstreamFailureKind::CallerDisconnected:
         return TryOutcome::Neutral;
@@ -44,6 +51,9 @@
 RefusalCode refusalCodeOf(UpstreamFailureKind kind)
 {
     switch (kind) {
+    case UpstreamFailureKind::ConnectFailed:
+    case UpstreamFailureKind::NoPath:
+        return RefusalCode::InstanceUnreachable;
     case UpstreamFailureKind::TimedOut:
         return RefusalCode::DeadlineExceeded;
     case UpstreamFailureKind::ResponseIncomplete:
@@ -63,10 +73,10 @@
         this->provenNotRun = !result.failure->mayHaveSent;
         this->outcomeOfTry = outcomeOf(*result.failure);
         this->refusalCode = refusalCodeOf(result.failure->kind);
-        // A retry would be refused before sending as well, get a response that is too large as well, or have no caller to respond to.
+        // A retry would find no path and be refused before sending as well, get a response that is too large as well, or have no caller to respond to.
         const UpstreamFailureKind kind = result.failure->kind;
-        this->retryable = kind != UpstreamFailureKind::RejectedBeforeSend && kind != UpstreamFailureKind::ResponseTooLarge
-            && kind != UpstreamFailureKind::CallerDisconnected;
+        this->retryable = kind != UpstreamFailureKind::NoPath && kind != UpstreamFailureKind::RejectedBeforeSend
+            && kind != UpstreamFailureKind::ResponseTooLarge && kind != UpstreamFailureKind::CallerDisconnected;
         return;
     }
     if (provesNotRun(*result.response, notRunHeader)) {
@@ -124,8 +134,13 @@
 
 Refusal TryClassification::refusal(bool provenNotRun) const
 {
-    const std::chrono::milliseconds retryAfter(this->refusalCode == RefusalCode::Overloaded ? 1000 : 0);
-    return Refusal{this->refusalCode, provenNotRun ? RequestOutcome::NotRun : RequestOutcome::Unknown, retryAfter};
+    if (this->refusalCode == RefusalCode::InstanceUnreachable && !provenNotRun) {
+        // The status of this code would promise that the request wasn't run.
+        return Refusal{RefusalCode::UpstreamFailed, RequestOutcome::Unknown};
+    }
+    const bool mayComeBack = this->refusalCode == RefusalCode::Overloaded || this->refusalCode == RefusalCode::InstanceUnreachable;
+    return Refusal{
+        this->refusalCode, provenNotRun ? RequestOutcome::NotRun : RequestOutcome::Unknown, mayComeBack ? refusalRetryAfter : std::chrono::milliseconds(0)};
 }
 
 } // namespace Hyssophall
--- a/tests/unit/process/forwarding/forwardingfleet.h
+++ b/tests/unit/process/forwarding/forwardingfleet.h
@@ -3,6 +3,7 @@
 #include "harness/ports.h"
 #include "harness/testfleet.h"
 #include "process/fleet/fleetserver.h"
+#include "process/forwarding/forwardingnode.h"
 #include "process/proxy/requesthandler.h"
 #include "process/relay/entrynode.h"
 #include "process/relay/relayhub.h"
@@ -13,10 +14,13 @@
 #include <catch2/catch.hpp>
 
 #include <atomic>
+#include <functional>
 #include <map>
 #include <memory>
 #include <mutex>
 #include <string>
+#include <utility>
+#include <vector>
 
 namespace HyssophallTest {
 
@@ -31,13 +35,21 @@
             result.failure = Hyssophall::UpstreamFailure{Hyssophall::UpstreamFailureKind::ConnectFailed, false, false};
             return result;
         }
-        result.openedConnection = true;
+        result.connectionOpenedAt = std::chrono::steady_clock::now();
         if (call.mayBeSent && !call.mayBeSent()) {
             result.failure = Hyssophall::UpstreamFailure{Hyssophall::UpstreamFailureKind::RejectedBeforeSend, false, false};
             return result;
         }
         const std::string *order = Hyssophall::findHeader(call.request.headers, "X-Order");
+        for (const Hyssophall::HttpHeader &header : call.request.headers) {
+            this->sawKey = this->sawKey || header.value.find("red-key") != std::string::npos;
+        }
         std::lock_guard<std::mutex> lock(this->mutex);
+        this->arrivals[call.instance].push_back(std::chrono::steady_clock::now());
+        if (this->respond) {
+            result.response = this->respond(call.instance);
+            return result;
+        }
         ++this->runs[order == nullptr ? std::string() : *order];
         ++this->runsOnHost[call.host];
         result.response = Hyssophall::HttpResponse{200, {{"Content-Type", "text/plain"}}, "done"};
@@ -56,12 +68,30 @@
         return this->runsOnHost[host];
     }
 
+    /// Times of the requests that arrived at the instance with this id.
+    std::vector<Hyssophall::SteadyTime> arrivalsAt(const std::string &instance)
+    {
+        std::lock_guard<std::mutex> lock(this->mutex);
+        return this->arrivals[instance];
+    }
+
+    /// Replaces the response of the instance with this id.
+    void setResponse(std::function<Hyssophall::HttpResponse(const std::string &instance)> newRespond)
+    {
+        std::lock_guard<std::mutex> lock(this->mutex);
+        this->respond = std::move(newRespond);
+    }
+
     std::atomic<bool> isPartitioned{false};
+    /// Whether a request had the caller's key in a header.
+    std::atomic<bool> sawKey{false};
 
 private:
     std::mutex mutex;
     std::map<std::string, int> runs;
     std::map<std::string, int> runsOnHost;
+    std::map<std::string, std::vector<Hyssophall::SteadyTime>> arrivals;
+    std::function<Hyssophall::HttpResponse(const std::string &)> respond;
 };
 
 /// An entry VM with a connection to a relay, whose instances are simulated.
@@ -69,14 +99,16 @@
 {
 public:
     ForwardingVm(const std::string &id, const std::string &host, const std::string &relayHost, int fleetPort)
-        : node(settingsOf(id, host, relayHost, fleetPort), std::chrono::steady_clock::now, [this] { return ++this->counter; })
+        : settings(settingsOf(id, host, relayHost, fleetPort))
+        , node(this->settings, std::chrono::steady_clock::now, [this] { return ++this->counter; })
+        , forwarding(this->createForwarding())
         , handler({[this] { return this->lookup; },
                       this->lease,
                       this->limiter,
                       this->claims,
                       this->capacity,
                       this->node,
-                      this->instances,
+                      this->forwarding->sender(),
                       this->node.retries(),
                       std::chrono::steady_clock::now,
                       [this] { return ++this->counter; },
@@ -100,10 +132,27 @@
     MockClaims claims;
     MockCapacity capacity;
     std::atomic<std::uint64_t> counter{0};
+    const Hyssophall::Settings settings;
     Hyssophall::EntryNode node;
+    std::unique_ptr<Hyssophall::ForwardingNode> forwarding;
     Hyssophall::RequestHandler handler;
 
 private:
+    std::unique_ptr<Hyssophall::ForwardingNode> createForwarding()
+    {
+        std::unique_ptr<Hyssophall::ForwardingNode> created;
+        boost::leaf::try_handle_all(
+            [&]() -> boost::leaf::result<void> {
+                BOOST_LEAF_ASSIGN(created,
+                    Hyssophall::ForwardingNode::create(this->settings, this->node, this->instances, [this](const Hyssophall::InstancePathProbe::Address &) {
+                        return !this->instances.isPartitioned;
+                    }));
+                return {};
+            },
+            [] { CATCH_FAIL("The VM's fleet port can't be opened"); });
+        return created;
+    }
+
     static Hyssophall::Settings settingsOf(const std::string &id, const std::string &host, const std::string &relayHost, int fleetPort)
     {
         Hyssophall::Settings settings;
@@ -153,13 +202,16 @@
         }
         this->partitioned = std::make_unique<ForwardingVm>("vm-1", "127.0.0.22", "127.0.0.21", this->fleetPort);
         this->other = std::make_unique<ForwardingVm>("vm-2", "127.0.0.23", "127.0.0.21", this->fleetPort);
-        CATCH_REQUIRE(Hyssophall::Harness::waitUntil(std::chrono::seconds(5), [this] {
-            return this->partitioned->node.uplink().visibleShare() > 0.9 && this->other->node.uplink().visibleShare() > 0.9
-                && this->partitioned->handle("GET", "/read").http.status == 200 && this->other->handle("GET", "/read").http.status == 200;
-        }));
+        for (ForwardingVm *vm : {this->partitioned.get(), this->other.get()}) {
+            // A request that is refused for lack of an instance would make all VMs spread their requests for a second.
+            CATCH_REQUIRE(Hyssophall::Harness::waitUntil(
+                std::chrono::seconds(5), [vm] { return vm->node.uplink().visibleShare() > 0.9 && vm->node.describeInstance("remote-8") != "gone"; }));
+            CATCH_REQUIRE(vm->handle("GET", "/read").http.status == 200);
+        }
     }
 
-    void addInstance(const std::string &id, const std::string &host, std::uint32_t port, const std::string &failureDomain) const
+    static Hyssophall::RelayMessages::Registration registrationOf(
+        const std::string &id, const std::string &host, std::uint32_t port, const std::string &failureDomain)
     {
         Hyssophall::RelayMessages::Registration registration;
         registration.set_id(id);
@@ -171,7 +223,12 @@
         registration.set_state(Hyssophall::RelayMessages::REGISTRATION_STATE_READY);
         registration.set_started_at_milliseconds(1);
         registration.set_sequence(1);
-        this->hub->publish(registration, false, Hyssophall::SteadyTime());
+        return registration;
+    }
+
+    void addInstance(const std::string &id, const std::string &host, std::uint32_t port, const std::string &failureDomain) const
+    {
+        this->hub->publish(registrationOf(id, host, port, failureDomain), false, Hyssophall::SteadyTime());
     }
 
     const int fleetPort = Hyssophall::Harness::findFreePort();
