Forwarding: Keep to one time limit for the end of forwarded requests

A shutdown waited up to twice the limit: once for the results of forwarded requests and once for their responses to be written. Found by reading; no caller was seen to be affected.

--- a/libraries/process/forwarding/forwardingnode.cpp
+++ b/libraries/process/forwarding/forwardingnode.cpp
@@ -1,5 +1,6 @@
 #include "process/forwarding/forwardingnode.h"
 
+#include <algorithm>
 #include <optional>
 #include <utility>
 
@@ -89,7 +90,13 @@
 
 bool ForwardingNode::waitUntilIdle(std::chrono::milliseconds limit)
 {
-    return this->service.waitUntilIdle(limit) && this->endpoint->waitUntilIdle(limit);
+    const SteadyTime end = std::chrono::steady_clock::now() + limit;
+    if (!this->service.waitUntilIdle(limit)) {
+        return false;
+    }
+    // The last responses may still be on their way out.
+    const std::chrono::milliseconds remaining = std::chrono::duration_cast<std::chrono::milliseconds>(end - std::chrono::steady_clock::now());
+    return this->endpoint->waitUntilIdle(std::max(std::chrono::milliseconds(0), remaining));
 }
 
 std::uint64_t ForwardingNode::acceptedCount() const
