Health: Count a forwarded request against an instance's limit once

A VM that sends requests of others asked whether the limit of the instance (request_limit) allows another one, though the VM that chose it had counted it. With a limit that is just used up, it would have refused requests that were within it.

The VM that sends now goes by rest and leaving alone. The new test fails on the former check.

--- a/libraries/process/health/instancerestrictions.cpp
+++ b/libraries/process/health/instancerestrictions.cpp
@@ -17,7 +17,12 @@
 
 bool InstanceRestrictions::allowsRequest(double visibleShare, SteadyTime now)
 {
-    return !this->leaving && now >= this->restEnd && this->requestLimit.allowsRequest(visibleShare, now);
+    return this->takesRequests(now) && this->requestLimit.allowsRequest(visibleShare, now);
+}
+
+bool InstanceRestrictions::takesRequests(SteadyTime now) const
+{
+    return !this->leaving && now >= this->restEnd;
 }
 
 bool InstanceRestrictions::addRest(std::chrono::milliseconds duration, SteadyTime now)
--- a/libraries/process/health/instancerestrictions.h
+++ b/libraries/process/health/instancerestrictions.h
@@ -24,6 +24,9 @@
     /// The instance wants no further requests of this VM. Returns whether it hadn't said so before.
     bool setLeaving();
 
+    /// Whether the instance takes requests of this VM, apart from the limit over all VMs.
+    bool takesRequests(SteadyTime now) const;
+
     /// Whether one more request of this VM may be started; see InstanceLimit::allowsRequest() for @p visibleShare.
     bool allowsRequest(double visibleShare, SteadyTime now);
 
--- a/libraries/process/health/instanceselector.cpp
+++ b/libraries/process/health/instanceselector.cpp
@@ -190,13 +190,14 @@
     return state != nullptr && state->restrictions.setLeaving();
 }
 
-bool InstanceSelector::takesRequests(const std::string &instanceId, SteadyTime now)
+bool InstanceSelector::takesRequests(const std::string &instanceId, SteadyTime now) const
 {
     const RelayMessages::Registration *registration = this->instances.find(instanceId);
     if (registration == nullptr || registration->state() != RelayMessages::REGISTRATION_STATE_READY) {
         return false;
     }
-    return this->states[InstanceTable::handleOf(*registration)].restrictions.allowsRequest(this->visibleShare, now);
+    const auto state = this->states.find(InstanceTable::handleOf(*registration));
+    return state == this->states.end() || state->second.restrictions.takesRequests(now);
 }
 
 std::optional<std::chrono::milliseconds> InstanceSelector::shortestRest(const std::string &service, SteadyTime now) const
--- a/libraries/process/health/instanceselector.h
+++ b/libraries/process/health/instanceselector.h
@@ -74,8 +74,9 @@
     /// The instance has told this VM that it is leaving. Returns whether it hadn't said so before; false for an unknown instance.
     bool setLeaving(std::uint32_t handle);
 
-    /// Whether the instance takes requests of this VM now, as far as it has said so itself. False for one that isn't registered or is leaving.
-    bool takesRequests(const std::string &instanceId, SteadyTime now);
+    /// Whether the instance takes requests of this VM now, apart from its limit over all VMs, in which the VM that chose the instance has counted the
+    /// request. False for one that isn't registered or is leaving.
+    bool takesRequests(const std::string &instanceId, SteadyTime now) const;
 
     /// Time until the first rest of an instance of the service ends; nothing if none of them has a rest.
     std::optional<std::chrono::milliseconds> shortestRest(const std::string &service, SteadyTime now) const;
--- a/libraries/process/relay/entrynode.cpp
+++ b/libraries/process/relay/entrynode.cpp
@@ -378,7 +378,7 @@
     this->relayUplink->send(update);
 }
 
-bool EntryNode::takesRequests(const std::string &instanceId)
+bool EntryNode::takesRequests(const std::string &instanceId) const
 {
     std::lock_guard<std::mutex> lock(this->mutex);
     return this->board.takesRequests(instanceId, this->clock());
--- a/libraries/process/relay/entrynode.h
+++ b/libraries/process/relay/entrynode.h
@@ -60,7 +60,7 @@
     VmDirectory &otherVms();
 
     /// Whether the instance is registered, isn't leaving, and takes requests of this VM as far as it has said.
-    bool takesRequests(const std::string &instanceId);
+    bool takesRequests(const std::string &instanceId) const;
 
     /// A registered instance chosen at random, or nothing if there is none.
     std::optional<hyssophall::fleet::v1::Instance> randomInstance() const;
--- a/tests/unit/process/health/instanceselectortest.cpp
+++ b/tests/unit/process/health/instanceselectortest.cpp
@@ -583,3 +583,28 @@
     CATCH_REQUIRE(changes.size() == 2);
     CATCH_CHECK_FALSE(changes[1].isGray);
 }
+
+// Guards against a forwarded request that is counted against an instance's limit twice: by the VM that chose the instance, and by the one that sends it.
+CATCH_TEST_CASE("An instance whose limit is used up takes a request that another VM has counted, unless it asked for rest", "[health][load-shedding]")
+{
+    std::mt19937_64 random(3);
+    InstanceSelector selector(optionsWith(random));
+    const RelayMessages::Registration instance = registrationOf("i-1", 1, 1);
+    selector.apply(instance);
+    const std::uint32_t handle = InstanceTable::handleOf(instance);
+    CATCH_REQUIRE(selector.setLimit(handle, 1, start));
+    RelayMessages::InstanceOutcomes started = outcomesOf(instance);
+    started.set_started(3);
+    selector.apply(started, start);
+    CATCH_CHECK(!selector.choose(queryOf(), 0, start));
+    CATCH_CHECK(selector.takesRequests("i-1", start));
+    CATCH_CHECK(selector.addRest(handle, std::chrono::seconds(2), start));
+    CATCH_CHECK(!selector.takesRequests("i-1", start + std::chrono::seconds(1)));
+    CATCH_CHECK(selector.shortestRest("orders", start + std::chrono::seconds(1)) == std::chrono::seconds(1));
+    CATCH_CHECK(selector.takesRequests("i-1", start + std::chrono::seconds(2)));
+    CATCH_CHECK(selector.setLeaving(handle));
+    CATCH_CHECK(!selector.takesRequests("i-1", start + std::chrono::seconds(9)));
+    // A new start of the instance knows nothing of it.
+    selector.apply(registrationOf("i-1", 2, 1));
+    CATCH_CHECK(selector.takesRequests("i-1", start + std::chrono::seconds(9)));
+}
