--- a/libraries/process/health/instancehealth.h
+++ b/libraries/process/health/instancehealth.h
@@ -62,8 +62,8 @@
     {
     }
 
-    /// Time until an instance of the service that has asked for rest takes requests of this VM again; nothing if none has.
-    virtual std::optional<std::chrono::milliseconds> shortestRest(const std::string &) const
+    /// Time until an instance of the service that has sent Retry-After takes requests of this VM again; nothing if none has.
+    virtual std::optional<std::chrono::milliseconds> shortestBackoff(const std::string &) const
     {
         return std::nullopt;
     }
--- a/libraries/process/health/instancerestrictions.cpp
+++ b/libraries/process/health/instancerestrictions.cpp
@@ -22,13 +22,13 @@
 
 bool InstanceRestrictions::takesRequests(SteadyTime now) const
 {
-    return !this->leaving && now >= this->restEnd;
+    return !this->leaving && now >= this->backoffEnd;
 }
 
-bool InstanceRestrictions::addRest(std::chrono::milliseconds duration, SteadyTime now)
+bool InstanceRestrictions::addBackoff(std::chrono::milliseconds duration, SteadyTime now)
 {
-    const bool hadNone = now >= this->restEnd;
-    this->restEnd = std::max(this->restEnd, now + duration);
+    const bool hadNone = now >= this->backoffEnd;
+    this->backoffEnd = std::max(this->backoffEnd, now + duration);
     return hadNone;
 }
 
@@ -37,9 +37,9 @@
     return !std::exchange(this->leaving, true);
 }
 
-SteadyTime InstanceRestrictions::restUntil() const
+SteadyTime InstanceRestrictions::backoffUntil() const
 {
-    return this->restEnd;
+    return this->backoffEnd;
 }
 
 } // namespace Hyssophall
--- a/libraries/process/health/instancerestrictions.h
+++ b/libraries/process/health/instancerestrictions.h
@@ -14,12 +14,12 @@
     InstanceLimit &limit();
     const InstanceLimit &limit() const;
 
-    /// The instance wants no requests of this VM for this long. A shorter rest than the one in force changes nothing. Returns whether the instance had
+    /// The instance wants no requests of this VM for this long. A shorter backoff than the one in force changes nothing. Returns whether the instance had
     /// none in force.
-    bool addRest(std::chrono::milliseconds duration, SteadyTime now);
+    bool addBackoff(std::chrono::milliseconds duration, SteadyTime now);
 
-    /// End of the rest; in the past if the instance has none.
-    SteadyTime restUntil() const;
+    /// End of the backoff; in the past if there is none.
+    SteadyTime backoffUntil() const;
 
     /// The instance wants no further requests of this VM. Returns whether it hadn't said so before.
     bool setLeaving();
@@ -32,7 +32,7 @@
 
 private:
     InstanceLimit requestLimit;
-    SteadyTime restEnd;
+    SteadyTime backoffEnd;
     bool leaving = false;
 };
 
--- a/libraries/process/health/instanceselector.cpp
+++ b/libraries/process/health/instanceselector.cpp
@@ -178,10 +178,10 @@
     return true;
 }
 
-bool InstanceSelector::addRest(std::uint32_t handle, std::chrono::milliseconds duration, SteadyTime now)
+bool InstanceSelector::addBackoff(std::uint32_t handle, std::chrono::milliseconds duration, SteadyTime now)
 {
     InstanceState *state = this->findState(handle);
-    return state != nullptr && state->restrictions.addRest(duration, now);
+    return state != nullptr && state->restrictions.addBackoff(duration, now);
 }
 
 bool InstanceSelector::setLeaving(std::uint32_t handle)
@@ -200,13 +200,13 @@
     return state == this->states.end() || state->second.restrictions.takesRequests(now);
 }
 
-std::optional<std::chrono::milliseconds> InstanceSelector::shortestRest(const std::string &service, SteadyTime now) const
+std::optional<std::chrono::milliseconds> InstanceSelector::shortestBackoff(const std::string &service, SteadyTime now) const
 {
     std::optional<SteadyTime> first;
     for (const std::pair<const std::string, RelayMessages::Registration> &entry : this->instances.all()) {
         const auto state = this->states.find(InstanceTable::handleOf(entry.second));
-        if (entry.second.service() == service && state != this->states.end() && state->second.restrictions.restUntil() > now) {
-            first = std::min(first.value_or(SteadyTime::max()), state->second.restrictions.restUntil());
+        if (entry.second.service() == service && state != this->states.end() && state->second.restrictions.backoffUntil() > now) {
+            first = std::min(first.value_or(SteadyTime::max()), state->second.restrictions.backoffUntil());
         }
     }
     return first ? std::optional<std::chrono::milliseconds>(std::chrono::ceil<std::chrono::milliseconds>(*first - now)) : std::nullopt;
--- a/libraries/process/health/instanceselector.h
+++ b/libraries/process/health/instanceselector.h
@@ -68,8 +68,8 @@
     /// Sets the limit that an instance names in a response to this VM, or that it names none. Returns whether this VM knew another one.
     bool setLimit(std::uint32_t handle, std::optional<double> requestsPerSecond, SteadyTime now);
 
-    /// The instance wants no requests of this VM for this long. Returns whether it had no rest in force; false for an unknown instance.
-    bool addRest(std::uint32_t handle, std::chrono::milliseconds duration, SteadyTime now);
+    /// The instance wants no requests of this VM for this long. Returns whether it had no backoff in force; false for an unknown instance.
+    bool addBackoff(std::uint32_t handle, std::chrono::milliseconds duration, SteadyTime now);
 
     /// The instance has told this VM that it is leaving. Returns whether it hadn't said so before; false for an unknown instance.
     bool setLeaving(std::uint32_t handle);
@@ -78,8 +78,8 @@
     /// request. False for one that isn't registered or is leaving.
     bool takesRequests(const std::string &instanceId, SteadyTime now) const;
 
-    /// Time until the first rest of an instance of the service ends; nothing if none of them has a rest.
-    std::optional<std::chrono::milliseconds> shortestRest(const std::string &service, SteadyTime now) const;
+    /// Time until the first backoff of an instance of the service ends; nothing if none of them has one.
+    std::optional<std::chrono::milliseconds> shortestBackoff(const std::string &service, SteadyTime now) const;
 
     /// Sets the share of the fleet's VMs whose outcomes arrive here. When it falls, the requests in flight of other VMs are no longer counted,
     /// since the end of some of them would never be reported.
--- a/libraries/process/proxy/upstreamtries.cpp
+++ b/libraries/process/proxy/upstreamtries.cpp
@@ -58,7 +58,7 @@
         const std::optional<hyssophall::fleet::v1::Instance> instance = this->health.choose(this->createQuery(context, state));
         if (!instance) {
             record.retryStopReason = "no instance is available for the request";
-            this->refuseUntilRestIsOver(context, state);
+            this->refuseUntilBackoffEnds(context, state);
             break;
         }
         state.triedInstances.insert(instance->id());
@@ -67,11 +67,11 @@
     return std::move(state.result);
 }
 
-void UpstreamTries::refuseUntilRestIsOver(const RequestContext &context, State &state) const
+void UpstreamTries::refuseUntilBackoffEnds(const RequestContext &context, State &state) const
 {
-    const std::optional<std::chrono::milliseconds> rest = this->health.shortestRest(context.service);
-    if (rest && !state.result.mayHaveRun) {
-        state.result.response = refusalResponse({RefusalCode::Overloaded, RequestOutcome::NotRun, *rest});
+    const std::optional<std::chrono::milliseconds> backoff = this->health.shortestBackoff(context.service);
+    if (backoff && !state.result.mayHaveRun) {
+        state.result.response = refusalResponse({RefusalCode::Overloaded, RequestOutcome::NotRun, *backoff});
     }
 }
 
@@ -138,7 +138,7 @@
     if (!notice.isLimitValid()) {
         LOG_EVERY_N(WARNING, invalidHeaderLogInterval) << "Instance " << instance.id() << " names a request limit that isn't a number";
     }
-    if (!notice.isRestValid()) {
+    if (!notice.isRetryAfterValid()) {
         LOG_EVERY_N(WARNING, invalidHeaderLogInterval) << "Instance " << instance.id() << " sent a Retry-After that isn't a number of seconds";
     }
     this->health.noticed(instance, notice);
--- a/libraries/process/proxy/upstreamtries.h
+++ b/libraries/process/proxy/upstreamtries.h
@@ -53,8 +53,8 @@
     /// Reports what an instance says about itself in its response.
     void reportNotice(const hyssophall::fleet::v1::Instance &instance, const UpstreamResult &result, TryOutcome outcome);
     void evaluateTry(const RequestContext &context, RequestRecord &record, const UpstreamResult &result, const TryClassification &classification, State &state);
-    /// If instances of the service are at rest and none is left, refuses the request until the first rest is over.
-    void refuseUntilRestIsOver(const RequestContext &context, State &state) const;
+    /// If instances of the service have sent Retry-After and no other is left, refuses the request until the first of these times is over.
+    void refuseUntilBackoffEnds(const RequestContext &context, State &state) const;
     InstanceQuery createQuery(const RequestContext &context, const State &state) const;
     /// True if the next try of this request can be followed by a retry: the request is idempotent, and neither its route's limit of attempts nor
     /// TryClassification::maximumRetries will be reached.
--- a/libraries/process/relay/entrynode.cpp
+++ b/libraries/process/relay/entrynode.cpp
@@ -384,10 +384,10 @@
     return this->board.takesRequests(instanceId, this->clock());
 }
 
-std::optional<std::chrono::milliseconds> EntryNode::shortestRest(const std::string &service) const
+std::optional<std::chrono::milliseconds> EntryNode::shortestBackoff(const std::string &service) const
 {
     std::lock_guard<std::mutex> lock(this->mutex);
-    return this->board.shortestRest(service, this->clock());
+    return this->board.shortestBackoff(service, this->clock());
 }
 
 void EntryNode::noticedForOtherVm(const std::string &instanceId, const HttpResponse &response)
@@ -452,8 +452,8 @@
     if (notice.isLimitValid()) {
         this->limitNamed(instance, notice.requestsPerSecond());
     }
-    if (notice.rest()) {
-        this->restAsked(instance, *notice.rest());
+    if (notice.retryAfter()) {
+        this->backoffRequested(instance, *notice.retryAfter());
     }
     if (notice.isLeaving()) {
         this->leavingSaid(instance);
@@ -472,15 +472,15 @@
     }
 }
 
-void EntryNode::restAsked(const hyssophall::fleet::v1::Instance &instance, std::chrono::milliseconds duration)
+void EntryNode::backoffRequested(const hyssophall::fleet::v1::Instance &instance, std::chrono::milliseconds duration)
 {
     bool isNew = false;
     {
         std::lock_guard<std::mutex> lock(this->mutex);
-        isNew = this->board.addRest(InstanceTable::handleOf(incarnationOf(instance)), duration, this->clock());
+        isNew = this->board.addBackoff(InstanceTable::handleOf(incarnationOf(instance)), duration, this->clock());
     }
     if (isNew) {
-        LOG(INFO) << "Instance " << instance.id() << " of service " << instance.service() << " asks this VM for a rest of " << duration.count() << " ms";
+        LOG(INFO) << "Instance " << instance.id() << " of service " << instance.service() << " wants no requests of this VM for " << duration.count() << " ms";
     }
 }
 
--- a/libraries/process/relay/entrynode.h
+++ b/libraries/process/relay/entrynode.h
@@ -79,7 +79,7 @@
     void finish(const hyssophall::fleet::v1::Instance &instance, TryOutcome outcome, std::chrono::microseconds latency, std::uint64_t fingerprint) override;
     void connectionOpened(const hyssophall::fleet::v1::Instance &instance, SteadyTime at) override;
     void noticed(const hyssophall::fleet::v1::Instance &instance, const InstanceNotice &notice) override;
-    std::optional<std::chrono::milliseconds> shortestRest(const std::string &service) const override;
+    std::optional<std::chrono::milliseconds> shortestBackoff(const std::string &service) const override;
     bool isPoison(std::uint64_t fingerprint) const override;
     /// Reports the outcome of the request to the other VMs.
     void requestFinished(const RequestRecord &record) override;
@@ -91,7 +91,7 @@
     void applyConfiguration(const CatalogueMessages::Configuration &configuration);
     void recordConnectFailed(const hyssophall::fleet::v1::Instance &instance);
     void leavingSaid(const hyssophall::fleet::v1::Instance &instance);
-    void restAsked(const hyssophall::fleet::v1::Instance &instance, std::chrono::milliseconds duration);
+    void backoffRequested(const hyssophall::fleet::v1::Instance &instance, std::chrono::milliseconds duration);
     void limitNamed(const hyssophall::fleet::v1::Instance &instance, std::optional<double> requestsPerSecond);
     void pathStateChanged(bool isPartitioned, std::size_t failedHosts);
     RelayMessages::VmPresence presence() const;
--- a/libraries/request/instancenotice.cpp
+++ b/libraries/request/instancenotice.cpp
@@ -11,8 +11,8 @@
 /// Far above what an instance can take; a larger value isn't a limit.
 constexpr double largestLimit = 1e6;
 constexpr int unavailableStatus = 503;
-/// A longer rest is cut to this, so that a mistaken value doesn't keep the instance out of use for good.
-constexpr std::chrono::hours longestRest{1};
+/// A longer time is cut to this, so that a mistaken value doesn't keep the instance out of use for good.
+constexpr std::chrono::hours longestBackoff{1};
 /// In seconds; larger values are taken for mistakes.
 constexpr double largestRetryAfter = 1e9;
 
@@ -36,22 +36,22 @@
 InstanceNotice::InstanceNotice(const HttpResponse &response, const HeaderNames &names)
 {
     this->readLimit(response, names.requestLimit);
-    this->readRest(response);
+    this->readRetryAfter(response);
     const std::string *leavingValue = findNamed(response, names.leaving);
     this->leaving = leavingValue != nullptr && *leavingValue != "0" && *leavingValue != "false";
 }
 
-void InstanceNotice::readRest(const HttpResponse &response)
+void InstanceNotice::readRetryAfter(const HttpResponse &response)
 {
     const std::string *value = response.status == unavailableStatus ? findNamed(response, "Retry-After") : nullptr;
     if (value == nullptr) {
         return;
     }
     const std::optional<double> seconds = parseDecimal(*value, largestRetryAfter);
-    this->restValid = seconds.has_value();
+    this->retryAfterValid = seconds.has_value();
     if (seconds) {
         const std::chrono::duration<double> asked(*seconds);
-        this->restTime = std::chrono::ceil<std::chrono::milliseconds>(std::min<std::chrono::duration<double>>(asked, longestRest));
+        this->retryAfterTime = std::chrono::ceil<std::chrono::milliseconds>(std::min<std::chrono::duration<double>>(asked, longestBackoff));
     }
 }
 
@@ -74,14 +74,14 @@
     return this->limit;
 }
 
-bool InstanceNotice::isRestValid() const
+bool InstanceNotice::isRetryAfterValid() const
 {
-    return this->restValid;
+    return this->retryAfterValid;
 }
 
-std::optional<std::chrono::milliseconds> InstanceNotice::rest() const
+std::optional<std::chrono::milliseconds> InstanceNotice::retryAfter() const
 {
-    return this->restTime;
+    return this->retryAfterTime;
 }
 
 bool InstanceNotice::isLeaving() const
--- a/libraries/request/instancenotice.h
+++ b/libraries/request/instancenotice.h
@@ -22,22 +22,22 @@
     std::optional<double> requestsPerSecond() const;
 
     /// False if a rejection has a Retry-After without a valid value, which is then ignored. Dates aren't valid.
-    bool isRestValid() const;
+    bool isRetryAfterValid() const;
 
     /// The time for which an instance that rejects a request with status 503 wants no requests of this VM; nothing if it asks for none. At most an hour.
-    std::optional<std::chrono::milliseconds> rest() const;
+    std::optional<std::chrono::milliseconds> retryAfter() const;
 
     /// Whether the instance says that it is leaving.
     bool isLeaving() const;
 
 private:
-    void readRest(const HttpResponse &response);
+    void readRetryAfter(const HttpResponse &response);
     void readLimit(const HttpResponse &response, const std::string &name);
 
     bool limitValid = true;
     std::optional<double> limit;
-    bool restValid = true;
-    std::optional<std::chrono::milliseconds> restTime;
+    bool retryAfterValid = true;
+    std::optional<std::chrono::milliseconds> retryAfterTime;
     bool leaving = false;
 };
 
--- a/tests/unit/process/forwarding/instancenoticetest.cpp
+++ b/tests/unit/process/forwarding/instancenoticetest.cpp
@@ -41,8 +41,8 @@
 
 } // namespace
 
-// Guards against an instance in need that asks a VM for rest and gets its requests all the same.
-CATCH_TEST_CASE("An instance that asks for rest gets no requests from that VM until the rest is over", "[forwarding][load-shedding]")
+// Guards against an overloaded instance that wants no requests of a VM for some time and gets them all the same.
+CATCH_TEST_CASE("An instance that sends Retry-After gets no requests from that VM until the time is over", "[forwarding][load-shedding]")
 {
     ForwardingFleet fleet;
     fleet.other->instances.setResponse([](const std::string &) { return rejection("2"); });
@@ -54,7 +54,7 @@
         // Requests that arrive within half a second may have been under way.
         CATCH_CHECK(std::count_if(first, arrivals.end(), [first](SteadyTime time) { return time - *first > 500ms; }) <= 2);
     }
-    // With all instances at rest, a request is refused at once, and its caller told when the first one is available.
+    // With all instances unavailable, a request is refused at once, and its caller told when the first one is available.
     const SteadyTime start = std::chrono::steady_clock::now();
     const CallerResponse response = fleet.other->handle("POST", "/write");
     CATCH_CHECK(std::chrono::steady_clock::now() - start < 100ms);
@@ -64,8 +64,8 @@
     CATCH_CHECK(Harness::waitUntil(3s, [&fleet] { return fleet.other->handle("GET", "/read").http.status == 200; }));
 }
 
-// Guards against a VM that keeps to a rest with its own requests alone, since the instance can't tell whose request it gets.
-CATCH_TEST_CASE("A VM keeps to a rest for the requests of other VMs, too", "[forwarding][load-shedding]")
+// Guards against a VM that keeps to Retry-After with its own requests alone, since the instance can't tell whose request it gets.
+CATCH_TEST_CASE("A VM keeps to the Retry-After of an instance for the requests of other VMs, too", "[forwarding][load-shedding]")
 {
     ForwardingFleet fleet;
     fleet.partitioned->instances.isPartitioned = true;
--- a/tests/unit/process/health/instanceselectortest.cpp
+++ b/tests/unit/process/health/instanceselectortest.cpp
@@ -585,7 +585,7 @@
 }
 
 // Guards against a forwarded request that is counted against an instance's limit twice: by the VM that chose the instance, and by the one that sends it.
-CATCH_TEST_CASE("An instance whose limit is used up takes a request that another VM has counted, unless it asked for rest", "[health][load-shedding]")
+CATCH_TEST_CASE("An instance whose limit is used up takes a request that another VM has counted, unless it sent Retry-After", "[health][load-shedding]")
 {
     std::mt19937_64 random(3);
     InstanceSelector selector(optionsWith(random));
@@ -598,9 +598,9 @@
     selector.apply(started, start);
     CATCH_CHECK(!selector.choose(queryOf(), 0, start));
     CATCH_CHECK(selector.takesRequests("i-1", start));
-    CATCH_CHECK(selector.addRest(handle, std::chrono::seconds(2), start));
+    CATCH_CHECK(selector.addBackoff(handle, std::chrono::seconds(2), start));
     CATCH_CHECK(!selector.takesRequests("i-1", start + std::chrono::seconds(1)));
-    CATCH_CHECK(selector.shortestRest("orders", start + std::chrono::seconds(1)) == std::chrono::seconds(1));
+    CATCH_CHECK(selector.shortestBackoff("orders", start + std::chrono::seconds(1)) == std::chrono::seconds(1));
     CATCH_CHECK(selector.takesRequests("i-1", start + std::chrono::seconds(2)));
     CATCH_CHECK(selector.setLeaving(handle));
     CATCH_CHECK(!selector.takesRequests("i-1", start + std::chrono::seconds(9)));
--- a/tests/unit/request/instancenoticetest.cpp
+++ b/tests/unit/request/instancenoticetest.cpp
@@ -16,7 +16,7 @@
     return {response, HeaderNames()};
 }
 
-InstanceNotice restOf(const std::string &value, int status = 503)
+InstanceNotice retryAfterOf(const std::string &value, int status = 503)
 {
     HttpResponse response;
     response.status = status;
@@ -41,21 +41,21 @@
 }
 
 // Guards against an instance that is kept out of use, or used all the same, because of a Retry-After that can't be meant so.
-CATCH_TEST_CASE("A rest is a number of seconds in a response with status 503, and an hour at most", "[load-shedding]")
+CATCH_TEST_CASE("Retry-After counts as a number of seconds in a response with status 503, and up to an hour", "[load-shedding]")
 {
-    CATCH_CHECK(restOf("3").rest() == std::chrono::seconds(3));
-    CATCH_CHECK(restOf("0.25").rest() == std::chrono::milliseconds(250));
-    CATCH_CHECK(restOf("0").rest() == std::chrono::milliseconds(0));
-    CATCH_CHECK(restOf("86400").rest() == std::chrono::hours(1));
+    CATCH_CHECK(retryAfterOf("3").retryAfter() == std::chrono::seconds(3));
+    CATCH_CHECK(retryAfterOf("0.25").retryAfter() == std::chrono::milliseconds(250));
+    CATCH_CHECK(retryAfterOf("0").retryAfter() == std::chrono::milliseconds(0));
+    CATCH_CHECK(retryAfterOf("86400").retryAfter() == std::chrono::hours(1));
     for (const std::string &value : std::vector<std::string>{"", "soon", "-3", "+3", "3 s", "1e3", "nan", "inf", "Fri, 04 Dec 2026 19:00:00 GMT", "1e99"}) {
         CATCH_CAPTURE(value);
-        CATCH_CHECK(!restOf(value).isRestValid());
-        CATCH_CHECK(!restOf(value).rest());
+        CATCH_CHECK(!retryAfterOf(value).isRetryAfterValid());
+        CATCH_CHECK(!retryAfterOf(value).retryAfter());
     }
-    CATCH_CHECK(!restOf("99999999999999999999").rest());
+    CATCH_CHECK(!retryAfterOf("99999999999999999999").retryAfter());
     // With another status, the header is for the caller.
-    CATCH_CHECK(!restOf("3", 429).rest());
-    CATCH_CHECK(restOf("soon", 200).isRestValid());
+    CATCH_CHECK(!retryAfterOf("3", 429).retryAfter());
+    CATCH_CHECK(retryAfterOf("soon", 200).isRetryAfterValid());
 }
 
 // Guards against an instance that is taken out of use because its responses say that it isn't leaving.
