--- a/libraries/process/health/instancerestrictions.cpp
+++ b/libraries/process/health/instancerestrictions.cpp
@@ -17,13 +17,18 @@
 
 bool InstanceRestrictions::allowsRequest(double visibleShare, SteadyTime now)
 {
-    return !this->leaving && now >= this->restEnd && this->requestLimit.allowsRequest(visibleShare, now);
+    return this->takesRequests(now) && this->requestLimit.allowsRequest(visibleShare, now);
 }
 
-bool InstanceRestrictions::addRest(std::chrono::milliseconds duration, SteadyTime now)
+bool InstanceRestrictions::takesRequests(SteadyTime now) const
 {
-    const bool hadNone = now >= this->restEnd;
-    this->restEnd = std::max(this->restEnd, now + duration);
+    return !this->leaving && now >= this->backoffEnd;
+}
+
+bool InstanceRestrictions::addBackoff(std::chrono::milliseconds duration, SteadyTime now)
+{
+    const bool hadNone = now >= this->backoffEnd;
+    this->backoffEnd = std::max(this->backoffEnd, now + duration);
     return hadNone;
 }
 
@@ -32,9 +37,9 @@
     return !std::exchange(this->leaving, true);
 }
 
-SteadyTime InstanceRestrictions::restUntil() const
+SteadyTime InstanceRestrictions::backoffUntil() const
 {
-    return this->restEnd;
+    return this->backoffEnd;
 }
 
 } // namespace Hyssophall
