--- a/tests/unit/platform/codectest.cpp
+++ b/tests/unit/platform/codectest.cpp
@@ -83,6 +83,18 @@
 
 // Guards against an invalid configuration that is accepted, and against an error that names another field than the invalid one.
 CATCH_TEST_CASE("An invalid configuration is refused with the name of its invalid field", "[platform]")
+// Guards against a whole configuration that is refused because one of its routes serves large responses, and against tries of such a route that aren't
+// repeated after a failure.
+CATCH_TEST_CASE("A route of kind download is idempotent, and its text is kept unchanged", "[platform]")
+{
+    Json json = goodConfiguration();
+    json["routes"]["r-2"]["kind"] = "download";
+    const boost::leaf::result<CatalogueMessages::Configuration> read = Platform::readConfiguration(json.dump());
+    CATCH_REQUIRE(read);
+    CATCH_CHECK(read->routes(1).route_class() == CatalogueMessages::ROUTE_CLASS_IDEMPOTENT);
+    CATCH_CHECK(Json::parse(read->document())["routes"]["r-2"]["kind"] == "download");
+}
+
 {
     CATCH_CHECK(invalidField(goodConfiguration().dump()) == "none");
     CATCH_CHECK(invalidField(goodConfiguration().dump().substr(0, 200)).empty());
