--- a/tests/unit/platform/codectest.cpp
+++ b/tests/unit/platform/codectest.cpp
@@ -6,6 +6,8 @@
 #include <catch2/catch.hpp>
 #include <nlohmann/json.hpp>
 
+#include <limits>
+
 using namespace Hyssophall;
 
 namespace {
@@ -81,8 +83,6 @@
     CATCH_CHECK(read->limits().idle_timeout_milliseconds() == 15000);
 }
 
-// Guards against an invalid configuration that is accepted, and against an error that names another field than the invalid one.
-CATCH_TEST_CASE("An invalid configuration is refused with the name of its invalid field", "[platform]")
 // Guards against a whole configuration that is refused because one of its routes serves large responses, and against tries of such a route that aren't
 // repeated after a failure.
 CATCH_TEST_CASE("A route of kind download is idempotent, and its text is kept unchanged", "[platform]")
@@ -95,6 +95,8 @@
     CATCH_CHECK(Json::parse(read->document())["routes"]["r-2"]["kind"] == "download");
 }
 
+// Guards against an invalid configuration that is accepted, and against an error that names another field than the invalid one.
+CATCH_TEST_CASE("An invalid configuration is refused with the name of its invalid field", "[platform]")
 {
     CATCH_CHECK(invalidField(goodConfiguration().dump()) == "none");
     CATCH_CHECK(invalidField(goodConfiguration().dump().substr(0, 200)).empty());
@@ -149,3 +151,62 @@
     CATCH_CHECK_FALSE(isRegistration(fraction));
     CATCH_CHECK_FALSE(static_cast<bool>(Platform::readRegistration("i-1", "\x01\x02")));
 }
+
+// Guards against an odd entry of another writer that hides a working instance: its number would be higher than those of all later registrations.
+CATCH_TEST_CASE("A registration with numbers that no instance can have is refused", "[platform][odd-entries]")
+{
+    const std::uint64_t largest = std::numeric_limits<std::uint64_t>::max();
+    for (const char *field : {"seq", "born", "max_concurrency", "warmup_left_ms"}) {
+        CATCH_CAPTURE(field);
+        for (const Json &value : {Json(largest), Json(std::uint64_t{1} << 62), Json(-1), Json(1e300), Json(0.5)}) {
+            Json odd = goodRegistration();
+            odd[field] = value;
+            CATCH_CHECK_FALSE(isRegistration(odd));
+        }
+    }
+    for (const char *number : {"1e999", "99999999999999999999999999", "-99999999999999999999999999"}) {
+        std::string text = goodRegistration().dump();
+        text.replace(text.find("\"seq\":4"), 7, std::string("\"seq\":") + number);
+        CATCH_CHECK_FALSE(static_cast<bool>(Platform::readRegistration("i-1", text)));
+    }
+    for (const char *address : {"10.0.0.9:65536", "10.0.0.9:99999999999", "10.0.0.9:-1", "10.0.0.9:+80", "10.0.0.9:80 ", "10.0.0.999:80"}) {
+        Json odd = goodRegistration();
+        odd["address"] = address;
+        CATCH_CAPTURE(address);
+        CATCH_CHECK_FALSE(isRegistration(odd));
+    }
+}
+
+// Guards against a control VM that ends, or takes a second, on a body with hundreds of thousands of open brackets.
+CATCH_TEST_CASE("Deeply nested bodies are refused", "[platform][odd-entries]")
+{
+    constexpr std::size_t depth = 500000;
+    std::string objects;
+    for (std::size_t level = 0; level < depth / 5; ++level) {
+        objects += "{\"a\":";
+    }
+    const std::string lists(depth, '[');
+    const std::string closedLists = lists + std::string(depth, ']');
+    std::string nestedField = goodRegistration().dump();
+    nestedField.insert(1, "\"x\":" + closedLists + ",");
+    for (const std::string &text : {lists, closedLists, objects}) {
+        CATCH_CHECK_FALSE(static_cast<bool>(Platform::readRegistration("i-1", text)));
+        CATCH_CHECK(invalidField(text).empty());
+    }
+    // A field that isn't known is ignored, whatever it holds.
+    CATCH_CHECK(static_cast<bool>(Platform::readRegistration("i-1", nestedField)));
+}
+
+// Guards against VMs that lose the stream to their relay again and again, because a message contains a text that protobuf refuses to read.
+CATCH_TEST_CASE("An id that isn't UTF-8 is refused, and every registration that is accepted can be read by VMs", "[platform][odd-entries]")
+{
+    for (const std::string id : {"\xff", "i-\xc3", "\xed\xa0\x80", ""}) {
+        CATCH_CHECK_FALSE(static_cast<bool>(Platform::readRegistration(id, goodRegistration().dump())));
+        CATCH_CHECK_FALSE(static_cast<bool>(Platform::checkInstanceId(id)));
+    }
+    CATCH_CHECK_FALSE(static_cast<bool>(Platform::checkInstanceId(std::string(100000, 'i'))));
+    const boost::leaf::result<Platform::RelayMessages::Registration> read = Platform::readRegistration("i-\xc3\xa4", goodRegistration().dump());
+    CATCH_REQUIRE(read);
+    Platform::RelayMessages::Registration received;
+    CATCH_CHECK(received.ParseFromString(read->SerializeAsString()));
+}
