Relay: Keep VMs that connect at once from taking all processor time of the relays

Cause: while no relay is current, VMs left their relay after 250 ms for another one that wasn't current either, and gave up connections after 250 ms while hundreds waited. Each arrival cost a relay two threads, one more that only watched for silence, and a lock that the control group's replica holds while it writes. Nothing bounded how many streams started at once, so the calls of the control group timed out.

Change: - A relay starts 150 streams of VMs a second at most (StreamAdmission) and tells the others one after the other when to come back (Update.retry_after_milliseconds). An older VM takes that for a stream that ended. - Relays tell each other whether they are current, and tell VMs (RelayAddress.not_current). A VM leaves a relay that isn't current only if another one may be. The field's default means that nothing is known, as older relays report. - Connect timeout and pause between connections double with every three failures in a row, with jitter. - One thread watches all streams of a relay for silence. - Whether the replica is up to date is asked once in 20 ms, not for each message. - A VM's greeting has only the instances that are leaving; all others register again by themselves.

The new tests use what the change adds, so they can't be built without it.

--- a/libraries/process/relay/controlnode.cpp
+++ b/libraries/process/relay/controlnode.cpp
@@ -34,6 +34,8 @@
 /// log is logged.
 constexpr std::chrono::seconds reopenInterval{5};
 constexpr std::chrono::milliseconds peerHeartbeat{250};
+/// Each message to a VM contains whether the replica is up to date. Asking the replica takes its lock, which it holds while it writes to its disk.
+constexpr std::chrono::milliseconds replicaCheckInterval{20};
 
 SteadyTime steadyNow()
 {
@@ -98,10 +100,7 @@
     hubOptions.clock = steadyNow;
     hubOptions.rateWindow = this->settings.bounds.rateWindow;
     RelayHub::Hooks hubHooks;
-    hubHooks.isControlReplicaUpToDate = [this] {
-        ControlGroup *running = this->group;
-        return running != nullptr && running->isUpToDate();
-    };
+    hubHooks.isControlReplicaUpToDate = [this] { return this->isReplicaUpToDate(); };
     hubHooks.peerFound = [this](const std::shared_ptr<RelayPeer> &peer) { this->peers->add(peer); };
     this->hub = std::make_unique<RelayHub>(std::move(hubOptions), std::move(hubHooks));
     this->loadCopy();
@@ -130,6 +129,17 @@
     return {};
 }
 
+bool ControlNode::isReplicaUpToDate()
+{
+    const SteadyTime::rep now = steadyNow().time_since_epoch().count();
+    SteadyTime::rep checkedAt = this->replicaCheckedAt;
+    if (SteadyTime::duration(now - checkedAt) >= replicaCheckInterval && this->replicaCheckedAt.compare_exchange_strong(checkedAt, now)) {
+        ControlGroup *running = this->group;
+        this->replicaUpToDate = running != nullptr && running->isUpToDate();
+    }
+    return this->replicaUpToDate;
+}
+
 RemoteChangeProposer::Hooks ControlNode::proposerHooks()
 {
     RemoteChangeProposer::Hooks route;
--- a/libraries/process/relay/controlnode.h
+++ b/libraries/process/relay/controlnode.h
@@ -73,6 +73,8 @@
     void execute(const GroupFormation::Decision &decision);
     std::optional<ControlMessages::ChangeOutcome> propose(const CatalogueMessages::Change &change, const std::string &changeId, SteadyTime deadline);
     void applyConfiguration(const std::shared_ptr<const CatalogueMessages::Configuration> &configuration);
+    /// Whether this VM's replica was up to date at the last check, which is a few milliseconds old at most.
+    bool isReplicaUpToDate();
     RemoteChangeProposer::Hooks proposerHooks();
 
     const Settings settings;
@@ -92,6 +94,8 @@
     /// Number of VMs of the fleet according to the copy. Used by the maintenance thread only once the VM has started.
     std::uint32_t copiedVms = 0;
     std::atomic<ControlGroup *> group{nullptr};
+    std::atomic<SteadyTime::rep> replicaCheckedAt{0};
+    std::atomic<bool> replicaUpToDate{false};
     std::unique_ptr<RelayHub> hub;
     std::unique_ptr<RelayPeers> peers;
     std::unique_ptr<RelayService> relayService;
--- a/libraries/process/relay/entrynode.cpp
+++ b/libraries/process/relay/entrynode.cpp
@@ -554,9 +554,11 @@
     first.mutable_greeting()->set_forwarding_port(this->forwardingPort);
     first.mutable_greeting()->set_partitioned_from_instances(this->paths.isPartitioned());
     first.mutable_greeting()->set_configuration_version(this->activeCatalogue->configuration().version());
-    // If all relays have restarted, they have no other source for instances that are leaving.
+    // If all relays have restarted, they have no other source for instances that are leaving. The others register again by themselves.
     for (const std::pair<const std::string, RelayMessages::Registration> &entry : this->board.table().all()) {
-        *first.add_registrations() = entry.second;
+        if (entry.second.state() != RelayMessages::REGISTRATION_STATE_READY) {
+            *first.add_registrations() = entry.second;
+        }
     }
     return first;
 }
--- a/libraries/process/relay/relaychoice.cpp
+++ b/libraries/process/relay/relaychoice.cpp
@@ -20,7 +20,7 @@
     : failureDomain(std::move(failureDomain))
 {
     for (const std::string &seed : seeds) {
-        this->relays.push_back({seed, "", true, SteadyTime(), std::chrono::milliseconds(0)});
+        this->relays.emplace_back().address = seed;
     }
 }
 
@@ -32,6 +32,7 @@
         known->address = reported.address();
     }
     known->isReachable = reported.in_touch();
+    known->isNotCurrent = reported.not_current();
     if (!reported.failure_domain().empty()) {
         known->failureDomain = reported.failure_domain();
     }
@@ -43,7 +44,7 @@
     std::string best;
     Rank bestRank;
     for (const Relay &relay : this->relays) {
-        const Rank rank{std::max(now, relay.avoidedUntil), !relay.isReachable, !this->isLocal(relay), random()};
+        const Rank rank{std::max({now, relay.avoidedUntil, relay.refusedUntil}), !relay.isReachable, !this->isLocal(relay), random()};
         if (best.empty() || rank < bestRank) {
             best = relay.address;
             bestRank = rank;
@@ -77,10 +78,25 @@
     }
 }
 
+void RelayChoice::recordRefusal(const std::string &address, std::chrono::milliseconds duration, SteadyTime now)
+{
+    Relay *relay = this->find(address);
+    if (relay != nullptr) {
+        relay->refusedUntil = now + duration;
+    }
+}
+
+SteadyTime RelayChoice::refusedUntil(const std::string &address) const
+{
+    const Relay *relay = this->find(address);
+    return relay == nullptr ? SteadyTime() : relay->refusedUntil;
+}
+
 bool RelayChoice::hasAlternative(const std::string &address, SteadyTime now) const
 {
-    return std::any_of(
-        this->relays.begin(), this->relays.end(), [&address, now](const Relay &relay) { return relay.address != address && relay.avoidedUntil <= now; });
+    return std::any_of(this->relays.begin(), this->relays.end(), [&address, now](const Relay &relay) {
+        return relay.address != address && !relay.isNotCurrent && relay.avoidedUntil <= now && relay.refusedUntil <= now;
+    });
 }
 
 bool RelayChoice::shouldSwitchToLocalRelay(const std::string &connectedTo, SteadyTime now) const
@@ -88,7 +104,7 @@
     const bool isConnectedLocally = std::any_of(
         this->relays.begin(), this->relays.end(), [this, &connectedTo](const Relay &relay) { return relay.address == connectedTo && this->isLocal(relay); });
     return !isConnectedLocally && std::any_of(this->relays.begin(), this->relays.end(), [this, now](const Relay &relay) {
-        return this->isLocal(relay) && relay.isReachable && relay.avoidedUntil <= now;
+        return this->isLocal(relay) && relay.isReachable && relay.avoidedUntil <= now && relay.refusedUntil <= now;
     });
 }
 
@@ -98,6 +114,12 @@
     return found == this->relays.end() ? nullptr : &*found;
 }
 
+const RelayChoice::Relay *RelayChoice::find(const std::string &address) const
+{
+    const auto found = std::find_if(this->relays.begin(), this->relays.end(), [&address](const Relay &relay) { return relay.address == address; });
+    return found == this->relays.end() ? nullptr : &*found;
+}
+
 bool RelayChoice::isLocal(const Relay &relay) const
 {
     return relay.failureDomain == this->failureDomain;
--- a/libraries/process/relay/relaychoice.h
+++ b/libraries/process/relay/relaychoice.h
@@ -33,8 +33,14 @@
     /// Call when the relay responds but isn't current. It isn't tried for @p duration.
     void avoid(const std::string &address, std::chrono::milliseconds duration, SteadyTime now);
 
-    /// Whether a relay other than @p address can be tried at once. Ignores whether it is reported as reachable, since a relay that is partitioned
-    /// reports all others as unreachable.
+    /// Call when the relay has refused the connection for @p duration, since too many VMs connect at once.
+    void recordRefusal(const std::string &address, std::chrono::milliseconds duration, SteadyTime now);
+
+    /// Until when the relay refuses connections, as it said.
+    SteadyTime refusedUntil(const std::string &address) const;
+
+    /// Whether a relay other than @p address can be tried at once and isn't reported as one that isn't current either. Ignores whether it is
+    /// reported as reachable, since a relay that is partitioned reports all others as unreachable.
     bool hasAlternative(const std::string &address, SteadyTime now) const;
 
     /// Whether the VM is connected across failure domains while a relay of its own failure domain is reported as reachable and not in backoff.
@@ -46,11 +52,14 @@
         std::string failureDomain;
         /// Whether the relay that reported it last is connected to it. True until one has reported it, so that it is tried.
         bool isReachable = true;
+        bool isNotCurrent = false;
+        SteadyTime refusedUntil;
         SteadyTime avoidedUntil;
         std::chrono::milliseconds retryDelay{0};
     };
 
     Relay *find(const std::string &address);
+    const Relay *find(const std::string &address) const;
     bool isLocal(const Relay &relay) const;
 
     const std::string failureDomain;
--- a/libraries/process/relay/relayexchange.cpp
+++ b/libraries/process/relay/relayexchange.cpp
@@ -1,5 +1,6 @@
 #include "process/relay/relayexchange.h"
 
+#include <memory>
 #include <thread>
 #include <utility>
 
@@ -7,9 +8,6 @@
 
 namespace {
 
-/// How often the time of the last message is checked within the silence timeout.
-constexpr int silenceChecksPerTimeout = 5;
-
 SteadyTime steadyNow()
 {
     return std::chrono::steady_clock::now();
@@ -17,11 +15,12 @@
 
 } // namespace
 
-RelayExchange::RelayExchange(UpdateBuffer &outgoing, Stream stream, Hooks hooks, Timing timing)
+RelayExchange::RelayExchange(UpdateBuffer &outgoing, Stream stream, Hooks hooks, Timing timing, SilenceMonitor &silenceMonitor)
     : outgoing(outgoing)
     , stream(std::move(stream))
     , hooks(std::move(hooks))
     , timing(timing)
+    , silenceMonitor(silenceMonitor)
 {
 }
 
@@ -29,23 +28,20 @@
 {
     this->lastReceived = steadyNow().time_since_epoch().count();
     std::thread sender([this] { this->sendUntilEnded(); });
-    std::thread silenceDetector([this] { this->detectSilenceUntilEnded(); });
+    std::unique_ptr<SilenceMonitor::Watch> watch
+        = this->silenceMonitor.watch(this->lastReceived, this->timing.silenceTimeout, [this] { this->stream.cancel(); });
     RelayMessages::Update update;
     while (this->stream.read(update)) {
         this->lastReceived = steadyNow().time_since_epoch().count();
         this->hooks.receive(update);
         update.Clear();
     }
-    {
-        std::lock_guard<std::mutex> lock(this->mutex);
-        this->ended = true;
-    }
-    // A write may still block though the stream has ended, and the silence detector stops here, so the write must be cancelled.
+    this->ended = true;
+    watch.reset();
+    // A write may still block though the stream has ended, and nothing watches it any more, so the write must be cancelled.
     this->stream.cancel();
-    this->endedChanged.notify_all();
     this->outgoing.wake();
     sender.join();
-    silenceDetector.join();
 }
 
 void RelayExchange::setFirstMessage(RelayMessages::Update update)
@@ -53,18 +49,6 @@
     this->first = std::move(update);
 }
 
-void RelayExchange::detectSilenceUntilEnded()
-{
-    std::unique_lock<std::mutex> lock(this->mutex);
-    while (!this->ended) {
-        this->endedChanged.wait_for(lock, this->timing.silenceTimeout / silenceChecksPerTimeout, [this] { return this->ended.load(); });
-        const SteadyTime received{SteadyTime::duration(this->lastReceived)};
-        if (!this->ended && steadyNow() - received > this->timing.silenceTimeout) {
-            this->stream.cancel();
-        }
-    }
-}
-
 void RelayExchange::sendUntilEnded()
 {
     bool isOpen = !this->first || this->stream.write(*this->first);
--- a/libraries/process/relay/relayexchange.h
+++ b/libraries/process/relay/relayexchange.h
@@ -1,18 +1,17 @@
 #pragma once
 
+#include "process/relay/silencemonitor.h"
 #include "process/relay/updatebuffer.h"
 
 #include <atomic>
 #include <chrono>
-#include <condition_variable>
 #include <functional>
-#include <mutex>
 #include <optional>
 
 namespace Hyssophall {
 
-/// Runs one end of a stream of updates; both ends work the same way. One thread sends the content of a buffer, one ends the stream after a
-/// silence, and the caller's thread receives. The sending thread can't detect silence, since its writes block while the HTTP/2 flow control
+/// Runs one end of a stream of updates; both ends work the same way. One thread sends the content of a buffer, and the caller's thread receives.
+/// The SilenceMonitor ends the stream after a silence: the sending thread can't detect it, since its writes block while the HTTP/2 flow control
 /// windows of a lost peer are full.
 class RelayExchange
 {
@@ -40,8 +39,8 @@
         UpdateBuffer::BatchDelay batchDelay;
     };
 
-    /// The buffer, and whatever the hooks use, must outlive run().
-    RelayExchange(UpdateBuffer &outgoing, Stream stream, Hooks hooks, Timing timing);
+    /// The buffer, the monitor, and whatever the hooks use, must outlive run().
+    RelayExchange(UpdateBuffer &outgoing, Stream stream, Hooks hooks, Timing timing, SilenceMonitor &silenceMonitor);
 
     /// Sets the message that run() sends first. It has no sequence and isn't passed to beforeSend().
     void setFirstMessage(RelayMessages::Update first);
@@ -51,15 +50,13 @@
 
 private:
     void sendUntilEnded();
-    void detectSilenceUntilEnded();
 
     UpdateBuffer &outgoing;
     const Stream stream;
     const Hooks hooks;
     const Timing timing;
+    SilenceMonitor &silenceMonitor;
     std::optional<RelayMessages::Update> first;
-    std::mutex mutex;
-    std::condition_variable endedChanged;
     std::atomic<bool> ended{false};
     std::atomic<SteadyTime::rep> lastReceived{0};
 };
--- a/libraries/process/relay/relayhub.cpp
+++ b/libraries/process/relay/relayhub.cpp
@@ -203,9 +203,7 @@
 void RelayHub::addStatus(const RelaySubscriber &subscriber, RelayMessages::Update &update)
 {
     update.set_confirmed(subscriber.confirmed);
-    if (!subscriber.isRelay()) {
-        *update.mutable_status() = this->status();
-    }
+    *update.mutable_status() = this->status();
 }
 
 void RelayHub::disconnect(const std::shared_ptr<RelaySubscriber> &subscriber)
@@ -252,7 +250,11 @@
         std::lock_guard<std::mutex> lock(this->mutex);
         isNew = !peer.isConnected;
         peer.isConnected = true;
-        if (isNew) {
+        const bool wasNotCurrent = peer.isNotCurrent;
+        if (update.has_status()) {
+            peer.isNotCurrent = !update.status().current();
+        }
+        if (isNew || peer.isNotCurrent != wasNotCurrent) {
             this->sendRelayState(peer);
         }
         peer.confirmed = std::max(peer.confirmed, update.confirmed());
@@ -276,6 +278,7 @@
         std::lock_guard<std::mutex> lock(this->mutex);
         wasConnected = peer.isConnected;
         peer.isConnected = false;
+        peer.isNotCurrent = false;
         if (wasConnected) {
             this->sendRelayState(peer);
         }
--- a/libraries/process/relay/relayhub.h
+++ b/libraries/process/relay/relayhub.h
@@ -49,6 +49,7 @@
         RelayMessages::RelayAddress relay;
         relay.set_address(this->address);
         relay.set_failure_domain(this->failureDomain);
+        relay.set_not_current(this->isConnected && this->isNotCurrent);
         relay.set_in_touch(this->isConnected);
         return relay;
     }
@@ -58,6 +59,8 @@
     std::string failureDomain;
     UpdateBuffer buffer;
     std::uint64_t confirmed = 0;
+    /// Whether the relay's last status said that it isn't current.
+    bool isNotCurrent = false;
     bool isConnected = false;
 };
 
--- a/libraries/process/relay/relaylink.cpp
+++ b/libraries/process/relay/relaylink.cpp
@@ -124,7 +124,7 @@
         };
         callbacks.write = [&stream](const RelayMessages::Update &update) { return stream->Write(update); };
         callbacks.cancel = [&activeCall] { activeCall.context.TryCancel(); };
-        RelayExchange exchange(outgoing, std::move(callbacks), this->hooks, this->options.timing);
+        RelayExchange exchange(outgoing, std::move(callbacks), this->hooks, this->options.timing, this->silenceMonitor);
         exchange.setFirstMessage(first);
         exchange.run();
     }
--- a/libraries/process/relay/relaylink.h
+++ b/libraries/process/relay/relaylink.h
@@ -38,6 +38,7 @@
 
     const Options options;
     const RelayExchange::Hooks hooks;
+    SilenceMonitor silenceMonitor;
     std::mutex mutex;
     bool cancelled = false;
     Call *call = nullptr;
--- a/libraries/process/relay/relayservice.cpp
+++ b/libraries/process/relay/relayservice.cpp
@@ -1,9 +1,12 @@
 #include "process/relay/relayservice.h"
 
 #include "process/fleet/fleetcredential.h"
+#include "process/relay/streamadmission.h"
 #include "relay.grpc.pb.h"
 
 #include <grpcpp/grpcpp.h>
+
+#include <atomic>
 #include <utility>
 
 namespace Hyssophall {
@@ -17,6 +20,7 @@
         : hub(hub)
         , credential(fleetSecret)
         , timing(timing)
+        , admission(StreamAdmission::Options(), std::chrono::steady_clock::now)
     {
     }
 
@@ -30,6 +34,16 @@
         if (!stream->Read(&first) || first.greeting().vm().empty()) {
             return grpc::Status(grpc::StatusCode::INVALID_ARGUMENT, "a greeting must come first");
         }
+        // Relays are few, and without their streams nothing reaches the VMs of other relays.
+        const std::optional<std::chrono::milliseconds> retryAfter
+            = first.greeting().relay_address().empty() ? this->admission.tryStart() : std::optional<std::chrono::milliseconds>();
+        if (retryAfter) {
+            ++this->refused;
+            RelayMessages::Update refusal;
+            refusal.set_retry_after_milliseconds(static_cast<std::uint32_t>(retryAfter->count()));
+            stream->Write(refusal);
+            return grpc::Status(grpc::StatusCode::RESOURCE_EXHAUSTED, "too many VMs connect at once");
+        }
         const std::shared_ptr<RelaySubscriber> subscriber = this->hub.connect(first);
         RelayExchange::Stream callbacks;
         callbacks.read = [stream](RelayMessages::Update &update) { return stream->Read(&update); };
@@ -46,10 +60,18 @@
 private:
     RelayHub &hub;
     const FleetCredential credential;
+    std::uint64_t refusedCount() const
+    {
+        return this->refused;
+    }
+
     const RelayExchange::Timing timing;
 };
 
 RelayService::RelayService(RelayHub &hub, const std::string &fleetSecret, RelayExchange::Timing timing)
+    StreamAdmission admission;
+    SilenceMonitor silenceMonitor;
+    std::atomic<std::uint64_t> refused{0};
     : implementation(std::make_unique<Implementation>(hub, fleetSecret, timing))
 {
 }
@@ -59,6 +81,11 @@
 grpc::Service &RelayService::service()
 {
     return *this->implementation;
+std::uint64_t RelayService::refusedCount() const
+{
+    return this->implementation->refusedCount();
+}
+
 }
 
 } // namespace Hyssophall
--- a/libraries/process/relay/relayuplink.cpp
+++ b/libraries/process/relay/relayuplink.cpp
@@ -8,7 +8,13 @@
 
 namespace {
 
-constexpr std::chrono::milliseconds reconnectDelay{30};
+/// Pause between two connections. It and the connect timeout double with every few connections that fail in a row, so that a relay on which many VMs
+/// wait isn't kept busy by connections that are given up too early.
+constexpr std::chrono::milliseconds initialReconnectDelay{30};
+constexpr std::chrono::milliseconds maximumReconnectDelay{500};
+constexpr std::chrono::milliseconds maximumConnectTimeout{2000};
+constexpr int failuresPerDoubling = 3;
+constexpr int maximumDoublings = 6;
 /// A relay that isn't current isn't tried again for this long. It may be current again as soon as the control group has elected a leader.
 constexpr std::chrono::milliseconds notCurrentBackoff{3000};
 /// How long a relay may report that it isn't current before the VM leaves it. A change of the control group's leader takes about this long,
@@ -26,6 +32,11 @@
 /// Both sides send a message at least every 150 ms, so on a working connection the last confirmed message was sent at most 300 ms ago.
 constexpr std::chrono::milliseconds confirmationMaximumAge{500};
 
+std::chrono::milliseconds doubled(std::chrono::milliseconds initial, int failures, std::chrono::milliseconds maximum)
+{
+    return std::min(initial * (1 << std::min(failures / failuresPerDoubling, maximumDoublings)), maximum);
+}
+
 } // namespace
 
 RelayUplink::RelayUplink(Options options, Hooks hooks)
@@ -93,16 +104,18 @@
     std::unique_lock<std::mutex> lock(this->mutex);
     while (!this->stopping) {
         const std::string address = this->choice.next(this->hooks.clock(), this->hooks.random);
+        const SteadyTime refusedUntil = this->choice.refusedUntil(address);
+        if (refusedUntil > this->hooks.clock()) {
+            this->stopped.wait_for(lock, refusedUntil - this->hooks.clock(), [this] { return this->stopping; });
+            continue;
+        }
         if (!address.empty()) {
-            RelayLink::Options linkOptions;
-            linkOptions.address = address;
-            linkOptions.fleetSecret = this->options.fleetSecret;
-            linkOptions.timing = this->options.timing;
             RelayExchange::Hooks exchangeHooks;
             exchangeHooks.receive = [this](const RelayMessages::Update &update) { this->receive(update); };
             exchangeHooks.beforeSend = [this](RelayMessages::Update &update) { this->recordSent(update.sequence()); };
-            this->link = std::make_unique<RelayLink>(linkOptions, std::move(exchangeHooks));
+            this->link = std::make_unique<RelayLink>(this->linkOptions(address), std::move(exchangeHooks));
             this->connectedTo = address;
+            this->refusal.reset();
             this->notCurrentSince.reset();
             this->configurationBehindSince.reset();
             // The greeting has sequence 0, so the relay's first message confirms it.
@@ -110,15 +123,43 @@
             this->visibleUntil.reset();
             lock.unlock();
             const bool hasReceived = this->link->run(this->greeting(), this->outgoing);
-            LOG(WARNING) << (hasReceived ? "The connection to relay " : "No stream could be established to relay ") << address
-                         << (hasReceived ? " has ended" : "");
             lock.lock();
-            this->choice.recordFailure(address, this->hooks.clock());
-            // Until the next status arrives, this VM doesn't receive the admissions of other VMs.
-            this->statusReceivedAt.reset();
+            this->recordEnd(address, hasReceived);
         }
-        this->stopped.wait_for(lock, reconnectDelay, [this] { return this->stopping; });
+        this->stopped.wait_for(lock, this->reconnectDelay(), [this] { return this->stopping; });
+    }
+}
+
+RelayLink::Options RelayUplink::linkOptions(const std::string &address) const
+{
+    RelayLink::Options options;
+    options.address = address;
+    options.fleetSecret = this->options.fleetSecret;
+    options.timing = this->options.timing;
+    options.connectTimeout = doubled(options.connectTimeout, this->failedConnections, maximumConnectTimeout);
+    return options;
+}
+
+void RelayUplink::recordEnd(const std::string &address, bool hasReceived)
+{
+    if (this->refusal) {
+        LOG(INFO) << "Relay " << address << " refuses the connection, since too many VMs connect at once; trying it again after " << this->refusal->count()
+                  << " ms";
+        this->choice.recordRefusal(address, *this->refusal, this->hooks.clock());
+        return;
     }
+    LOG(WARNING) << (hasReceived ? "The connection to relay " : "No stream could be established to relay ") << address << (hasReceived ? " has ended" : "");
+    this->failedConnections = hasReceived ? 0 : this->failedConnections + 1;
+    this->choice.recordFailure(address, this->hooks.clock());
+    // Until the next status arrives, this VM doesn't receive the admissions of other VMs.
+    this->statusReceivedAt.reset();
+}
+
+std::chrono::milliseconds RelayUplink::reconnectDelay() const
+{
+    const std::chrono::milliseconds delay = doubled(initialReconnectDelay, this->failedConnections, maximumReconnectDelay);
+    // Between half and all of it, so that VMs that were disconnected together don't come back together.
+    return delay / 2 + std::chrono::milliseconds(this->hooks.random() % static_cast<std::uint64_t>(delay.count() / 2 + 1));
 }
 
 RelayMessages::Update RelayUplink::greeting()
@@ -137,6 +178,10 @@
     double share = 0;
     {
         std::lock_guard<std::mutex> lock(this->mutex);
+        if (update.retry_after_milliseconds() > 0) {
+            this->refusal = std::chrono::milliseconds(update.retry_after_milliseconds());
+            return;
+        }
         for (const RelayMessages::RelayAddress &address : update.relays()) {
             this->choice.addOrUpdate(address);
         }
--- a/libraries/process/relay/relayuplink.h
+++ b/libraries/process/relay/relayuplink.h
@@ -80,6 +80,9 @@
     void recordSent(std::uint64_t sequence);
     RelayMessages::Update greeting();
     // These are called with the mutex held.
+    RelayLink::Options linkOptions(const std::string &address) const;
+    void recordEnd(const std::string &address, bool hasReceived);
+    std::chrono::milliseconds reconnectDelay() const;
     double reportedShare() const;
     void applyConfirmation(std::uint64_t confirmed);
     void applyStatus(const RelayMessages::RelayStatus &status);
@@ -94,7 +97,11 @@
     std::condition_variable stopped;
     bool stopping = false;
     RelayChoice choice;
+    /// Connections in a row on which no message was received.
+    int failedConnections = 0;
     std::string connectedTo;
+    /// How long the relay of the present connection refuses this VM; empty if it has accepted it.
+    std::optional<std::chrono::milliseconds> refusal;
     std::unique_ptr<RelayLink> link;
     RelayMessages::RelayStatus status;
     std::optional<SteadyTime> statusReceivedAt;
--- a/tests/unit/process/relay/relaychoicetest.cpp
+++ b/tests/unit/process/relay/relaychoicetest.cpp
@@ -63,3 +63,29 @@
     choice.avoid("two:1", std::chrono::seconds(9), now);
     CATCH_CHECK(choice.next(now, fixedRandom) == "one:1");
 }
+
+// Guards against VMs that leave their relays all the time while no relay is current, such as before the control group has formed: their new connections
+// then keep the relays from forming it.
+CATCH_TEST_CASE("A relay that is reported as not current is no alternative", "[relay][large-fleet]")
+{
+    RelayChoice choice("c", {"own:1", "other:1"});
+    CATCH_CHECK(choice.hasAlternative("own:1", start));
+    RelayMessages::RelayAddress other = relayOf("other:1", "a");
+    other.set_not_current(true);
+    choice.addOrUpdate(other);
+    CATCH_CHECK_FALSE(choice.hasAlternative("own:1", start));
+    other.set_not_current(false);
+    choice.addOrUpdate(other);
+    CATCH_CHECK(choice.hasAlternative("own:1", start));
+}
+
+CATCH_TEST_CASE("A relay that refuses a VM for some time is chosen last and isn't an alternative until then", "[relay][large-fleet]")
+{
+    RelayChoice choice("c", {"own:1", "other:1"});
+    const std::chrono::milliseconds refusal(400);
+    choice.recordRefusal("own:1", refusal, start);
+    CATCH_CHECK(choice.refusedUntil("own:1") == start + refusal);
+    CATCH_CHECK(choice.next(start, fixedRandom) == "other:1");
+    CATCH_CHECK_FALSE(choice.hasAlternative("other:1", start));
+    CATCH_CHECK(choice.hasAlternative("other:1", start + refusal));
+}
--- a/tests/unit/process/relay/relayexchangetest.cpp
+++ b/tests/unit/process/relay/relayexchangetest.cpp
@@ -46,10 +46,11 @@
 CATCH_TEST_CASE("A stream whose writes block ends after the silence timeout", "[relay][config-in-force]")
 {
     LostStream lost;
+    SilenceMonitor silenceMonitor;
     UpdateBuffer outgoing;
     RelayExchange::Timing timing;
     timing.silenceTimeout = std::chrono::milliseconds(100);
-    RelayExchange exchange(outgoing, lost.callbacks(), {[](const RelayMessages::Update &) {}, [](RelayMessages::Update &) {}}, timing);
+    RelayExchange exchange(outgoing, lost.callbacks(), {[](const RelayMessages::Update &) {}, [](RelayMessages::Update &) {}}, timing, silenceMonitor);
     exchange.setFirstMessage(RelayMessages::Update());
     const SteadyTime began = std::chrono::steady_clock::now();
     exchange.run();
@@ -60,10 +61,12 @@
 CATCH_TEST_CASE("A stream that the peer ends doesn't wait for a write that blocks", "[relay][config-in-force]")
 {
     LostStream lost;
+    SilenceMonitor silenceMonitor;
     RelayExchange::Stream callbacks = lost.callbacks();
     callbacks.read = [](RelayMessages::Update &) { return false; };
     UpdateBuffer outgoing;
-    RelayExchange exchange(outgoing, std::move(callbacks), {[](const RelayMessages::Update &) {}, [](RelayMessages::Update &) {}}, RelayExchange::Timing());
+    RelayExchange exchange(
+        outgoing, std::move(callbacks), {[](const RelayMessages::Update &) {}, [](RelayMessages::Update &) {}}, RelayExchange::Timing(), silenceMonitor);
     exchange.setFirstMessage(RelayMessages::Update());
     const SteadyTime began = std::chrono::steady_clock::now();
     exchange.run();
--- a/tests/unit/process/relay/relayuplinktest.cpp
+++ b/tests/unit/process/relay/relayuplinktest.cpp
@@ -152,6 +152,48 @@
     std::vector<RelayMessages::Update> received;
 };
 
+/// A relay that refuses the first streams, as one does to which too many VMs connect at once.
+class BusyRelay : public RelayMessages::Relay::Service
+{
+public:
+    static constexpr std::chrono::milliseconds retryAfter{300};
+    static constexpr std::size_t refusals = 3;
+
+    grpc::Status Exchange(grpc::ServerContext *context, grpc::ServerReaderWriter<RelayMessages::Update, RelayMessages::Update> *stream) override
+    {
+        RelayMessages::Update update;
+        stream->Read(&update);
+        std::size_t arrival = 0;
+        {
+            std::lock_guard<std::mutex> lock(this->mutex);
+            this->arrivals.push_back(std::chrono::steady_clock::now());
+            arrival = this->arrivals.size();
+        }
+        if (arrival <= refusals) {
+            RelayMessages::Update refusal;
+            refusal.set_retry_after_milliseconds(static_cast<std::uint32_t>(retryAfter.count()));
+            stream->Write(refusal);
+            return grpc::Status(grpc::StatusCode::RESOURCE_EXHAUSTED, "busy");
+        }
+        RelayMessages::Update reply;
+        reply.mutable_status()->set_current(true);
+        while (!context->IsCancelled() && stream->Write(reply)) {
+            std::this_thread::sleep_for(20ms);
+        }
+        return grpc::Status::OK;
+    }
+
+    std::vector<SteadyTime> arrivalTimes() const
+    {
+        std::lock_guard<std::mutex> lock(this->mutex);
+        return this->arrivals;
+    }
+
+private:
+    mutable std::mutex mutex;
+    std::vector<SteadyTime> arrivals;
+};
+
 /// A VM that is connected to an UnconfirmingRelay.
 struct UnconfirmingFixture {
     UnconfirmingFixture()
@@ -285,3 +327,21 @@
     CATCH_CHECK(isMet([&later] { return later.messages().back().outcomes_size() == 1; }));
     server->Shutdown(std::chrono::system_clock::now());
 }
+
+// Guards against VMs that come back to a busy relay at once and so keep it busy.
+CATCH_TEST_CASE("A VM that a relay refuses comes back when the relay says", "[relay][large-fleet]")
+{
+    int port = 0;
+    BusyRelay relay;
+    const std::unique_ptr<grpc::Server> server = startRelay(relay, port);
+    {
+        const std::unique_ptr<RelayUplink> uplink = uplinkTo(port);
+        CATCH_CHECK(isMet([&uplink] { return uplink->isCurrent(); }));
+        const std::vector<SteadyTime> arrivals = relay.arrivalTimes();
+        CATCH_REQUIRE(arrivals.size() == BusyRelay::refusals + 1);
+        for (std::size_t number = 1; number < arrivals.size(); ++number) {
+            CATCH_CHECK(arrivals[number] - arrivals[number - 1] >= BusyRelay::retryAfter);
+        }
+    }
+    server->Shutdown(std::chrono::system_clock::now());
+}
