Relay: Report a few other VMs to each VM, and keep the counts of VMs

Cause: a relay reported each arrival and departure of a VM to all VMs, and all VMs to each one that arrived, so N arrivals made N x N messages; and it made a set of all VMs' names anew, under its lock, for the status in each message.

Change: VmLists gives each VM a random sample of 16 others, half of them of its own failure domain, and replaces those that end or become partitioned; a fleet of up to 16 VMs gets all others as before. VmPresenceTable counts visible and known VMs as they come and go. Relays still report all of their VMs to each other. Older VMs read the samples like the complete lists.

--- a/libraries/process/relay/relayhub.cpp
+++ b/libraries/process/relay/relayhub.cpp
@@ -39,6 +39,8 @@
     , startedAt(this->options.clock())
     , board(this->options.board)
     , configuration(std::make_shared<const CatalogueMessages::Configuration>())
+    , vms(vmExpiry)
+    , vmLists(this->vms, this->options.board.random)
     , teamUse(this->options.rateWindow, this->startedAt)
 {
 }
@@ -154,13 +156,12 @@
         RelayMessages::Update initial = this->fullState();
         if (subscriber->isRelay()) {
             initial.clear_summaries();
+            const auto peer = this->peers.find(subscriber->greeting.relay_address());
+            this->vms.setVisible(subscriber.get(), peer != this->peers.end() && peer->second->isConnected, this->options.clock());
         } else {
             subscriber->presence = presenceOf(subscriber->greeting);
             this->recordVm(*subscriber);
-            initial.set_all_vms(true);
-            for (const std::pair<const std::string, RelayMessages::VmPresence> &entry : this->connectedVms()) {
-                *initial.add_vms() = entry.second;
-            }
+            this->vmLists.add({subscriber->greeting.vm(), subscriber->greeting.failure_domain(), &subscriber->buffer}, initial, this->options.clock());
             if (this->configuration->version() > subscriber->greeting.configuration_version()) {
                 *initial.mutable_configuration() = *this->configuration;
             }
@@ -204,6 +205,10 @@
 {
     update.set_confirmed(subscriber.confirmed);
     *update.mutable_status() = this->status();
+    if (!subscriber.isRelay()) {
+        std::lock_guard<std::mutex> lock(this->mutex);
+        this->vmLists.redrawIfDue(subscriber.buffer, update, this->options.clock());
+    }
 }
 
 void RelayHub::disconnect(const std::shared_ptr<RelaySubscriber> &subscriber)
@@ -211,13 +216,19 @@
     {
         std::lock_guard<std::mutex> lock(this->mutex);
         std::erase(this->subscribers, subscriber);
+        this->vmLists.remove(subscriber->buffer);
         // A VM that lost this connection may have opened another one already.
         const bool hasReconnected = std::any_of(this->subscribers.begin(),
             this->subscribers.end(),
             [&subscriber](const std::shared_ptr<RelaySubscriber> &other) { return other->greeting.vm() == subscriber->greeting.vm(); });
-        if (!subscriber->isRelay() && !hasReconnected) {
-            subscriber->presence.set_present(false);
-            this->recordVm(*subscriber);
+        if (subscriber->isRelay()) {
+            this->vms.removeSource(subscriber.get(), this->options.clock());
+        } else {
+            this->vms.remove(subscriber.get(), subscriber->greeting.vm(), this->options.clock());
+            if (!hasReconnected) {
+                subscriber->presence.set_present(false);
+                this->recordVm(*subscriber);
+            }
         }
     }
     LOG(INFO) << (subscriber->isRelay() ? "Relay " : "VM ") << subscriber->greeting.vm() << " disconnected";
@@ -254,6 +265,9 @@
         if (update.has_status()) {
             peer.isNotCurrent = !update.status().current();
         }
+        if (isNew) {
+            this->setReportsVisible(peer);
+        }
         if (isNew || peer.isNotCurrent != wasNotCurrent) {
             this->sendRelayState(peer);
         }
@@ -280,6 +294,7 @@
         peer.isConnected = false;
         peer.isNotCurrent = false;
         if (wasConnected) {
+            this->setReportsVisible(peer);
             this->sendRelayState(peer);
         }
     }
@@ -293,48 +308,39 @@
     const bool isReplicaUpToDate = this->hooks.isControlReplicaUpToDate();
     std::lock_guard<std::mutex> lock(this->mutex);
     const SteadyTime now = this->options.clock();
-    const std::size_t visible = this->visibleVms(now).size();
+    this->recordVisibleShare(now);
     const std::ptrdiff_t connected = std::count_if(this->peers.begin(),
         this->peers.end(),
         [](const std::pair<const std::string, std::shared_ptr<RelayPeer>> &entry) { return entry.second->isConnected; });
     RelayMessages::RelayStatus status;
     status.set_current(isReplicaUpToDate && static_cast<std::size_t>(connected) + 1 >= this->options.majority);
-    status.set_visible_vms(static_cast<std::uint32_t>(visible));
+    status.set_visible_vms(this->vms.visibleCount());
     status.set_known_vms(this->knownVms(now));
     status.set_configuration_version(this->configuration->version());
     return status;
 }
 
-std::uint32_t RelayHub::knownVms(SteadyTime now) const
+std::uint32_t RelayHub::knownVms(SteadyTime now)
 {
-    const std::uint32_t seen = static_cast<std::uint32_t>(this->vmsLastSeen.size());
+    const std::uint32_t seen = this->vms.knownCount(now);
     return now - this->startedAt < vmExpiry ? std::max(seen, this->expectedVms) : seen;
 }
 
-std::set<std::string> RelayHub::visibleVms(SteadyTime now)
+void RelayHub::recordVisibleShare(SteadyTime now)
 {
-    std::set<std::string> visible;
-    for (const std::shared_ptr<RelaySubscriber> &subscriber : this->subscribers) {
-        if (!subscriber->isRelay()) {
-            visible.insert(subscriber->greeting.vm());
-            continue;
-        }
-        const auto peer = this->peers.find(subscriber->greeting.relay_address());
-        if (peer != this->peers.end() && peer->second->isConnected) {
-            for (const std::pair<const std::string, RelayMessages::VmPresence> &entry : subscriber->vms) {
-                visible.insert(entry.first);
-            }
-        }
-    }
-    for (const std::string &vm : visible) {
-        this->vmsLastSeen[vm] = now;
-    }
-    std::erase_if(this->vmsLastSeen, [now](const std::pair<const std::string, SteadyTime> &entry) { return now - entry.second > vmExpiry; });
     const double known = std::max<std::uint32_t>(1, this->knownVms(now));
-    const double share = std::min(1.0, static_cast<double>(visible.size()) / known);
+    const double share = std::min(1.0, this->vms.visibleCount() / known);
     this->teamUse.recordVisibleShare(share, now);
     this->board.setVisibleShare(share);
-    return visible;
+}
+
+void RelayHub::setReportsVisible(const RelayPeer &peer)
+{
+    for (const std::shared_ptr<RelaySubscriber> &subscriber : this->subscribers) {
+        if (subscriber->isRelay() && subscriber->greeting.relay_address() == peer.address) {
+            this->vms.setVisible(subscriber.get(), peer.isConnected, this->options.clock());
+        }
+    }
 }
 
 std::size_t RelayHub::connectedPeers() const
@@ -382,6 +388,9 @@
 
 void RelayHub::sendToVms(const RelayMessages::Update &update, const RelaySubscriber *excluded)
 {
+    if (update.ByteSizeLong() == 0) {
+        return;
+    }
     for (const std::shared_ptr<RelaySubscriber> &subscriber : this->subscribers) {
         if (!subscriber->isRelay() && subscriber.get() != excluded) {
             subscriber->buffer.add(update);
@@ -405,14 +414,13 @@
 
 void RelayHub::recordVm(const RelaySubscriber &subscriber)
 {
-    this->vmsLastSeen[subscriber.presence.vm()] = this->options.clock();
+    if (subscriber.presence.present()) {
+        this->vms.set(&subscriber, subscriber.presence, this->options.clock());
+    }
     RelayMessages::Update update;
     *update.add_vms() = subscriber.presence;
     this->sendToPeers(update);
-    // A VM that has moved to another relay is still present.
-    if (subscriber.presence.present() || !this->connectedVms().contains(subscriber.presence.vm())) {
-        this->sendToVms(update, &subscriber);
-    }
+    this->vmLists.vmChanged(subscriber.presence.vm());
 }
 
 void RelayHub::applyPresence(RelaySubscriber &subscriber, const RelayMessages::Update &update)
@@ -426,38 +434,23 @@
             continue;
         }
         if (vm.present()) {
-            subscriber.vms[vm.vm()] = vm;
-        } else {
-            subscriber.vms.erase(vm.vm());
+            this->vms.set(&subscriber, vm, this->options.clock());
+            this->vmLists.vmChanged(vm.vm());
+            continue;
         }
-        this->vmsLastSeen[vm.vm()] = this->options.clock();
+        this->vms.remove(&subscriber, vm.vm(), this->options.clock());
         // A VM that has moved to another relay may be reported by that one before the former relay reports its end.
-        if (vm.present() || !this->connectedVms().contains(vm.vm())) {
-            RelayMessages::Update presence;
-            *presence.add_vms() = vm;
-            this->sendToVms(presence, nullptr);
-        }
-    }
-}
-
-std::map<std::string, RelayMessages::VmPresence> RelayHub::connectedVms() const
-{
-    std::map<std::string, RelayMessages::VmPresence> connected;
-    for (const std::shared_ptr<RelaySubscriber> &subscriber : this->subscribers) {
-        if (subscriber->isRelay()) {
-            connected.insert(subscriber->vms.begin(), subscriber->vms.end());
-        } else {
-            connected[subscriber->presence.vm()] = subscriber->presence;
+        if (this->vms.find(vm.vm()) == nullptr) {
+            this->vmLists.vmChanged(vm.vm());
         }
     }
-    return connected;
 }
 
 RelayMessages::Update RelayHub::fullState()
 {
     const SteadyTime now = this->options.clock();
     RelayMessages::Update all;
-    this->visibleVms(now);
+    this->recordVisibleShare(now);
     this->teamUse.addRecord(all, now);
     for (const std::pair<const std::string, RelayMessages::Registration> &entry : this->board.table().all()) {
         *all.add_registrations() = entry.second;
--- a/libraries/process/relay/relayhub.h
+++ b/libraries/process/relay/relayhub.h
@@ -4,6 +4,8 @@
 #include "process/hooks.h"
 #include "process/relay/teamusemonitor.h"
 #include "process/relay/updatebuffer.h"
+#include "process/relay/vmlists.h"
+#include "process/relay/vmpresencetable.h"
 
 #include <atomic>
 #include <condition_variable>
@@ -11,7 +13,6 @@
 #include <map>
 #include <memory>
 #include <mutex>
-#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -28,8 +29,6 @@
     std::atomic<std::uint64_t> confirmed{0};
     /// For a VM: what it reports of itself.
     RelayMessages::VmPresence presence;
-    /// For a relay: the VMs that are connected to it, by name.
-    std::map<std::string, RelayMessages::VmPresence> vms;
 
     bool isRelay() const
     {
@@ -49,8 +48,8 @@
         RelayMessages::RelayAddress relay;
         relay.set_address(this->address);
         relay.set_failure_domain(this->failureDomain);
-        relay.set_not_current(this->isConnected && this->isNotCurrent);
         relay.set_in_touch(this->isConnected);
+        relay.set_not_current(this->isConnected && this->isNotCurrent);
         return relay;
     }
 
@@ -59,9 +58,9 @@
     std::string failureDomain;
     UpdateBuffer buffer;
     std::uint64_t confirmed = 0;
+    bool isConnected = false;
     /// Whether the relay's last status said that it isn't current.
     bool isNotCurrent = false;
-    bool isConnected = false;
 };
 
 /**
@@ -135,12 +134,12 @@
     void sendRelayState(const RelayPeer &peer);
     void recordVm(const RelaySubscriber &subscriber);
     void applyPresence(RelaySubscriber &subscriber, const RelayMessages::Update &update);
-    /// The VMs that are connected to this relay or to a relay that is connected to it, by name.
-    std::map<std::string, RelayMessages::VmPresence> connectedVms() const;
+    /// Counts the VMs that other relays report as visible while this relay is connected to those relays, too.
+    void setReportsVisible(const RelayPeer &peer);
     RelayMessages::Update fullState();
-    /// The VMs that are connected to this relay or to a relay that it is connected to. Also records their share of the fleet.
-    std::set<std::string> visibleVms(SteadyTime now);
-    std::uint32_t knownVms(SteadyTime now) const;
+    /// Records which share of the fleet's VMs is connected to this relay or to a relay that it is connected to.
+    void recordVisibleShare(SteadyTime now);
+    std::uint32_t knownVms(SteadyTime now);
 
     const Options options;
     const Hooks hooks;
@@ -151,8 +150,8 @@
     std::shared_ptr<const CatalogueMessages::Configuration> configuration;
     std::vector<std::shared_ptr<RelaySubscriber>> subscribers;
     std::map<std::string, std::shared_ptr<RelayPeer>> peers;
-    /// When each VM was last known to be connected to any relay.
-    std::map<std::string, SteadyTime> vmsLastSeen;
+    VmPresenceTable vms;
+    VmLists vmLists;
     /// Number of VMs of the fleet before this relay started, as far as it is known.
     std::uint32_t expectedVms = 0;
     TeamUseMonitor teamUse;
