Relay: Collect updates for longer with more VMs, and hold counts back

With hundreds of VMs there is a failure somewhere in each few milliseconds. Each was sent to each VM after 4 ms, together with all counts that were queued, so the number of messages of a relay grew with the square of the fleet.

Change: a relay collects urgent updates for as long as 2,000 messages a second to all of its VMs take (4 ms up to 8 VMs, 44 ms at 88), and counts for three times that. Urgent updates no longer take counts along that aren't due, except those of the same instance, whose order is kept. A VM of another failure domain than its relay's gets its messages half as often, and outcomes that aren't urgent a tenth as often, since each byte costs there.

The new tests use what the change adds.

--- a/libraries/process/relay/relayexchange.cpp
+++ b/libraries/process/relay/relayexchange.cpp
@@ -53,7 +53,8 @@
 {
     bool isOpen = !this->first || this->stream.write(*this->first);
     while (isOpen && !this->ended) {
-        std::optional<RelayMessages::Update> update = this->outgoing.nextMessage(steadyNow() + this->timing.heartbeat, this->timing.batchDelay);
+        const UpdateBuffer::BatchDelay batchDelay = this->hooks.batchDelay ? this->hooks.batchDelay() : this->timing.batchDelay;
+        std::optional<RelayMessages::Update> update = this->outgoing.nextMessage(steadyNow() + this->timing.heartbeat, batchDelay);
         if (!update || this->ended) {
             break;
         }
--- a/libraries/process/relay/relayexchange.h
+++ b/libraries/process/relay/relayexchange.h
@@ -28,6 +28,8 @@
         std::function<void(const RelayMessages::Update &)> receive;
         /// Called before each message is sent, except for the first one. May add to it, such as a confirmation or a status.
         std::function<void(RelayMessages::Update &)> beforeSend;
+        /// How long messages are held back; as in the timing if it is empty.
+        std::function<UpdateBuffer::BatchDelay()> batchDelay = nullptr;
     };
 
     struct Timing {
--- a/libraries/process/relay/relayhub.cpp
+++ b/libraries/process/relay/relayhub.cpp
@@ -11,6 +11,18 @@
 /// A VM that hasn't been connected to any relay for this long no longer counts as part of the fleet. This is longer than a restart takes.
 constexpr std::chrono::seconds vmExpiry{20};
 
+/// Messages per second that a relay sends to its VMs at most while there are updates all the time: a message takes about 60 us of processor time.
+constexpr double messagesPerSecond = 2000;
+/// Updates within a failure domain are collected for this long at least.
+constexpr std::chrono::milliseconds minimumBatchDelay{4};
+/// Counts may be held back for this multiple of the time for urgent updates. They are several times as many, and are summed meanwhile.
+constexpr double countsDelayFactor = 3;
+/// The same for a VM of another failure domain, where each byte costs, and the least time for it.
+constexpr double remoteDelayFactor = 2;
+constexpr double remoteOutcomesDelayFactor = 10;
+constexpr std::chrono::milliseconds minimumRemoteDelay{10};
+constexpr std::chrono::milliseconds minimumRemoteCountsDelay{150};
+
 /// The configuration without the document that the operators sent, which contains keys in clear text.
 CatalogueMessages::Configuration withoutDocument(const CatalogueMessages::Configuration &configuration)
 {
@@ -159,6 +171,7 @@
             const auto peer = this->peers.find(subscriber->greeting.relay_address());
             this->vms.setVisible(subscriber.get(), peer != this->peers.end() && peer->second->isConnected, this->options.clock());
         } else {
+            ++this->vmSubscribers;
             subscriber->presence = presenceOf(subscriber->greeting);
             this->recordVm(*subscriber);
             this->vmLists.add({subscriber->greeting.vm(), subscriber->greeting.failure_domain(), &subscriber->buffer}, initial, this->options.clock());
@@ -211,6 +224,25 @@
     }
 }
 
+UpdateBuffer::BatchDelay RelayHub::batchDelay(const RelaySubscriber &subscriber) const
+{
+    const std::chrono::duration<double> turn(static_cast<double>(this->vmSubscribers) / messagesPerSecond);
+    const auto atLeast = [turn](std::chrono::milliseconds minimum, double factor) {
+        return std::max(minimum, std::chrono::duration_cast<std::chrono::milliseconds>(turn * factor));
+    };
+    UpdateBuffer::BatchDelay delay;
+    if (subscriber.greeting.failure_domain() == this->options.own.failure_domain()) {
+        delay.urgent = atLeast(minimumBatchDelay, 1);
+        delay.other = atLeast(minimumBatchDelay, countsDelayFactor);
+        delay.outcomes = delay.other;
+    } else {
+        delay.urgent = atLeast(minimumRemoteDelay, remoteDelayFactor);
+        delay.other = atLeast(minimumRemoteCountsDelay, remoteDelayFactor * countsDelayFactor);
+        delay.outcomes = atLeast(minimumRemoteCountsDelay, remoteDelayFactor * remoteOutcomesDelayFactor);
+    }
+    return delay;
+}
+
 void RelayHub::disconnect(const std::shared_ptr<RelaySubscriber> &subscriber)
 {
     {
@@ -224,6 +256,7 @@
         if (subscriber->isRelay()) {
             this->vms.removeSource(subscriber.get(), this->options.clock());
         } else {
+            --this->vmSubscribers;
             this->vms.remove(subscriber.get(), subscriber->greeting.vm(), this->options.clock());
             if (!hasReconnected) {
                 subscriber->presence.set_present(false);
--- a/libraries/process/relay/relayhub.h
+++ b/libraries/process/relay/relayhub.h
@@ -24,7 +24,7 @@
 /// A VM or another relay that is connected to this relay, and the stream to it.
 struct RelaySubscriber {
     RelayMessages::Greeting greeting;
-    UpdateBuffer buffer;
+    UpdateBuffer buffer{UpdateBuffer::Counts::HeldBack};
     /// Highest sequence among the subscriber's messages that this relay has applied.
     std::atomic<std::uint64_t> confirmed{0};
     /// For a VM: what it reports of itself.
@@ -56,7 +56,7 @@
     const std::string address;
     /// Empty while it is unknown.
     std::string failureDomain;
-    UpdateBuffer buffer;
+    UpdateBuffer buffer{UpdateBuffer::Counts::HeldBack};
     std::uint64_t confirmed = 0;
     bool isConnected = false;
     /// Whether the relay's last status said that it isn't current.
@@ -109,6 +109,8 @@
     std::shared_ptr<RelaySubscriber> connect(const RelayMessages::Update &first);
     void receive(RelaySubscriber &subscriber, const RelayMessages::Update &update);
     void addStatus(const RelaySubscriber &subscriber, RelayMessages::Update &update);
+    /// How long messages to the subscriber are held back.
+    UpdateBuffer::BatchDelay batchDelay(const RelaySubscriber &subscriber) const;
     void disconnect(const std::shared_ptr<RelaySubscriber> &subscriber);
 
     /// Called by RelayPeers for the stream to each peer: for the first message, when a message arrives, and when the stream ends.
@@ -152,6 +154,8 @@
     std::map<std::string, std::shared_ptr<RelayPeer>> peers;
     VmPresenceTable vms;
     VmLists vmLists;
+    /// Number of VMs that are connected to this relay.
+    std::atomic<std::size_t> vmSubscribers{0};
     /// Number of VMs of the fleet before this relay started, as far as it is known.
     std::uint32_t expectedVms = 0;
     TeamUseMonitor teamUse;
--- a/libraries/process/relay/relayservice.cpp
+++ b/libraries/process/relay/relayservice.cpp
@@ -52,40 +52,43 @@
         RelayExchange::Hooks hooks;
         hooks.receive = [this, &subscriber](const RelayMessages::Update &update) { this->hub.receive(*subscriber, update); };
         hooks.beforeSend = [this, &subscriber](RelayMessages::Update &update) { this->hub.addStatus(*subscriber, update); };
-        RelayExchange(subscriber->buffer, std::move(callbacks), std::move(hooks), this->timing).run();
+        if (!subscriber->isRelay()) {
+            hooks.batchDelay = [this, &subscriber] { return this->hub.batchDelay(*subscriber); };
+        }
+        RelayExchange(subscriber->buffer, std::move(callbacks), std::move(hooks), this->timing, this->silenceMonitor).run();
         this->hub.disconnect(subscriber);
         return grpc::Status::OK;
     }
 
-private:
-    RelayHub &hub;
-    const FleetCredential credential;
     std::uint64_t refusedCount() const
     {
         return this->refused;
     }
 
+private:
+    RelayHub &hub;
+    const FleetCredential credential;
     const RelayExchange::Timing timing;
-};
-
-RelayService::RelayService(RelayHub &hub, const std::string &fleetSecret, RelayExchange::Timing timing)
     StreamAdmission admission;
     SilenceMonitor silenceMonitor;
     std::atomic<std::uint64_t> refused{0};
+};
+
+RelayService::RelayService(RelayHub &hub, const std::string &fleetSecret, RelayExchange::Timing timing)
     : implementation(std::make_unique<Implementation>(hub, fleetSecret, timing))
 {
 }
 
 RelayService::~RelayService() = default;
 
-grpc::Service &RelayService::service()
-{
-    return *this->implementation;
 std::uint64_t RelayService::refusedCount() const
 {
     return this->implementation->refusedCount();
 }
 
+grpc::Service &RelayService::service()
+{
+    return *this->implementation;
 }
 
 } // namespace Hyssophall
--- a/libraries/process/relay/updatebuffer.cpp
+++ b/libraries/process/relay/updatebuffer.cpp
@@ -24,26 +24,23 @@
     }
 }
 
+bool isUrgentOutcome(const RelayMessages::InstanceOutcomes &outcomes)
+{
+    return outcomes.failed() + outcomes.rejected() + outcomes.unreachable() > 0 || outcomes.limit_thousandths() > 0 || outcomes.limit_ended();
+}
+
 } // namespace
 
+UpdateBuffer::UpdateBuffer(Counts counts)
+    : counts(counts)
+{
+}
+
 std::uint64_t UpdateBuffer::add(const RelayMessages::Update &update)
 {
+    const SteadyTime now = std::chrono::steady_clock::now();
     std::lock_guard<std::mutex> lock(this->mutex);
-    for (const RelayMessages::InstanceOutcomes &counts : update.outcomes()) {
-        addUp(this->outcomes[counts.instance()], counts);
-    }
-    for (const RelayMessages::TeamUse &use : update.teams()) {
-        RelayMessages::TeamUse &sum = this->teams[use.team()];
-        sum.set_admitted(sum.admitted() + use.admitted());
-        sum.set_scarce(sum.scarce() || use.scarce());
-    }
-    for (const RelayMessages::ServiceUse &use : update.services()) {
-        RelayMessages::ServiceUse &sum = this->services[use.service()];
-        sum.set_requests(sum.requests() + use.requests());
-        sum.set_retries(sum.retries() + use.retries());
-        sum.set_served(sum.served() + use.served());
-        sum.set_unserved(sum.unserved() + use.unserved());
-    }
+    this->addCounts(update, now);
     if (update.has_configuration() && update.configuration().version() > this->pending.configuration().version()) {
         *this->pending.mutable_configuration() = update.configuration();
     }
@@ -56,19 +53,48 @@
     this->pending.mutable_unreported()->MergeFrom(update.unreported());
     if (update.has_admissions()) {
         *this->pending.mutable_admissions() = update.admissions();
+        this->otherSince = this->otherSince.value_or(now);
+    }
+    if (!update.summaries().empty()) {
+        this->otherSince = this->otherSince.value_or(now);
+    }
+    if (isUrgent(update)) {
+        this->urgentSince = this->urgentSince.value_or(now);
     }
-    this->urgent = this->urgent || isUrgent(update);
     if (!this->isEmpty()) {
         this->changed.notify_all();
     }
     return this->sequence + 1;
 }
 
+void UpdateBuffer::addCounts(const RelayMessages::Update &update, SteadyTime now)
+{
+    for (const RelayMessages::InstanceOutcomes &added : update.outcomes()) {
+        addUp(this->outcomes[added.instance()], added);
+    }
+    for (const RelayMessages::TeamUse &use : update.teams()) {
+        RelayMessages::TeamUse &sum = this->teams[use.team()];
+        sum.set_admitted(sum.admitted() + use.admitted());
+        sum.set_scarce(sum.scarce() || use.scarce());
+    }
+    for (const RelayMessages::ServiceUse &use : update.services()) {
+        RelayMessages::ServiceUse &sum = this->services[use.service()];
+        sum.set_requests(sum.requests() + use.requests());
+        sum.set_retries(sum.retries() + use.retries());
+        sum.set_served(sum.served() + use.served());
+        sum.set_unserved(sum.unserved() + use.unserved());
+    }
+    if (!update.outcomes().empty()) {
+        this->outcomesSince = this->outcomesSince.value_or(now);
+    }
+    if (!update.teams().empty() || !update.services().empty()) {
+        this->otherSince = this->otherSince.value_or(now);
+    }
+}
+
 bool UpdateBuffer::isUrgent(const RelayMessages::Update &update)
 {
-    const bool hasFailure = std::any_of(update.outcomes().begin(), update.outcomes().end(), [](const RelayMessages::InstanceOutcomes &outcomes) {
-        return outcomes.failed() + outcomes.rejected() + outcomes.unreachable() > 0 || outcomes.limit_thousandths() > 0 || outcomes.limit_ended();
-    });
+    const bool hasFailure = std::any_of(update.outcomes().begin(), update.outcomes().end(), isUrgentOutcome);
     const bool hasScarceTeam = std::any_of(update.teams().begin(), update.teams().end(), [](const RelayMessages::TeamUse &use) { return use.scarce(); });
     return hasFailure || hasScarceTeam || update.has_configuration() || !update.registrations().empty() || !update.lost_requests().empty()
         || !update.vms().empty() || !update.relays().empty() || !update.unreported().empty();
@@ -88,39 +114,90 @@
     this->changed.notify_all();
 }
 
+SteadyTime UpdateBuffer::dueTime(const BatchDelay &batchDelay) const
+{
+    SteadyTime due = SteadyTime::max();
+    if (this->urgentSince) {
+        due = std::min(due, *this->urgentSince + batchDelay.urgent);
+    }
+    if (this->otherSince) {
+        due = std::min(due, *this->otherSince + batchDelay.other);
+    }
+    if (this->outcomesSince) {
+        due = std::min(due, *this->outcomesSince + batchDelay.outcomes.value_or(batchDelay.other));
+    }
+    return due;
+}
+
 std::optional<RelayMessages::Update> UpdateBuffer::nextMessage(SteadyTime deadline, BatchDelay batchDelay)
 {
     std::unique_lock<std::mutex> lock(this->mutex);
-    this->changed.wait_until(lock, deadline, [this] { return this->closed || this->wakeRequested || !this->isEmpty(); });
-    if (!this->isEmpty()) {
-        this->changed.wait_for(lock, batchDelay.other - batchDelay.urgent, [this] { return this->closed || this->wakeRequested || this->urgent; });
-        this->changed.wait_for(lock, batchDelay.urgent, [this] { return this->closed || this->wakeRequested; });
+    const auto mustReturn = [this] { return this->closed || this->wakeRequested; };
+    this->changed.wait_until(lock, deadline, [this, &mustReturn] { return mustReturn() || !this->isEmpty(); });
+    // Counts with a longer delay wait for a later message.
+    const SteadyTime latest = std::max(deadline, std::chrono::steady_clock::now() + batchDelay.other);
+    while (!mustReturn() && !this->isEmpty()) {
+        const SteadyTime due = std::min(latest, this->dueTime(batchDelay));
+        if (std::chrono::steady_clock::now() >= due) {
+            break;
+        }
+        this->changed.wait_until(lock, due);
     }
     if (this->closed) {
         return std::nullopt;
     }
     this->wakeRequested = false;
-    this->urgent = false;
+    const SteadyTime now = std::chrono::steady_clock::now();
+    const bool sendsAll = this->counts == Counts::SentWithNextMessage;
+    const bool sendsOther = sendsAll || (this->otherSince && now >= *this->otherSince + batchDelay.other);
+    const bool sendsOutcomes = sendsAll || (this->outcomesSince && now >= *this->outcomesSince + batchDelay.outcomes.value_or(batchDelay.other));
     RelayMessages::Update message;
     message.Swap(&this->pending);
-    for (const std::pair<const std::uint32_t, RelayMessages::InstanceOutcomes> &entry : this->outcomes) {
-        *message.add_outcomes() = entry.second;
+    this->takeOutcomes(message, !sendsOutcomes);
+    this->takeUses(message, !sendsOther);
+    this->urgentSince.reset();
+    message.set_sequence(++this->sequence);
+    return message;
+}
+
+void UpdateBuffer::takeOutcomes(RelayMessages::Update &message, bool onlyUrgent)
+{
+    for (auto entry = this->outcomes.begin(); entry != this->outcomes.end();) {
+        if (onlyUrgent && !isUrgentOutcome(entry->second)) {
+            ++entry;
+            continue;
+        }
+        message.add_outcomes()->Swap(&entry->second);
+        entry = this->outcomes.erase(entry);
+    }
+    if (this->outcomes.empty()) {
+        this->outcomesSince.reset();
     }
-    for (const std::pair<const std::string, RelayMessages::TeamUse> &entry : this->teams) {
+}
+
+void UpdateBuffer::takeUses(RelayMessages::Update &message, bool onlyUrgent)
+{
+    for (auto entry = this->teams.begin(); entry != this->teams.end();) {
+        if (onlyUrgent && !entry->second.scarce()) {
+            ++entry;
+            continue;
+        }
         RelayMessages::TeamUse &use = *message.add_teams();
-        use = entry.second;
-        use.set_team(entry.first);
+        use.Swap(&entry->second);
+        use.set_team(entry->first);
+        entry = this->teams.erase(entry);
     }
-    for (const std::pair<const std::string, RelayMessages::ServiceUse> &entry : this->services) {
-        RelayMessages::ServiceUse &use = *message.add_services();
-        use = entry.second;
-        use.set_service(entry.first);
+    if (!onlyUrgent) {
+        for (std::pair<const std::string, RelayMessages::ServiceUse> &entry : this->services) {
+            RelayMessages::ServiceUse &use = *message.add_services();
+            use.Swap(&entry.second);
+            use.set_service(entry.first);
+        }
+        this->services.clear();
+    }
+    if (this->teams.empty() && this->services.empty()) {
+        this->otherSince.reset();
     }
-    this->outcomes.clear();
-    this->teams.clear();
-    this->services.clear();
-    message.set_sequence(++this->sequence);
-    return message;
 }
 
 std::uint64_t UpdateBuffer::nextSequence() const
--- a/libraries/process/relay/updatebuffer.h
+++ b/libraries/process/relay/updatebuffer.h
@@ -9,6 +9,7 @@
 #include <mutex>
 #include <optional>
 #include <string>
+#include <unordered_map>
 
 namespace Hyssophall {
 
@@ -21,7 +22,17 @@
 class UpdateBuffer
 {
 public:
-    /// Adds the content of @p update except for its greeting, sequence numbers and status. Returns the sequence of the message that will contain it.
+    enum class Counts {
+        /// Each message contains everything that was added before it.
+        SentWithNextMessage,
+        /// Counts that aren't urgent are held back for their own delay, even if a message with urgent updates is sent meanwhile.
+        HeldBack,
+    };
+
+    explicit UpdateBuffer(Counts counts = Counts::SentWithNextMessage);
+
+    /// Adds the content of @p update except for its greeting, sequence numbers and status. Returns the sequence of the message that will contain it;
+    /// with Counts::HeldBack, a later message may contain its counts.
     std::uint64_t add(const RelayMessages::Update &update);
 
     /// Whether an update should be sent soon, since it changes which instances, relays or configuration the receiver uses or how it limits a
@@ -32,6 +43,8 @@
     struct BatchDelay {
         std::chrono::milliseconds urgent{4};
         std::chrono::milliseconds other{4};
+        /// For outcomes that aren't urgent, with Counts::HeldBack; as for others if it is empty.
+        std::optional<std::chrono::milliseconds> outcomes = std::nullopt;
     };
 
     /// Makes nextMessage() return without an update, such as for sending a confirmation.
@@ -58,17 +71,27 @@
     void clear();
 
 private:
+    // These are called with the mutex held.
     bool isEmpty() const;
+    void addCounts(const RelayMessages::Update &update, SteadyTime now);
+    /// When the next message should be sent for what was added; the maximum if nothing was.
+    SteadyTime dueTime(const BatchDelay &batchDelay) const;
+    void takeOutcomes(RelayMessages::Update &message, bool onlyUrgent);
+    void takeUses(RelayMessages::Update &message, bool onlyUrgent);
 
+    const Counts counts;
     mutable std::mutex mutex;
     std::condition_variable changed;
     bool closed = false;
     bool wakeRequested = false;
-    bool urgent = false;
+    /// When the oldest update of each kind was added; empty if there is none.
+    std::optional<SteadyTime> urgentSince;
+    std::optional<SteadyTime> otherSince;
+    std::optional<SteadyTime> outcomesSince;
     std::uint64_t sequence = 0;
     RelayMessages::Update pending;
-    std::map<std::uint32_t, RelayMessages::InstanceOutcomes> outcomes;
-    std::map<std::string, RelayMessages::TeamUse> teams;
+    std::unordered_map<std::uint32_t, RelayMessages::InstanceOutcomes> outcomes;
+    std::unordered_map<std::string, RelayMessages::TeamUse> teams;
     std::map<std::string, RelayMessages::ServiceUse> services;
 };
 
--- a/tests/unit/process/relay/largefleettest.cpp
+++ b/tests/unit/process/relay/largefleettest.cpp
@@ -126,3 +126,15 @@
     // A cost that grows with the fleet would be 16 times as high.
     CATCH_CHECK(statusDuration(large) < 4 * statusDuration(small));
 }
+
+// Guards against full messages at each failure anywhere: with hundreds of VMs there is one in each few milliseconds.
+CATCH_TEST_CASE("With more VMs, a relay collects updates for longer, and longest for VMs of other failure domains", "[relay][large-fleet]")
+{
+    LargeFleet small(8);
+    LargeFleet large(largestFleet);
+    // The first VM is of the relay's own failure domain, the second one isn't.
+    CATCH_CHECK(small.hub->batchDelay(*small.vms[0]).urgent == std::chrono::milliseconds(4));
+    CATCH_CHECK(large.hub->batchDelay(*large.vms[0]).urgent == std::chrono::milliseconds(400));
+    CATCH_CHECK(large.hub->batchDelay(*large.vms[1]).urgent > large.hub->batchDelay(*large.vms[0]).urgent);
+    CATCH_CHECK(*large.hub->batchDelay(*large.vms[1]).outcomes > *large.hub->batchDelay(*large.vms[0]).outcomes);
+}
--- a/tests/unit/process/relay/updatebuffertest.cpp
+++ b/tests/unit/process/relay/updatebuffertest.cpp
@@ -55,6 +55,46 @@
     CATCH_CHECK_FALSE(UpdateBuffer::isUrgent(success));
 }
 
+// Guards against messages that repeat the same few counts many times a second, because each failure anywhere sends all counts along.
+CATCH_TEST_CASE("Counts that are held back stay until their delay is over, and urgent updates don't wait for them", "[relay][large-fleet]")
+{
+    UpdateBuffer buffer(UpdateBuffer::Counts::HeldBack);
+    const UpdateBuffer::BatchDelay batchDelay{std::chrono::milliseconds(1), std::chrono::milliseconds(5), std::chrono::seconds(60)};
+    RelayMessages::Update counts;
+    counts.add_outcomes()->set_instance(1);
+    counts.mutable_outcomes(0)->set_succeeded(1);
+    RelayMessages::TeamUse &use = *counts.add_teams();
+    use.set_team("red");
+    use.set_admitted(1);
+    RelayMessages::Update failure;
+    failure.add_outcomes()->set_instance(2);
+    failure.mutable_outcomes(0)->set_failed(1);
+    buffer.add(counts);
+    buffer.add(failure);
+    const SteadyTime began = std::chrono::steady_clock::now();
+    bool hasFailure = false;
+    int admitted = 0;
+    while ((!hasFailure || admitted == 0) && std::chrono::steady_clock::now() - began < std::chrono::seconds(20)) {
+        const RelayMessages::Update message = buffer.nextMessage(std::chrono::steady_clock::now() + std::chrono::seconds(1), batchDelay).value();
+        for (const RelayMessages::InstanceOutcomes &outcomes : message.outcomes()) {
+            CATCH_CHECK(outcomes.instance() == 2);
+            hasFailure = true;
+        }
+        admitted += message.teams().empty() ? 0 : static_cast<int>(message.teams(0).admitted());
+    }
+    CATCH_CHECK(hasFailure);
+    CATCH_CHECK(admitted == 1);
+    // A heartbeat isn't delayed by counts that are held back.
+    CATCH_CHECK(buffer.nextMessage(std::chrono::steady_clock::now(), batchDelay)->outcomes().empty());
+    // Once a failure of the same instance is sent, its counts go along, so that their order is kept.
+    failure.mutable_outcomes(0)->set_instance(1);
+    buffer.add(failure);
+    const RelayMessages::Update message = buffer.nextMessage(std::chrono::steady_clock::now(), batchDelay).value();
+    CATCH_REQUIRE(message.outcomes_size() == 1);
+    CATCH_CHECK(message.outcomes(0).succeeded() == 1);
+    CATCH_CHECK(message.outcomes(0).failed() == 1);
+}
+
 // Guards against a limit of an instance that is lost or outlasts its end when messages are merged.
 CATCH_TEST_CASE("Of several limits of an instance, the latest is sent", "[relay][load-shedding]")
 {
