Connection: Reject a response without the request's id from an instance that returns ids

Operators of similar systems reported a second copy of a response that came late, on a connection in use again, and reached the next caller.

Cause: a response with another X-Request-Id was rejected, and one without any was taken, also on a connection whose earlier responses had the id. A copy that arrives just after the next request was sent isn't seen by the check of the idle connection. Orders are sent on connections of their own, so only idempotent requests could get such a response.

Change: on a connection whose responses had the id, one without it is rejected like one with another id.

--- a/libraries/connection/upstreamconnection.cpp
+++ b/libraries/connection/upstreamconnection.cpp
@@ -315,11 +315,14 @@
     }
     HttpResponse response = transfer.assembler.takeResponse();
     const std::string *echoedId = findHeader(response.headers, "X-Request-Id");
-    if (echoedId != nullptr && !call.requestId.empty() && *echoedId != call.requestId) {
+    // An instance that returned the id before returns it in each of its responses, so one without it is a surplus response to an earlier request.
+    const bool isOther = echoedId == nullptr ? this->returnsRequestIds : *echoedId != call.requestId;
+    if (!call.requestId.empty() && isOther) {
         this->handle->socket = CURL_SOCKET_BAD;
         result.failure = UpstreamFailure{UpstreamFailureKind::ResponseMismatched, true, false};
         return result;
     }
+    this->returnsRequestIds = this->returnsRequestIds || echoedId != nullptr;
     this->successTime = std::chrono::steady_clock::now();
     result.response = std::move(response);
     return result;
--- a/libraries/connection/upstreamconnection.h
+++ b/libraries/connection/upstreamconnection.h
@@ -42,6 +42,8 @@
 
     std::unique_ptr<Handle> handle;
     SteadyTime successTime;
+    /// Whether a response on this connection had the id of its request.
+    bool returnsRequestIds = false;
 };
 
 } // namespace Hyssophall
--- a/tests/unit/connection/upstreamclienttest.cpp
+++ b/tests/unit/connection/upstreamclienttest.cpp
@@ -335,6 +335,57 @@
     CATCH_CHECK(client.send(call).response);
 }
 
+// Guards against a late copy of an earlier response that arrives just after the next request was sent, when no check of the idle connection can see it.
+CATCH_TEST_CASE("On a connection whose responses have the request's id, one without it is rejected", "[connection][whole-answer]")
+{
+    RawUpstream upstream([](RawConnection &connection, const std::string &request) {
+        const bool isFirst = request.find("X-Request-Id: 1") != std::string::npos;
+        connection.write(isFirst ? RawUpstream::answer("first", "X-Request-Id: 1\r\n") : RawUpstream::answer("first"));
+    });
+    UpstreamClient client({});
+    UpstreamCall call = callTo(upstream, "GET");
+    call.requestId = "1";
+    CATCH_REQUIRE(client.send(call).response);
+    call.requestId = "2";
+    const UpstreamResult second = client.send(call);
+    CATCH_REQUIRE(second.reusedConnection);
+    CATCH_REQUIRE(second.failure);
+    CATCH_CHECK(second.failure->kind == UpstreamFailureKind::ResponseMismatched);
+    CATCH_CHECK(second.failure->mayHaveSent);
+    // On a new connection, nothing is known of what the instance returns.
+    CATCH_CHECK(client.send(call).response);
+}
+
+// Guards against a faulty instance that writes an earlier rejection once more on its connection: callers would be told that an order wasn't run, or the
+// order would be tried at a second instance, while the first one runs it.
+CATCH_TEST_CASE("A rejection that an instance repeats is never taken for the response to an order", "[connection][true-refusal][at-most-once]")
+{
+    const std::string rejection = "HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1\r\nX-Request-Id: 1\r\nContent-Length: 0\r\n\r\n";
+    RawUpstream upstream([&rejection](RawConnection &connection, const std::string &request) {
+        if (request.substr(0, 4) != "POST") {
+            connection.write(rejection);
+            // The copy comes late, so that the connection may be in the pool again.
+            std::this_thread::sleep_for(std::chrono::milliseconds(2));
+            connection.tryWrite(rejection);
+            return;
+        }
+        connection.write(RawUpstream::answer("run", "X-Request-Id: 1\r\n"));
+    });
+    UpstreamClient client({});
+    for (int round = 0; round < 20; ++round) {
+        UpstreamCall call = callTo(upstream, "GET");
+        call.requestId = "1";
+        static_cast<void>(client.send(call));
+        // The same id, as in a try that follows another one.
+        UpstreamCall order = callTo(upstream, "POST");
+        order.requestId = "1";
+        const UpstreamResult result = client.send(order);
+        CATCH_REQUIRE(result.response);
+        CATCH_REQUIRE(result.response->status == 200);
+        CATCH_REQUIRE_FALSE(result.reusedConnection);
+    }
+}
+
 // Guards against ejecting a healthy instance because a middlebox dropped its pooled connections.
 CATCH_TEST_CASE("A timeout on a stale connection isn't attributed to the instance if new connections can be established", "[connection][whole-answer]")
 {
