Relay: Compress streams between failure domains, and show an operator how a fleet starts

Change: relays compress what they send to other relays and to VMs of other failure domains, and such VMs compress what they send. gRPC decompresses on its own, so older builds read it. New gauges hyssophall_relay_vms and hyssophall_relay_streams_refused; a control VM whose replica is in no group logs once a second how many control VMs it reaches and whether one of them leads a group.

--- a/libraries/process/relay/controlnode.cpp
+++ b/libraries/process/relay/controlnode.cpp
@@ -31,6 +31,7 @@
 /// log is logged.
 constexpr std::chrono::seconds reopenInterval{5};
 constexpr std::chrono::milliseconds peerHeartbeat{250};
+constexpr std::chrono::seconds formationReportInterval{1};
 /// Each message to a VM contains whether the replica is up to date. Asking the replica takes its lock, which it holds while it writes to its disk.
 constexpr std::chrono::milliseconds replicaCheckInterval{20};
 
@@ -268,6 +269,11 @@
     return this->hub->status();
 }
 
+ControlNode::StreamCounts ControlNode::streamCounts() const
+{
+    return {this->hub->connectedVmCount(), this->relayService->refusedCount()};
+}
+
 double ControlNode::largestTeamUse()
 {
     return this->hub->largestTeamUse();
@@ -283,7 +289,9 @@
     while (!this->stopping) {
         this->reopenIfDiskRecovered();
         this->saveCopy();
-        this->execute(GroupFormation::decide(this->view()));
+        const GroupFormation::Observation observation = this->view();
+        this->reportFormation(observation);
+        this->execute(GroupFormation::decide(observation));
         std::unique_lock<std::mutex> lock(this->mutex);
         this->configurationChanged.wait_for(
             lock, maintenanceInterval, [this] { return this->stopping || this->configuration->version() > this->copiedVersion; });
@@ -393,6 +401,18 @@
     return groupView;
 }
 
+void ControlNode::reportFormation(const GroupFormation::Observation &observation)
+{
+    const bool isMember = ReplicaGroup::hasDisk(observation.own.configuration(), observation.own.id(), observation.own.disk_incarnation());
+    if (isMember || steadyNow() < this->formationReportDue) {
+        return;
+    }
+    this->formationReportDue = steadyNow() + formationReportInterval;
+    LOG(INFO) << "This VM's replica is in no control group yet; " << observation.reachable.size() + 1 << " of " << observation.groupSize
+              << " control VMs are reachable, " << (observation.leader ? "one of them leads a group" : "none of them leads a group")
+              << (observation.isFounder && observation.isFirstStart ? ", and this VM is to form it" : "");
+}
+
 void ControlNode::execute(const GroupFormation::Decision &decision)
 {
     switch (decision.step) {
--- a/libraries/process/relay/controlnode.h
+++ b/libraries/process/relay/controlnode.h
@@ -56,6 +56,14 @@
 
     RelayMessages::RelayStatus relayStatus();
 
+    struct StreamCounts {
+        /// VMs that are connected to this relay.
+        std::size_t vms = 0;
+        /// Streams of VMs that were refused since the start because too many came at once.
+        std::uint64_t refused = 0;
+    };
+    StreamCounts streamCounts() const;
+
     /// RelayHub::largestTeamUse().
     double largestTeamUse();
     ControlMessages::StatusReply replicaStatus();
@@ -70,6 +78,8 @@
     void waitForCopy(std::uint64_t version, SteadyTime deadline);
     void saveCopy();
     GroupFormation::Observation view();
+    /// Logs once a second why this VM's replica belongs to no control group.
+    void reportFormation(const GroupFormation::Observation &observation);
     void execute(const GroupFormation::Decision &decision);
     std::optional<ControlMessages::ChangeOutcome> propose(const CatalogueMessages::Change &change, const std::string &changeId, SteadyTime deadline);
     void applyConfiguration(const std::shared_ptr<const CatalogueMessages::Configuration> &configuration);
@@ -83,6 +93,8 @@
     SteadyTime startedAt;
     /// Earliest time of the next attempt to reopen a replica that a disk failure has halted. Used by the maintenance thread only.
     SteadyTime reopenDue;
+    /// Earliest time of the next log message about the group's formation. Used by the maintenance thread only.
+    SteadyTime formationReportDue;
     std::mutex mutex;
     std::condition_variable configurationChanged;
     std::shared_ptr<const CatalogueMessages::Configuration> configuration;
--- a/libraries/process/relay/relaychoice.cpp
+++ b/libraries/process/relay/relaychoice.cpp
@@ -92,6 +92,12 @@
     return relay == nullptr ? SteadyTime() : relay->refusedUntil;
 }
 
+bool RelayChoice::isLocal(const std::string &address) const
+{
+    const Relay *relay = this->find(address);
+    return relay != nullptr && this->isLocal(*relay);
+}
+
 bool RelayChoice::hasAlternative(const std::string &address, SteadyTime now) const
 {
     return std::any_of(this->relays.begin(), this->relays.end(), [&address, now](const Relay &relay) {
--- a/libraries/process/relay/relaychoice.h
+++ b/libraries/process/relay/relaychoice.h
@@ -39,6 +39,9 @@
     /// Until when the relay refuses connections, as it said.
     SteadyTime refusedUntil(const std::string &address) const;
 
+    /// Whether the relay is known to be in the VM's own failure domain.
+    bool isLocal(const std::string &address) const;
+
     /// Whether a relay other than @p address can be tried at once and isn't reported as one that isn't current either. Ignores whether it is
     /// reported as reachable, since a relay that is partitioned reports all others as unreachable.
     bool hasAlternative(const std::string &address, SteadyTime now) const;
--- a/libraries/process/relay/relayhub.cpp
+++ b/libraries/process/relay/relayhub.cpp
@@ -226,6 +226,11 @@
     }
 }
 
+bool RelayHub::isOtherFailureDomain(const RelayMessages::Greeting &greeting) const
+{
+    return greeting.failure_domain() != this->options.own.failure_domain();
+}
+
 UpdateBuffer::BatchDelay RelayHub::batchDelay(const RelaySubscriber &subscriber) const
 {
     const std::chrono::duration<double> turn(static_cast<double>(this->vmSubscribers) / messagesPerSecond);
@@ -233,7 +238,7 @@
         return std::max(minimum, std::chrono::duration_cast<std::chrono::milliseconds>(turn * factor));
     };
     UpdateBuffer::BatchDelay delay;
-    if (subscriber.greeting.failure_domain() == this->options.own.failure_domain()) {
+    if (!this->isOtherFailureDomain(subscriber.greeting)) {
         delay.urgent = atLeast(minimumBatchDelay, 1);
         delay.other = atLeast(minimumBatchDelay, countsDelayFactor);
         delay.outcomes = delay.other;
@@ -387,6 +392,11 @@
     }
 }
 
+std::size_t RelayHub::connectedVmCount() const
+{
+    return this->vmSubscribers;
+}
+
 std::size_t RelayHub::connectedPeers() const
 {
     std::lock_guard<std::mutex> lock(this->mutex);
--- a/libraries/process/relay/relayhub.h
+++ b/libraries/process/relay/relayhub.h
@@ -109,6 +109,8 @@
     std::shared_ptr<RelaySubscriber> connect(const RelayMessages::Update &first);
     void receive(RelaySubscriber &subscriber, const RelayMessages::Update &update);
     void addStatus(const RelaySubscriber &subscriber, RelayMessages::Update &update);
+    /// Whether the stream of the VM or relay with this greeting crosses failure domains, where each byte costs.
+    bool isOtherFailureDomain(const RelayMessages::Greeting &greeting) const;
     /// How long messages to the subscriber are held back.
     UpdateBuffer::BatchDelay batchDelay(const RelaySubscriber &subscriber) const;
     /// The same for messages to another relay.
@@ -126,6 +128,8 @@
     /// receives updates from.
     double largestTeamUse();
     std::size_t connectedPeers() const;
+    /// Number of VMs that are connected to this relay.
+    std::size_t connectedVmCount() const;
 
     /// The latest registration with this id, if there is one.
     std::optional<RelayMessages::Registration> findInstance(const std::string &id) const;
--- a/libraries/process/relay/relaylink.cpp
+++ b/libraries/process/relay/relaylink.cpp
@@ -108,6 +108,9 @@
         this->call = &activeCall;
     }
     activeCall.context.AddMetadata(FleetCredential::metadataName, this->options.fleetSecret);
+    if (this->options.compresses) {
+        activeCall.context.set_compression_algorithm(GRPC_COMPRESS_GZIP);
+    }
     const std::unique_ptr<RelayMessages::Relay::Stub> stub = RelayMessages::Relay::NewStub(channel);
     std::unique_ptr<grpc::ClientReaderWriter<RelayMessages::Update, RelayMessages::Update>> stream;
     {
--- a/libraries/process/relay/relaylink.h
+++ b/libraries/process/relay/relaylink.h
@@ -21,6 +21,8 @@
         /// Time limit for the connection and, again, for the start of the stream. It is a hundred round trips between failure domains, since
         /// a relay that has just started must accept the connections of many VMs.
         std::chrono::milliseconds connectTimeout{250};
+        /// Whether messages to the relay are compressed, since they cross failure domains.
+        bool compresses = false;
     };
 
     RelayLink(Options options, RelayExchange::Hooks hooks);
--- a/libraries/process/relay/relaypeers.cpp
+++ b/libraries/process/relay/relaypeers.cpp
@@ -45,6 +45,8 @@
     options.address = peer->address;
     options.fleetSecret = this->fleetSecret;
     options.timing = this->timing;
+    // Most relays are alone in their failure domain.
+    options.compresses = true;
     connection->link = std::make_unique<RelayLink>(options, std::move(hooks));
     std::lock_guard<std::mutex> lock(this->mutex);
     if (!this->stopping) {
--- a/libraries/process/relay/relayservice.cpp
+++ b/libraries/process/relay/relayservice.cpp
@@ -44,6 +44,9 @@
             stream->Write(refusal);
             return grpc::Status(grpc::StatusCode::RESOURCE_EXHAUSTED, "too many VMs connect at once");
         }
+        if (this->hub.isOtherFailureDomain(first.greeting())) {
+            context->set_compression_algorithm(GRPC_COMPRESS_GZIP);
+        }
         const std::shared_ptr<RelaySubscriber> subscriber = this->hub.connect(first);
         RelayExchange::Stream callbacks;
         callbacks.read = [stream](RelayMessages::Update &update) { return stream->Read(&update); };
--- a/libraries/process/relay/relayuplink.cpp
+++ b/libraries/process/relay/relayuplink.cpp
@@ -141,6 +141,7 @@
     options.address = address;
     options.fleetSecret = this->options.fleetSecret;
     options.timing = this->options.timing;
+    options.compresses = !this->choice.isLocal(address);
     options.connectTimeout = doubled(options.connectTimeout, this->failedConnections, maximumConnectTimeout);
     return options;
 }
--- a/services/hyssophalld/controldaemon.cpp
+++ b/services/hyssophalld/controldaemon.cpp
@@ -66,6 +66,10 @@
     });
     this->metrics->addGauge(
         "hyssophall_known_vms", "VMs connected to any relay lately.", [this] { return static_cast<double>(this->node->relayStatus().known_vms()); });
+    this->metrics->addGauge("hyssophall_relay_vms", "VMs connected to this relay.", [this] { return static_cast<double>(this->node->streamCounts().vms); });
+    this->metrics->addGauge("hyssophall_relay_streams_refused", "Streams of VMs refused since the start because too many came at once.", [this] {
+        return static_cast<double>(this->node->streamCounts().refused);
+    });
     this->metrics->addGauge("hyssophall_largest_team_use_ratio",
         "The largest part of its limit that a team was admitted in the last window, over all VMs that were heard.",
         [this] { return this->node->largestTeamUse(); });
