Tests: Large responses to slow callers and from instances that break off

The kind download brings responses larger than every buffer on their way. A 4 MiB response reaches a slow caller whole, also beside callers that leave halfway and with surplus bytes behind it; one that is broken off or reset is answered 502.

--- a/tests/unit/process/proxy/callerendpointtest.cpp
+++ b/tests/unit/process/proxy/callerendpointtest.cpp
@@ -8,6 +8,7 @@
 #include <boost/leaf/handle_errors.hpp>
 #include <catch2/catch.hpp>
 
+#include <atomic>
 #include <future>
 #include <thread>
 
@@ -114,6 +115,52 @@
     }
 }
 
+// Guards against downloads that are cut, mixed with others or taken as complete, when they are larger than every buffer on their way.
+CATCH_TEST_CASE("A large response reaches its callers whole, and one that its instance breaks off is refused", "[proxy][whole-answer][download]")
+{
+    constexpr std::size_t bodyBytes = 4 * 1024 * 1024;
+    constexpr std::size_t announcedTooMuch = 1000;
+    enum class Manner { Whole, BrokenOff, Reset, Surplus };
+    std::atomic<Manner> manner{Manner::Whole};
+    std::string body;
+    for (std::size_t number = 0; body.size() < bodyBytes; ++number) {
+        body += std::to_string(number) + " ";
+    }
+    Gateway gateway([&manner, &body](RawConnection &connection, const std::string &) {
+        const bool isCut = manner == Manner::BrokenOff || manner == Manner::Reset;
+        const std::size_t announced = body.size() + (isCut ? announcedTooMuch : 0);
+        const std::string surplus = manner == Manner::Surplus ? RawUpstream::answer("surplus") : "";
+        if (!connection.tryWrite("HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(announced) + "\r\n\r\n" + body + surplus)) {
+            throw RawUpstream::Close();
+        }
+        if (manner == Manner::Reset) {
+            connection.reset();
+        }
+        if (isCut) {
+            throw RawUpstream::Close();
+        }
+    });
+    RawCaller slow(gateway.endpoint->port());
+    for (int round = 0; round < 3; ++round) {
+        for (const Manner each : {Manner::Whole, Manner::Surplus, Manner::BrokenOff, Manner::Reset}) {
+            manner = each;
+            {
+                RawCaller leaving(gateway.endpoint->port());
+                leaving.write(get("/read"));
+                std::this_thread::sleep_for(std::chrono::milliseconds(20));
+            }
+            slow.write(get("/read"));
+            // The connection's buffers are full by then.
+            std::this_thread::sleep_for(std::chrono::milliseconds(100));
+            const std::string response = slow.readAnswer();
+            const bool isWhole = each == Manner::Whole || each == Manner::Surplus;
+            CATCH_CHECK(contains(response, isWhole ? "HTTP/1.1 200 " : "HTTP/1.1 502 "));
+            const bool endsWithBody = response.size() >= body.size() && response.compare(response.size() - body.size(), body.size(), body) == 0;
+            CATCH_CHECK(endsWithBody == isWhole);
+        }
+    }
+}
+
 // Guards against work for a disconnected caller: with a pipelined request waiting, a read on the socket doesn't show that the caller has closed it.
 CATCH_TEST_CASE("A caller that disconnects while a pipelined request is waiting is detected", "[proxy]")
 {
