--- a/tests/unit/process/limits/teamload.h
+++ b/tests/unit/process/limits/teamload.h
@@ -20,6 +20,18 @@
     {
     }
 
+    /// Ends the calls that still wait, since the fleet returns the tokens of its VMs after this is destroyed.
+    ~TeamLoad()
+    {
+        for (const Call &call : this->open) {
+            if (this->fleet.isAlive(call.vm) && this->fleet.incarnationOf(call.vm) == call.incarnation) {
+                this->fleet.node(call.vm).rateLimiter().endAcquire(this->team, *call.waiter);
+            }
+        }
+    }
+    TeamLoad(const TeamLoad &) = delete;
+    TeamLoad &operator=(const TeamLoad &) = delete;
+
     /// Schedules @p perSecond calls per second on one VM for the next @p duration, at regular intervals, the first after @p phase intervals.
     void add(std::size_t vm, double perSecond, Milliseconds duration, double phase = 0.5)
     {
