Shutdown: Refuse requests that could be cut off, and stop before the kill

Cause: the notice (3.8 s) and the wait for requests in flight (1.8 s) were constants of one deployment, and a request was accepted in the notice however little time was left. On a deployment that kills after 10 s, the process still ended after 5.6 s.

The new setting shutdown.kill_after_s, and the flag that overrides it with the deployment's own value, say when the process is killed.

--- a/libraries/process/proxy/shutdownsequence.h
+++ b/libraries/process/proxy/shutdownsequence.h
@@ -16,11 +16,11 @@
         /// Makes the readiness check of the load balancer fail and closes callers' connections after their next response.
         std::function<void()> markUnready;
         std::function<void(std::chrono::milliseconds)> sleep;
-        /// Stops accepting connections and refuses further requests with the outcome "not run".
+        /// Refuses further requests with the outcome "not run".
         std::function<void()> stopAccepting;
         /// Waits until no request is in flight; false if the limit passes first.
         std::function<bool(std::chrono::milliseconds)> waitUntilIdle;
-        /// Returns tokens and leases to the fleet and leaves the gossip membership.
+        /// Stops accepting connections, returns tokens and leases to the fleet and leaves the gossip membership.
         std::function<void()> leaveFleet;
     };
 
@@ -30,6 +30,11 @@
     bool run() const;
 
 private:
+    /// How long requests are still accepted: half of the time until the process is killed at most.
+    std::chrono::milliseconds notice() const;
+    /// How long requests in flight are waited for after that: the drain limit, or less if the process is killed earlier.
+    std::chrono::milliseconds waitLimit() const;
+
     const Settings::Shutdown settings;
     const Steps steps;
 };
--- a/libraries/process/settings/settingfields.cpp
+++ b/libraries/process/settings/settingfields.cpp
@@ -102,6 +102,22 @@
     return {read, unit + " from " + std::to_string(minimum) + " to " + std::to_string(maximum)};
 }
 
+/// A decimal number of seconds from 0 to @p maximum.
+SettingField secondsField(Place<std::chrono::milliseconds> place, double maximum)
+{
+    const Reader read = [place = std::move(place), maximum](Settings &settings, const std::string &text) {
+        double seconds = 0;
+        const char *end = text.data() + text.size();
+        const std::from_chars_result parsed = std::from_chars(text.data(), end, seconds);
+        if (parsed.ec != std::errc() || parsed.ptr != end || !(seconds >= 0 && seconds <= maximum)) {
+            return false;
+        }
+        place(settings) = std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::duration<double>(seconds));
+        return true;
+    };
+    return {read, "seconds from 0 to " + std::to_string(static_cast<int>(maximum))};
+}
+
 SettingField flagField(Place<bool> place)
 {
     const Reader read = [place = std::move(place)](Settings &settings, const std::string &text) {
@@ -237,6 +253,7 @@
             countField<std::size_t>([](Settings &settings) -> std::size_t & { return settings.claims.maximumBodyBytes; }, 0, 1024 * 1024, "bytes")},
         {"shutdown.drain_notice_ms", millisecondsField([](Settings &settings) -> Milliseconds & { return settings.shutdown.drainNotice; }, 0, 600000)},
         {"shutdown.drain_limit_ms", millisecondsField([](Settings &settings) -> Milliseconds & { return settings.shutdown.drainLimit; }, 0, 3600000)},
+        {"shutdown.kill_after_s", secondsField([](Settings &settings) -> Milliseconds & { return settings.shutdown.killAfter; }, 3600)},
     };
 }
 
--- a/libraries/process/settings/settings.h
+++ b/libraries/process/settings/settings.h
@@ -117,6 +117,8 @@
     struct Shutdown {
         std::chrono::milliseconds drainNotice{3000};
         std::chrono::milliseconds drainLimit{30000};
+        /// When the infrastructure kills the process, counted from SIGTERM; zero if it doesn't.
+        std::chrono::milliseconds killAfter{0};
     };
     struct Telemetry {
         /// Spans are appended as JSON lines; empty: no spans.
--- a/services/hyssophalld/main.cpp
+++ b/services/hyssophalld/main.cpp
@@ -1,5 +1,6 @@
 #include "controldaemon.h"
 #include "daemon.h"
+#include "process/settings/settingfields.h"
 #include "process/telemetry/jsonlogsink.h"
 
 #include <absl/flags/flag.h>
@@ -20,6 +21,8 @@
 ABSL_FLAG(std::string, settings, "", "Serve with the settings in this INI file; by default, the file that the environment variable HYSSOPHALL_CONFIG names.");
 ABSL_FLAG(std::string, check, "", "Check the settings in this INI file and exit with status 0 if they are valid, 1 otherwise.");
 
+ABSL_FLAG(std::string, kill_after_s, "", "Overrides the setting shutdown.kill_after_s; an empty value keeps it.");
+
 namespace {
 
 using namespace Hyssophall;
@@ -90,7 +93,7 @@
 int printHelp()
 {
     std::cout << absl::ProgramUsageMessage() << "\n";
-    for (const char *name : {"settings", "check"}) {
+    for (const char *name : {"settings", "check", "kill_after_s"}) {
         std::cout << "  --" << name << "  " << absl::FindCommandLineFlag(name)->Help() << "\n";
     }
     std::cout << "  --version  Print the version and exit." << std::endl;
@@ -137,10 +140,21 @@
     return 0;
 }
 
+boost::leaf::result<void> overrideKillAfter(Settings &settings, const std::string &value)
+{
+    const std::string name = "shutdown.kill_after_s";
+    const detail::SettingField &field = detail::settingFields().at(name);
+    if (!value.empty() && !field.read(settings, value)) {
+        return boost::leaf::new_error(InvalidSetting{"--kill_after_s", 0, name, field.expected});
+    }
+    return {};
+}
+
 boost::leaf::result<int> serve(const std::string &file)
 {
     const sigset_t signals = blockStopSignals();
     BOOST_LEAF_AUTO(settings, Settings::createFromFile(file));
+    BOOST_LEAF_CHECK(overrideKillAfter(settings, absl::GetFlag(FLAGS_kill_after_s)));
     BOOST_LEAF_AUTO(log, JsonLogSink::create(settings.telemetry.logFile, settings.vm.id));
     const bool isRelay = settings.relay.enabled && settings.vm.role == Role::Control;
     return isRelay ? serveControl(settings, signals) : serveCallers(settings, *log, signals);
@@ -150,7 +164,8 @@
 
 int main(int argumentCount, char **arguments)
 {
-    absl::SetProgramUsageMessage("Proxy for upstreams that fail partially.\nUsage: hyssophalld --settings FILE | --check FILE | --version | --help");
+    absl::SetProgramUsageMessage(
+        "Proxy for upstreams that fail partially.\nUsage: hyssophalld --settings FILE [--kill_after_s SECONDS] | --check FILE | --version | --help");
     absl::FlagsUsageConfig usage;
     usage.version_string = [] { return std::string("hyssophalld " HYSSOPHALL_VERSION "\n"); };
     absl::SetFlagsUsageConfig(usage);
--- a/tests/integration/daemonflagstest.cpp
+++ b/tests/integration/daemonflagstest.cpp
@@ -45,6 +45,9 @@
     const Run right = runDaemon("--check " + file);
     CATCH_INFO(right.output);
     CATCH_CHECK(right.status == 0);
+    const Run wrongFlag = runDaemon("--settings=" + file + " --kill_after_s=soon");
+    CATCH_CHECK(wrongFlag.status == 1);
+    CATCH_CHECK(wrongFlag.output.find("--kill_after_s:0: shutdown.kill_after_s: expected ") != std::string::npos);
     std::filesystem::remove(file);
 }
 
--- a/tests/unit/process/settings/settingstest.cpp
+++ b/tests/unit/process/settings/settingstest.cpp
@@ -61,6 +61,11 @@
         CATCH_CAPTURE(value);
         CATCH_REQUIRE(faultOf(minimal + "peers = " + value + "\n") == "test.ini:10 fleet.peers");
     }
+    for (const char *value : {"", "-1", "6 s", "nan", "inf", "3601"}) {
+        CATCH_CAPTURE(value);
+        CATCH_REQUIRE(faultOf(minimal + "[shutdown]\nkill_after_s = " + value + "\n") == "test.ini:11 shutdown.kill_after_s");
+    }
+    CATCH_REQUIRE(faultOf(minimal + "[shutdown]\nkill_after_s = 7.5\n") == "");
     CATCH_REQUIRE(faultOf(minimal + "[operators]\nbob = " + std::string(64, 'A') + "\n") == "test.ini:11 operators.bob");
     CATCH_REQUIRE(faultOf(minimal + "[vm]\nrole = control\n") == "test.ini:0 vm.data_folder");
     CATCH_REQUIRE(faultOf(minimal + "nonsense\nunknown = 1\n") == "test.ini:10 ");
