Tries: Abort a try only in favour of a retry that can follow

A request that lasted about three times as long as usual was broken off although no second try could follow, and its caller got a 504 in place of the instance's response.

Cause: the try deadline was set when the try began, from the route's limit of attempts alone. Nobody asked whether another instance or the retry budget had room, and a stop that began later was unknown to it.

A try is now asked at its deadline whether it may be aborted. It may only if another instance was chosen and the retry budget was charged for the retry, and never once the process is stopping. The same holds for tries through another VM: the first VM alone decides, since the other one doesn't know its budget or its stop.

--- a/libraries/connection/upstreamclient.cpp
+++ b/libraries/connection/upstreamclient.cpp
@@ -2,10 +2,30 @@
 
 #include "connection/connectprobe.h"
 
-#include <algorithm>
+#include <vector>
 
 namespace Hyssophall {
 
+namespace {
+
+std::vector<UpstreamConnection::AbortPoint> abortPointsOf(const UpstreamCall &call, bool isPooled, SteadyTime startTime)
+{
+    std::vector<UpstreamConnection::AbortPoint> points;
+    if (!call.idempotent || !call.mayRetry) {
+        return points;
+    }
+    if (call.tryDeadline) {
+        points.push_back({*call.tryDeadline, call.mayBeAborted});
+    }
+    if (isPooled) {
+        // A pooled connection may be stale; half of the time is left for a retry.
+        points.push_back({startTime + (call.deadline - startTime) / 2, call.mayBeStale});
+    }
+    return points;
+}
+
+} // namespace
+
 UpstreamClient::UpstreamClient(const Options &options)
     : options(options)
 {
@@ -16,13 +36,7 @@
     const SteadyTime startTime = std::chrono::steady_clock::now();
     const std::shared_ptr<ConnectionPool> pool = this->poolOf({call.host, call.port});
     std::unique_ptr<UpstreamConnection> connection = call.idempotent && !call.newConnection ? pool->acquire(startTime) : nullptr;
-    SteadyTime deadline = call.deadline;
-    if (call.idempotent && call.mayRetry && call.tryDeadline) {
-        deadline = std::min(deadline, *call.tryDeadline);
-    } else if (connection != nullptr && call.mayRetry) {
-        // A pooled connection may be stale; half of the time is left for a retry.
-        deadline = startTime + (call.deadline - startTime) / 2;
-    }
+    const bool isPooled = connection != nullptr;
     if (connection == nullptr) {
         connection = UpstreamConnection::create(call.host, call.port, this->options.maximumAnswerBytes, this->options.connectTimeout);
     }
@@ -31,7 +45,7 @@
         result.failure = UpstreamFailure{UpstreamFailureKind::ConnectFailed, false, false};
         return result;
     }
-    result = connection->send(call, startTime, deadline);
+    result = connection->send(call, startTime, abortPointsOf(call, isPooled, startTime));
     if (result.response) {
         pool->release(std::move(connection));
     } else {
--- a/libraries/connection/upstreamconnection.cpp
+++ b/libraries/connection/upstreamconnection.cpp
@@ -8,13 +8,15 @@
 #include <algorithm>
 #include <mutex>
 #include <utility>
+#include <vector>
 
 namespace Hyssophall {
 
 namespace {
 
-// How often a transfer checks whether its caller has disconnected. The platform requires that upstreams stop working for such a caller within 500 ms.
-constexpr std::chrono::milliseconds disconnectCheckInterval{100};
+// How often a transfer checks whether its caller has disconnected or an abort point has passed. The platform requires that upstreams stop working for
+// such a caller within 500 ms.
+constexpr std::chrono::milliseconds checkInterval{100};
 /// Bytes allowed on the wire per byte of the largest body allowed. A response in chunks of a few bytes consists mostly of framing.
 constexpr std::size_t framingFactor = 4;
 /// Bytes allowed on the wire for headers and trailers in addition; the same limit as in ResponseAssembler.
@@ -56,8 +58,21 @@
     {
     }
 
+    /// Whether an abort point has passed at which the try may end. Each is asked once.
+    bool isAborted(SteadyTime now)
+    {
+        bool aborted = false;
+        std::erase_if(this->abortPoints, [now, &aborted](const UpstreamConnection::AbortPoint &point) {
+            const bool isDue = now >= point.at;
+            aborted = aborted || (isDue && (!point.mayAbort || point.mayAbort()));
+            return isDue;
+        });
+        return aborted;
+    }
+
     const UpstreamCall &call;
     ResponseAssembler assembler;
+    std::vector<UpstreamConnection::AbortPoint> abortPoints;
     int sendCount = 0;
     bool rejectedBeforeSend = false;
     bool callerDisconnected = false;
@@ -239,9 +254,8 @@
                 transfer.overLimit = true;
                 code = CURLE_ABORTED_BY_CALLBACK;
             } else if (running > 0) {
-                curl_multi_poll(this->multi.get(), nullptr, 0, static_cast<int>(disconnectCheckInterval.count()), nullptr);
-                transfer.callerDisconnected = checksCaller && transfer.sendCount > 0 && transfer.call.isCallerDisconnected();
-                code = transfer.callerDisconnected ? CURLE_ABORTED_BY_CALLBACK : CURLE_OK;
+                curl_multi_poll(this->multi.get(), nullptr, 0, static_cast<int>(checkInterval.count()), nullptr);
+                code = this->checkTransfer(transfer, checksCaller);
             }
         }
         int left = 0;
@@ -252,6 +266,15 @@
         return code;
     }
 
+    static CURLcode checkTransfer(Transfer &transfer, bool checksCaller)
+    {
+        transfer.callerDisconnected = checksCaller && transfer.sendCount > 0 && transfer.call.isCallerDisconnected();
+        if (transfer.callerDisconnected) {
+            return CURLE_ABORTED_BY_CALLBACK;
+        }
+        return transfer.isAborted(std::chrono::steady_clock::now()) ? CURLE_OPERATION_TIMEDOUT : CURLE_OK;
+    }
+
     void prepareMethod(const HttpRequest &request)
     {
         CURL *handle = this->easy.get();
@@ -291,16 +314,17 @@
 
 UpstreamConnection::~UpstreamConnection() = default;
 
-UpstreamResult UpstreamConnection::send(const UpstreamCall &call, SteadyTime now, SteadyTime deadline)
+UpstreamResult UpstreamConnection::send(const UpstreamCall &call, SteadyTime now, std::vector<AbortPoint> abortPoints)
 {
     UpstreamResult result;
-    const std::chrono::milliseconds remaining = std::chrono::duration_cast<std::chrono::milliseconds>(deadline - now);
+    const std::chrono::milliseconds remaining = std::chrono::duration_cast<std::chrono::milliseconds>(call.deadline - now);
     if (remaining.count() <= 0) {
         result.failure = UpstreamFailure{UpstreamFailureKind::TimedOut, false, false};
         return result;
     }
     Transfer transfer(call, this->handle->maximumAnswerBytes);
-    const HeaderList headers = headerList(call, std::chrono::duration_cast<std::chrono::milliseconds>(call.deadline - now));
+    transfer.abortPoints = std::move(abortPoints);
+    const HeaderList headers = headerList(call, remaining);
     this->handle->prepare(call, remaining, headers, transfer);
     const CURLcode code = this->handle->perform(transfer);
     const std::optional<std::chrono::microseconds> connectDuration = this->handle->connectDuration();
--- a/libraries/connection/upstreamconnection.h
+++ b/libraries/connection/upstreamconnection.h
@@ -4,8 +4,10 @@
 
 #include <chrono>
 #include <cstddef>
+#include <functional>
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace Hyssophall {
 
@@ -25,9 +27,16 @@
     UpstreamConnection(const UpstreamConnection &) = delete;
     UpstreamConnection &operator=(const UpstreamConnection &) = delete;
 
-    /// Sends the request at most once and waits for the complete response until @p deadline. Afterwards the connection may be used again only if
-    /// isReusable() returns true.
-    UpstreamResult send(const UpstreamCall &call, SteadyTime now, SteadyTime deadline);
+    /// A time at which a try may end before the deadline of its request.
+    struct AbortPoint {
+        SteadyTime at;
+        /// Asked at that time, or up to 100 ms later; the try ends if it returns true or is empty.
+        std::function<bool()> mayAbort;
+    };
+
+    /// Sends the request at most once and waits for the complete response until the call's deadline or an abort point. Afterwards the connection may be
+    /// used again only if isReusable() returns true.
+    UpstreamResult send(const UpstreamCall &call, SteadyTime now, std::vector<AbortPoint> abortPoints);
 
     /// True if the connection is open and has no bytes to read. Such bytes would belong to the response to an earlier request.
     bool isReusable() const;
--- a/libraries/connection/upstreamsender.h
+++ b/libraries/connection/upstreamsender.h
@@ -29,9 +29,14 @@
     std::string requestId;
     /// Deadline of the request.
     SteadyTime deadline;
-    /// When this try is aborted so that a retry has time left, if before the request's deadline. If not set, a try on a pooled connection gets half of the
-    /// remaining time. Neither applies if mayRetry is false, or to a request that isn't idempotent.
+    /// When this try is aborted so that a retry has time left, if mayBeAborted allows it then. If not set, that is for a try on a pooled connection when
+    /// half of the remaining time is over. Neither applies if mayRetry is false, or to a request that isn't idempotent.
     std::optional<SteadyTime> tryDeadline;
+    /// Asked at tryDeadline; if it returns false, the try goes on. On a pooled connection, which may be stale, half of the remaining time counts then. May
+    /// be empty.
+    std::function<bool()> mayBeAborted;
+    /// Asked when half of the time is over for a try on a pooled connection; if it returns false, the try goes on until its deadline. May be empty.
+    std::function<bool()> mayBeStale;
     /// Whether this try can be followed by a retry.
     bool mayRetry = true;
     /// Called when the connection is established, right before the first byte is sent. If it returns false, nothing is sent. May be empty.
--- a/libraries/process/forwarding/forwardedmessages.cpp
+++ b/libraries/process/forwarding/forwardedmessages.cpp
@@ -92,9 +92,10 @@
     request.set_request_id(call.requestId);
     request.set_deadline_header(call.deadlineHeader);
     request.set_deadline_milliseconds(millisecondsUntil(call.deadline, now));
-    request.set_try_milliseconds(call.tryDeadline ? std::max<std::uint32_t>(1, millisecondsUntil(*call.tryDeadline, now)) : 0);
-    request.set_may_retry(call.mayRetry);
-    request.set_new_connection(call.newConnection);
+    // The first VM alone decides whether the try ends before its deadline, and closes the connection if so. On a new connection, the other VM needn't
+    // find out whether it is stale.
+    request.set_may_retry(false);
+    request.set_new_connection(true);
     return request;
 }
 
--- a/libraries/process/forwarding/forwardingclient.cpp
+++ b/libraries/process/forwarding/forwardingclient.cpp
@@ -46,7 +46,6 @@
 
 ForwardingClient::Result ForwardingClient::send(const std::string &host, std::uint16_t port, const UpstreamCall &call)
 {
-    const bool hasTryDeadline = call.idempotent && call.mayRetry && call.tryDeadline;
     UpstreamCall post;
     post.host = host;
     post.port = port;
@@ -55,8 +54,10 @@
     // Each request has a connection of its own: one that was open before could have gone silent, and the request would then count as sent.
     post.newConnection = true;
     post.idempotent = call.idempotent;
-    post.mayRetry = false;
-    post.deadline = (hasTryDeadline ? std::min(call.deadline, *call.tryDeadline) : call.deadline) + resultDelay;
+    post.mayRetry = call.mayRetry;
+    post.deadline = call.deadline + resultDelay;
+    post.tryDeadline = call.tryDeadline;
+    post.mayBeAborted = call.mayBeAborted;
     post.mayBeSent = call.mayBeSent;
     post.isCallerDisconnected = call.isCallerDisconnected;
     UpstreamResult result = this->client.send(post);
--- a/libraries/process/proxy/requesthandler.cpp
+++ b/libraries/process/proxy/requesthandler.cpp
@@ -63,6 +63,11 @@
     return response;
 }
 
+void RequestHandler::beginShutdown()
+{
+    this->tries.beginShutdown();
+}
+
 void RequestHandler::stopAccepting()
 {
     this->accepting = false;
--- a/libraries/process/proxy/requesthandler.h
+++ b/libraries/process/proxy/requesthandler.h
@@ -58,6 +58,9 @@
 
     CallerResponse handle(const CallerRequest &request);
 
+    /// The process will end soon: from now on, no instance's work on a request is aborted in favour of a retry.
+    void beginShutdown();
+
     /// From now on refuses all requests with ShuttingDown and outcome "not run".
     void stopAccepting();
 
--- a/libraries/process/proxy/upstreamtries.cpp
+++ b/libraries/process/proxy/upstreamtries.cpp
@@ -55,7 +55,7 @@
     state.result.response = refusalResponse({RefusalCode::NoInstance, RequestOutcome::NotRun, std::chrono::seconds(1)});
     this->budget.addRequest(context.service, this->clock());
     while (state.mayContinue) {
-        const std::optional<hyssophall::fleet::v1::Instance> instance = this->health.choose(this->createQuery(context, state));
+        const std::optional<hyssophall::fleet::v1::Instance> instance = this->nextInstance(context, state);
         if (!instance) {
             record.retryStopReason = "no instance is available for the request";
             this->refuseUntilBackoffEnds(context, state);
@@ -64,9 +64,36 @@
         state.triedInstances.insert(instance->id());
         this->tryOnce(context, *instance, record, state);
     }
+    if (state.reserved) {
+        this->health.finish(*state.reserved, TryOutcome::Neutral, std::chrono::microseconds(0), context.fingerprint);
+    }
     return std::move(state.result);
 }
 
+void UpstreamTries::beginShutdown()
+{
+    this->shuttingDown = true;
+}
+
+std::optional<hyssophall::fleet::v1::Instance> UpstreamTries::nextInstance(const RequestContext &context, State &state)
+{
+    std::optional<hyssophall::fleet::v1::Instance> reserved = std::exchange(state.reserved, std::nullopt);
+    return reserved ? reserved : this->health.choose(this->createQuery(context, state));
+}
+
+bool UpstreamTries::reserveRetry(const RequestContext &context, State &state)
+{
+    if (this->shuttingDown || this->mayBePoison(context, state)) {
+        return false;
+    }
+    state.reserved = this->health.choose(this->createQuery(context, state));
+    if (state.reserved && !this->budget.tryAcquire(context.service, this->clock())) {
+        this->health.finish(*state.reserved, TryOutcome::Neutral, std::chrono::microseconds(0), context.fingerprint);
+        state.reserved.reset();
+    }
+    return state.reserved.has_value();
+}
+
 void UpstreamTries::refuseUntilBackoffEnds(const RequestContext &context, State &state) const
 {
     const std::optional<std::chrono::milliseconds> backoff = this->health.shortestBackoff(context.service);
@@ -176,7 +203,7 @@
     const bool retryAllowed = attemptsLeft && classification.allowsRetry(context.isIdempotent(), std::max(0, state.sent - 1))
         && !this->mayBePoison(context, state) && now < context.deadline;
     // A try that reached no instance caused no load, so its retry doesn't count against the retry budget.
-    const bool withinRetryBudget = retryAllowed && (stale || !mayHaveReached || this->budget.tryAcquire(context.service, now));
+    const bool withinRetryBudget = retryAllowed && (stale || !mayHaveReached || state.reserved || this->budget.tryAcquire(context.service, now));
     state.mayContinue = withinRetryBudget;
     if (retryAllowed && !withinRetryBudget) {
         record.retryStopReason = "the retry budget of the service is exhausted";
@@ -194,7 +221,7 @@
 }
 
 UpstreamCall UpstreamTries::createCall(
-    const RequestContext &context, const hyssophall::fleet::v1::Instance &instance, const RequestRecord &record, const std::string &spanId, State &state) const
+    const RequestContext &context, const hyssophall::fleet::v1::Instance &instance, const RequestRecord &record, const std::string &spanId, State &state)
 {
     const HeaderNames &names = this->admission.headerNames();
     UpstreamCall call;
@@ -219,6 +246,8 @@
     call.deadline = context.deadline;
     call.mayRetry = mayRetry(context, state);
     call.tryDeadline = this->tryDeadline(context, this->clock());
+    call.mayBeAborted = [this, &context, &state] { return this->reserveRetry(context, state); };
+    call.mayBeStale = [this] { return !this->shuttingDown; };
     call.isCallerDisconnected = context.request->isCallerDisconnected;
     call.mayBeSent = [this, &context, &state] {
         if (context.request->isCallerDisconnected && context.request->isCallerDisconnected()) {
--- a/libraries/process/proxy/upstreamtries.h
+++ b/libraries/process/proxy/upstreamtries.h
@@ -6,6 +6,7 @@
 #include "request/retrylimiter.h"
 #include "request/tryclassification.h"
 
+#include <atomic>
 #include <optional>
 #include <set>
 
@@ -32,6 +33,9 @@
 
     TriesResult run(const RequestContext &context, RequestRecord &record);
 
+    /// From now on no try is aborted in favour of a retry: the time until the end of the process may be too short for another one.
+    void beginShutdown();
+
 private:
     struct State {
         /// Ids of the instances that were tried and aren't chosen again.
@@ -45,6 +49,8 @@
         TriesResult result;
         /// Set if the check before sending refused the last try.
         std::optional<Refusal> preSendRefusal;
+        /// The instance for the next try, for which the retry budget was charged when the last try was aborted in its favour.
+        std::optional<hyssophall::fleet::v1::Instance> reserved;
         /// False once the request has its final result.
         bool mayContinue = true;
     };
@@ -56,16 +62,17 @@
     /// If instances of the service have sent Retry-After and no other is left, refuses the request until the first of these times is over.
     void refuseUntilBackoffEnds(const RequestContext &context, State &state) const;
     InstanceQuery createQuery(const RequestContext &context, const State &state) const;
+    /// Takes the reserved instance, or chooses one.
+    std::optional<hyssophall::fleet::v1::Instance> nextInstance(const RequestContext &context, State &state);
+    /// Reserves an instance and a retry for a request whose try lasts unusually long. False if no retry can follow, so the try must go on.
+    bool reserveRetry(const RequestContext &context, State &state);
     /// True if the next try of this request can be followed by a retry: the request is idempotent, and neither its route's limit of attempts nor
     /// TryClassification::maximumRetries will be reached.
     static bool mayRetry(const RequestContext &context, const State &state);
     std::optional<SteadyTime> tryDeadline(const RequestContext &context, SteadyTime now) const;
     bool mayBePoison(const RequestContext &context, const State &state) const;
-    UpstreamCall createCall(const RequestContext &context,
-        const hyssophall::fleet::v1::Instance &instance,
-        const RequestRecord &record,
-        const std::string &spanId,
-        State &state) const;
+    UpstreamCall createCall(
+        const RequestContext &context, const hyssophall::fleet::v1::Instance &instance, const RequestRecord &record, const std::string &spanId, State &state);
 
     const Admission &admission;
     InstanceHealth &health;
@@ -73,6 +80,7 @@
     RetryLimiter &budget;
     const SteadyClock clock;
     const RandomSource random;
+    std::atomic<bool> shuttingDown{false};
 };
 
 } // namespace Hyssophall
--- a/services/hyssophalld/daemon.cpp
+++ b/services/hyssophalld/daemon.cpp
@@ -153,6 +153,7 @@
     ShutdownSequence::Steps steps;
     steps.markUnready = [this] {
         this->stopping = true;
+        this->requestHandler->beginShutdown();
         this->callers->beginDrain();
         this->parts->beginDrain();
     };
--- a/tests/unit/connection/upstreamclienttest.cpp
+++ b/tests/unit/connection/upstreamclienttest.cpp
@@ -490,6 +490,34 @@
     CATCH_CHECK(client.send(order).response);
 }
 
+// Guards against an instance's work that is thrown away although the request can't be retried after all.
+CATCH_TEST_CASE("A try goes on past its try deadline unless it may be aborted then", "[connection]")
+{
+    RawUpstream upstream([](RawConnection &connection, const std::string &) {
+        std::this_thread::sleep_for(std::chrono::milliseconds(500));
+        connection.write(RawUpstream::answer("late"));
+    });
+    UpstreamClient client({});
+    int asked = 0;
+    for (const bool mayBeAborted : {false, true}) {
+        UpstreamCall call = callTo(upstream, "GET");
+        call.newConnection = true;
+        call.tryDeadline = std::chrono::steady_clock::now() + std::chrono::milliseconds(100);
+        call.mayBeAborted = [&asked, mayBeAborted] {
+            ++asked;
+            return mayBeAborted;
+        };
+        CATCH_CHECK(client.send(call).response.has_value() == !mayBeAborted);
+    }
+    CATCH_CHECK(asked == 2);
+    // The first request has left its connection in the pool.
+    UpstreamCall pooled = callTo(upstream, "GET", std::chrono::milliseconds(900));
+    pooled.mayBeStale = [] { return false; };
+    const UpstreamResult result = client.send(pooled);
+    CATCH_CHECK(result.response);
+    CATCH_CHECK(result.reusedConnection);
+}
+
 // Guards against aborting the last try on a reused connection after half of its time.
 CATCH_TEST_CASE("The last try on a reused connection gets all of the remaining time", "[connection]")
 {
--- a/tests/unit/process/proxy/requesthandlermocks.h
+++ b/tests/unit/process/proxy/requesthandlermocks.h
@@ -200,6 +200,10 @@
             return result;
         }
         this->calls.push_back(call);
+        if (this->isSlow && call.idempotent && call.mayRetry && call.mayBeAborted && call.mayBeAborted()) {
+            result.failure = Hyssophall::UpstreamFailure{Hyssophall::UpstreamFailureKind::TimedOut, true, false};
+            return result;
+        }
         if (this->results.empty()) {
             result.response = Hyssophall::HttpResponse{200, {{"Content-Type", "text/plain"}}, "done"};
             return result;
@@ -219,6 +223,8 @@
         this->results.emplace_back().response = Hyssophall::HttpResponse{status, headers, ""};
     }
 
+    /// Whether each try lasts until its try deadline.
+    bool isSlow = false;
     std::vector<Hyssophall::UpstreamCall> calls;
     std::deque<Hyssophall::UpstreamResult> results;
 };
--- a/tests/unit/process/proxy/requesthandlertest.cpp
+++ b/tests/unit/process/proxy/requesthandlertest.cpp
@@ -224,6 +224,48 @@
     CATCH_CHECK_FALSE(mocked.sender.calls[2].tryDeadline);
 }
 
+// Guards against instances whose work is thrown away for a retry that can't follow: the caller then gets a failure in place of a response.
+CATCH_TEST_CASE("A try that lasts long is aborted only if a retry can follow", "[proxy][graceful-shutdown]")
+{
+    MockedRequestHandler mocked;
+    mocked.sender.isSlow = true;
+    mocked.health.usualPerTryTimeout = std::chrono::milliseconds(600);
+    // Each retry is reserved when the try before it is aborted; the last try gets all of the time.
+    CATCH_CHECK(!mocked.handle("GET", "/read").refusal);
+    CATCH_CHECK(mocked.sender.calls.size() == 3);
+    CATCH_CHECK(mocked.sender.calls[0].instance != mocked.sender.calls[1].instance);
+    CATCH_CHECK(mocked.health.inFlight == 0);
+
+    mocked.health.instances.resize(1);
+    CATCH_CHECK(!mocked.handle("GET", "/read").refusal);
+    CATCH_CHECK(mocked.sender.calls.size() == 4);
+    CATCH_CHECK(mocked.health.inFlight == 0);
+}
+
+// Guards against a retry budget that is exhausted only when the instance's work has already been thrown away.
+CATCH_TEST_CASE("A try that lasts long goes on when the retry budget is exhausted", "[proxy][retries]")
+{
+    MockedRequestHandler mocked;
+    mocked.health.usualPerTryTimeout = std::chrono::milliseconds(600);
+    while (mocked.retries.tryAcquire("service", std::chrono::steady_clock::now())) { }
+    mocked.sender.isSlow = true;
+    CATCH_CHECK(!mocked.handle("GET", "/read").refusal);
+    CATCH_CHECK(mocked.sender.calls.size() == 1);
+    CATCH_CHECK(mocked.health.inFlight == 0);
+}
+
+// Guards against a planned stop that throws away an instance's work although little time is left for a retry.
+CATCH_TEST_CASE("No try is aborted in favour of a retry once the process is stopping", "[proxy][graceful-shutdown]")
+{
+    MockedRequestHandler mocked;
+    mocked.sender.isSlow = true;
+    mocked.health.usualPerTryTimeout = std::chrono::milliseconds(600);
+    mocked.path.beginShutdown();
+    CATCH_CHECK(!mocked.handle("GET", "/read").refusal);
+    CATCH_REQUIRE(mocked.sender.calls.size() == 1);
+    CATCH_CHECK_FALSE(mocked.sender.calls[0].mayBeStale());
+}
+
 // Guards against a response that tells the caller nothing although no instance was reached: an order that gets it can't be sent again.
 CATCH_TEST_CASE("A request whose tries reached no instance is refused as not run and told when to come back", "[proxy][true-refusal][lost-path]")
 {
