Shutdown: Accept connections until the process ends, and refuse their requests

In a planned stop, callers that connected after the notice waited on connections that nobody accepted, until the process ended and reset them. They weren't told that their requests hadn't run.

Cause: the listening socket was left open but unread, so the system went on accepting connections for the process.

The VM goes on accepting connections and refuses their requests as not run. It stops accepting right before it ends.

--- a/services/hyssophalld/daemon.cpp
+++ b/services/hyssophalld/daemon.cpp
@@ -16,6 +16,9 @@
 
 namespace {
 
+/// How long a stopping process finishes the refusals that it is writing.
+constexpr std::chrono::milliseconds lastRefusalsTime{100};
+
 UpstreamClient::Options clientOptions(const Settings &settings)
 {
     UpstreamClient::Options options;
@@ -158,17 +161,19 @@
         this->parts->beginDrain();
     };
     steps.sleep = [](std::chrono::milliseconds duration) { std::this_thread::sleep_for(duration); };
-    steps.stopAccepting = [this] {
-        this->requestHandler->stopAccepting();
-        this->callers->stopAccepting();
-    };
+    // Connections are still accepted: a caller on one that nobody accepts would wait until the process ends, and isn't told that its request wasn't run.
+    steps.stopAccepting = [this] { this->requestHandler->stopAccepting(); };
     steps.waitUntilIdle = [this](std::chrono::milliseconds limit) {
         const SteadyTime end = std::chrono::steady_clock::now() + limit;
         const bool isIdle = this->callers->waitUntilIdle(limit);
         const SteadyTime now = std::chrono::steady_clock::now();
         return this->parts->waitUntilIdle(std::max(std::chrono::milliseconds(0), std::chrono::duration_cast<std::chrono::milliseconds>(end - now))) && isIdle;
     };
-    steps.leaveFleet = [this] { this->parts->leave(); };
+    steps.leaveFleet = [this] {
+        this->callers->stopAccepting();
+        this->callers->waitUntilIdle(lastRefusalsTime);
+        this->parts->leave();
+    };
     LOG(INFO) << "Shutting down with " << this->callers->requestsInFlight() << " requests in flight";
     const bool finished = ShutdownSequence(this->settings.shutdown, steps).run();
     LOG(INFO) << (finished ? "All requests finished" : "The drain limit expired with requests in flight");
--- a/tests/integration/relayedfleettest.cpp
+++ b/tests/integration/relayedfleettest.cpp
@@ -1,213 +1,22 @@
-#include "harness/childprocess.h"
-#include "harness/httprequest.h"
-#include "harness/ports.h"
-#include "harness/testfleet.h"
+#include "integration/relayedfleet.h"
 #include "process/hooks.h"
-#include "support/rawupstream.h"
 
-#include <boost/leaf/handle_errors.hpp>
 #include <catch2/catch.hpp>
-#include <nlohmann/json.hpp>
 
 #include <algorithm>
 #include <atomic>
-#include <filesystem>
-#include <fstream>
 #include <mutex>
 #include <thread>
 #include <vector>
 
 using namespace Hyssophall;
 using namespace std::chrono_literals;
-using Harness::HttpResponse;
 using HyssophallTest::RawConnection;
 using HyssophallTest::RawUpstream;
+using HyssophallTest::RelayedFleet;
 
 namespace {
 
-using Json = nlohmann::json;
-
-/// Three control VMs and two entry VMs of a relayed fleet as processes, each at a loopback address of its own, with one upstream.
-class RelayedFleet
-{
-public:
-    static constexpr int controls = 3;
-    static constexpr int entries = 2;
-
-    RelayedFleet()
-        : folder(std::filesystem::temp_directory_path() / ("hyssophall-relayed-" + std::to_string(getpid())))
-        , fleetPort(Harness::findFreePort())
-        , controlPort(Harness::findFreePort())
-        , callerPort(Harness::findFreePort())
-        , administrationPort(Harness::findFreePort())
-        , upstream([](RawConnection &connection, const std::string &) { connection.write(RawUpstream::answer("ok", "X-Response-Signature: signed\r\n")); })
-    {
-        std::filesystem::remove_all(this->folder);
-        std::filesystem::create_directories(this->folder);
-        for (int number = 0; number < controls + entries; ++number) {
-            this->processes.emplace_back();
-            this->start(number, true);
-        }
-    }
-
-    ~RelayedFleet()
-    {
-        this->processes.clear();
-        std::filesystem::remove_all(this->folder);
-    }
-
-    void start(int number, bool firstStart)
-    {
-        const std::string file = (this->folder / ("vm-" + std::to_string(number) + ".ini")).string();
-        std::ofstream(file) << this->settings(number, firstStart);
-        boost::leaf::try_handle_all(
-            [&]() -> boost::leaf::result<void> {
-                BOOST_LEAF_ASSIGN(this->processes[static_cast<std::size_t>(number)],
-                    Harness::ChildProcess::create(std::string(HYSSOPHALL_BINARIES) + "/hyssophalld", {"--settings=" + file}, file + ".log"));
-                return {};
-            },
-            [] { CATCH_FAIL("The daemon doesn't start"); });
-    }
-
-    void kill(int number)
-    {
-        this->processes[static_cast<std::size_t>(number)]->kill();
-    }
-
-    bool isRunning(int number)
-    {
-        return !this->processes[static_cast<std::size_t>(number)]->waitForExit(0ms);
-    }
-
-    /// A folder in the place of a file that each change of the control log writes makes the writes fail.
-    void blockDisk(int number)
-    {
-        std::filesystem::create_directory(this->folder / ("data-" + std::to_string(number)) / "control" / "state.new");
-    }
-
-    void unblockDisk(int number)
-    {
-        std::filesystem::remove(this->folder / ("data-" + std::to_string(number)) / "control" / "state.new");
-    }
-
-    std::string log(int number) const
-    {
-        std::ifstream stream(this->folder / ("vm-" + std::to_string(number) + ".ini.log"));
-        return {std::istreambuf_iterator<char>(stream), std::istreambuf_iterator<char>()};
-    }
-
-    void wipeDisk(int number)
-    {
-        std::filesystem::remove_all(this->folder / ("data-" + std::to_string(number)));
-    }
-
-    HttpResponse control(int number, const std::string &method, const std::string &path, const std::string &body = "")
-    {
-        return Harness::send({method, "http://" + address(number) + ":" + std::to_string(this->controlPort) + path, {}, body, 2000ms});
-    }
-
-    HttpResponse call(int entry, const std::string &key, const std::string &host = "a.example")
-    {
-        return Harness::send({"GET",
-            "http://" + address(controls + entry) + ":" + std::to_string(this->callerPort) + "/x/item",
-            {{"Host", host}, {"X-Key", key}, {"X-Request-Id", "request-1"}},
-            "",
-            5000ms});
-    }
-
-    bool putConfiguration(int version, const std::string &key, const std::vector<int> &through)
-    {
-        const Json json{{"version", version},
-            {"routes",
-                {{"r-1",
-                    {{"host", "a.example"},
-                        {"path_prefix", "/x/"},
-                        {"kind", "safe"},
-                        {"timeout_ms", 2000},
-                        {"target_latency_ms", 1000},
-                        {"service", "s1"},
-                        {"max_attempts", 2},
-                        {"public", false}}}}},
-            {"services", {{"s1", {{"max_conns", 100}}}}},
-            {"tenants", {{"red", {{"api_keys", {key}}, {"rate_per_s", 100}, {"burst", 100}}}}}};
-        this->document = json.dump();
-        return Harness::waitUntil(15s, [&] {
-            return std::any_of(
-                through.begin(), through.end(), [&](int number) { return this->control(number, "PUT", "/v1/config", this->document).status == 200; });
-        });
-    }
-
-    int registerUpstream(int through, const std::string &state, int sequence)
-    {
-        return this->registerInstance(through, "i-1", this->upstream.port(), state, sequence);
-    }
-
-    int registerInstance(int through, const std::string &id, std::uint16_t port, const std::string &state, int sequence)
-    {
-        const Json json{{"service", "s1"},
-            {"address", "127.0.0.1:" + std::to_string(port)},
-            {"zone", "a"},
-            {"version", "v1"},
-            {"max_concurrency", 3},
-            {"state", state},
-            {"warmup_left_ms", 0},
-            {"seq", sequence},
-            {"born", 1000}};
-        return static_cast<int>(this->control(through, "PUT", "/v1/instances/" + id, json.dump()).status);
-    }
-
-    bool answersEverywhere(const std::string &key, long status)
-    {
-        return this->call(0, key).status == status && this->call(1, key).status == status;
-    }
-
-    /// Whether the VM's metrics have this line.
-    bool tells(int number, const std::string &line)
-    {
-        const std::string text = Harness::get("http://" + address(number) + ":" + std::to_string(this->administrationPort) + "/metrics").body;
-        return text.find("\n" + line + "\n") != std::string::npos;
-    }
-
-    const std::filesystem::path folder;
-    const int fleetPort;
-    const int controlPort;
-    const int callerPort;
-    const int administrationPort;
-    RawUpstream upstream;
-    std::string document;
-
-private:
-    static std::string address(int number)
-    {
-        return "127.0.0." + std::to_string(11 + number);
-    }
-
-    std::string settings(int number, bool firstStart) const
-    {
-        const bool isControl = number < controls;
-        const std::string host = address(number);
-        std::string text = "[vm]\nid = vm-" + std::to_string(number) + "\nfailure_domain = " + (number % 2 == 0 ? "a" : "b")
-            + "\nrole = " + (isControl ? "control" : "entry") + "\n";
-        if (isControl) {
-            text += "data_folder = " + (this->folder / ("data-" + std::to_string(number))).string() + "\n[listen]\nregistration = " + host + ":"
-                + std::to_string(this->controlPort) + "\n";
-        } else {
-            text += "[listen]\ncaller = " + host + ":" + std::to_string(this->callerPort) + "\n";
-        }
-        text += "administration = " + host + ":" + std::to_string(this->administrationPort) + "\nfleet = " + host + ":" + std::to_string(this->fleetPort)
-            + "\n[fleet]\nsecret = 0123456789abcdef\n[relay]\nenabled = true\nseeds = ";
-        for (int seed = 0; seed < controls; ++seed) {
-            text += (seed > 0 ? "," : "") + address(seed) + ":" + std::to_string(this->controlPort);
-        }
-        text += std::string("\n[control]\ntolerated_losses = 1\nrecall_grace_ms = 2000\nfirst_start = ") + (firstStart ? "true" : "false")
-            + "\n[headers]\nkey = X-Key\ndeadline = X-Deadline-Ms\nteam = X-Tenant\ntarget_instance = X-Target-Instance\nnot_run = X-Not-Executed\n"
-              "forward_request_id = true\n[shutdown]\ndrain_notice_ms = 200\n";
-        return text;
-    }
-
-    std::vector<std::unique_ptr<Harness::ChildProcess>> processes;
-};
-
 /// An instance that keeps the times of its requests and may name a limit in its responses, in requests per second.
 class LimitedUpstream
 {
--- a/tests/support/rawcaller.cpp
+++ b/tests/support/rawcaller.cpp
@@ -9,11 +9,11 @@
 
 namespace HyssophallTest {
 
-RawCaller::RawCaller(std::uint16_t port)
+RawCaller::RawCaller(std::uint16_t port, const std::string &host)
 {
     sockaddr_in address{};
     address.sin_family = AF_INET;
-    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    inet_pton(AF_INET, host.c_str(), &address.sin_addr);
     address.sin_port = htons(port);
     this->descriptor = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
     if (connect(this->descriptor, reinterpret_cast<sockaddr *>(&address), sizeof(address)) != 0) {
--- a/tests/support/rawcaller.h
+++ b/tests/support/rawcaller.h
@@ -9,7 +9,7 @@
 class RawCaller
 {
 public:
-    explicit RawCaller(std::uint16_t port);
+    explicit RawCaller(std::uint16_t port, const std::string &host = "127.0.0.1");
     ~RawCaller();
 
     void write(const std::string &text);
