Relay: Store instances that leave before they are acknowledged

Each relay now stores the registrations that make an instance draining or gone in a file of its own, and confirms them to other relays only after that. A leave is acknowledged once a majority has stored it. At its start a relay applies what it has stored.

The control log wasn't used, since a leave would then wait for an election.

--- a/libraries/process/relay/controlnode.cpp
+++ b/libraries/process/relay/controlnode.cpp
@@ -1,7 +1,5 @@
 #include "process/relay/controlnode.h"
 
-#include "process/control/posixdisk.h"
-
 #include <boost/leaf/handle_errors.hpp>
 #include <glog/logging.h>
 #include <xxhash.h>
@@ -60,6 +58,7 @@
     , startedAt(steadyNow())
     , configuration(std::make_shared<const CatalogueMessages::Configuration>())
     , configurationCopy(settings.vm.dataFolder)
+    , departureDisk(settings.vm.dataFolder + "/instances")
     , clients(std::make_shared<ControlClients>(settings.fleet.secret))
 {
 }
@@ -96,11 +95,18 @@
     hubOptions.board.random = this->hooks.random;
     hubOptions.clock = steadyNow;
     hubOptions.rateWindow = this->settings.bounds.rateWindow;
+    DepartureLog::Hooks departureHooks;
+    departureHooks.systemClock = std::chrono::system_clock::now;
+    departureHooks.loaded = [this](const std::vector<RelayMessages::Registration> &registrations) { this->hub->restore(registrations); };
+    departureHooks.stored = [this] { this->hub->departuresStored(); };
+    this->departures = std::make_unique<DepartureLog>(this->departureDisk, std::move(departureHooks));
+    hubOptions.departures = this->departures.get();
     RelayHub::Hooks hubHooks;
     hubHooks.isControlReplicaUpToDate = [this] { return this->isReplicaUpToDate(); };
     hubHooks.peerFound = [this](const std::shared_ptr<RelayPeer> &peer) { this->peers->add(peer); };
     this->hub = std::make_unique<RelayHub>(std::move(hubOptions), std::move(hubHooks));
     this->loadCopy();
+    this->departures->start();
     this->peers = std::make_unique<RelayPeers>(*this->hub, this->settings.fleet.secret, peerTiming);
     this->relayService = std::make_unique<RelayService>(*this->hub, this->settings.fleet.secret, RelayExchange::Timing());
     this->machine = std::make_unique<ConfigurationStateMachine>(
--- a/libraries/process/relay/controlnode.h
+++ b/libraries/process/relay/controlnode.h
@@ -4,7 +4,9 @@
 #include "process/control/configurationstatemachine.h"
 #include "process/control/controlgroup.h"
 #include "process/control/groupformation.h"
+#include "process/control/posixdisk.h"
 #include "process/fleet/fleetserver.h"
+#include "process/relay/departurelog.h"
 #include "process/relay/relayhub.h"
 #include "process/relay/relaypeers.h"
 #include "process/relay/relayservice.h"
@@ -109,6 +111,9 @@
     std::atomic<SteadyTime::rep> replicaCheckedAt{0};
     std::atomic<bool> replicaUpToDate{false};
     std::unique_ptr<RelayHub> hub;
+    PosixDisk departureDisk;
+    /// Calls the hub from its thread, so it must end before the hub.
+    std::unique_ptr<DepartureLog> departures;
     std::unique_ptr<RelayPeers> peers;
     std::unique_ptr<RelayService> relayService;
     std::unique_ptr<ConfigurationStateMachine> machine;
--- a/libraries/process/relay/relayhub.cpp
+++ b/libraries/process/relay/relayhub.cpp
@@ -108,14 +108,61 @@
     if (!needsMajority) {
         return true;
     }
-    return this->confirmations.wait_until(lock, deadline, [this, &awaited] {
+    return this->confirmations.wait_until(lock, deadline, [this, &awaited, departure = this->lastDeparture] {
         const std::ptrdiff_t confirmed = std::count_if(awaited.begin(), awaited.end(), [this](const std::pair<const std::string, std::uint64_t> &entry) {
             return this->peers.at(entry.first)->confirmed >= entry.second;
         });
-        return static_cast<std::size_t>(confirmed) + 1 >= this->options.majority;
+        return static_cast<std::size_t>(confirmed) + (this->isStored(departure) ? 1 : 0) >= this->options.majority;
     });
 }
 
+void RelayHub::restore(const std::vector<RelayMessages::Registration> &registrations)
+{
+    std::lock_guard<std::mutex> lock(this->mutex);
+    RelayMessages::Update changed;
+    for (const RelayMessages::Registration &registration : registrations) {
+        for (const RelayMessages::Registration &each : this->board.apply(registration)) {
+            *changed.add_registrations() = each;
+        }
+    }
+    this->sendToVms(changed, nullptr);
+    this->sendToPeers(changed);
+}
+
+void RelayHub::departuresStored()
+{
+    {
+        std::lock_guard<std::mutex> lock(this->mutex);
+        for (const std::shared_ptr<RelaySubscriber> &subscriber : this->subscribers) {
+            bool isChanged = false;
+            while (!subscriber->unconfirmed.empty() && this->isStored(subscriber->unconfirmed.front().departure)) {
+                subscriber->confirmed = subscriber->unconfirmed.front().sequence;
+                subscriber->unconfirmed.pop_front();
+                isChanged = true;
+            }
+            if (isChanged) {
+                subscriber->buffer.wake();
+            }
+        }
+    }
+    this->confirmations.notify_all();
+}
+
+bool RelayHub::isStored(std::uint64_t departure) const
+{
+    return this->options.departures == nullptr || this->options.departures->stored() >= departure;
+}
+
+void RelayHub::confirm(RelaySubscriber &subscriber, std::uint64_t sequence)
+{
+    // A VM waits for the confirmation of its admissions, which aren't stored.
+    if (subscriber.isRelay() && (!subscriber.unconfirmed.empty() || !this->isStored(this->lastDeparture))) {
+        subscriber.unconfirmed.push_back({sequence, this->lastDeparture});
+        return;
+    }
+    subscriber.confirmed = sequence;
+}
+
 void RelayHub::addRelay(const RelayMessages::RelayAddress &address)
 {
     std::shared_ptr<RelayPeer> added;
@@ -205,8 +252,8 @@
             this->sendToPeers(changed);
         }
         this->applyPresence(subscriber, update);
+        this->confirm(subscriber, update.sequence());
     }
-    subscriber.confirmed = update.sequence();
     if (!update.registrations().empty() || (!update.teams().empty() && !subscriber.isRelay())) {
         // The sender may be waiting for the confirmation of a registration or an admission, so it is sent at once.
         subscriber.buffer.wake();
@@ -417,9 +464,7 @@
     const SteadyTime now = this->options.clock();
     RelayMessages::Update changed;
     for (const RelayMessages::Registration &registration : update.registrations()) {
-        for (const RelayMessages::Registration &each : this->board.apply(registration)) {
-            *changed.add_registrations() = each;
-        }
+        this->applyRegistration(registration, changed);
     }
     for (const RelayMessages::InstanceOutcomes &outcomes : update.outcomes()) {
         this->board.apply(outcomes, now);
@@ -434,6 +479,20 @@
     return changed;
 }
 
+void RelayHub::applyRegistration(const RelayMessages::Registration &registration, RelayMessages::Update &changed)
+{
+    const RelayMessages::Registration *known = this->board.table().find(registration.id());
+    const bool isRenewal
+        = known != nullptr && known->state() == registration.state() && known->started_at_milliseconds() == registration.started_at_milliseconds();
+    for (const RelayMessages::Registration &each : this->board.apply(registration)) {
+        *changed.add_registrations() = each;
+        const bool leaves = each.state() != RelayMessages::REGISTRATION_STATE_READY && !(isRenewal && each.id() == registration.id());
+        if (leaves && this->options.departures != nullptr) {
+            this->lastDeparture = this->options.departures->add(each);
+        }
+    }
+}
+
 double RelayHub::largestTeamUse()
 {
     std::lock_guard<std::mutex> lock(this->mutex);
--- a/libraries/process/relay/relayhub.h
+++ b/libraries/process/relay/relayhub.h
@@ -2,6 +2,7 @@
 
 #include "process/health/instanceselector.h"
 #include "process/hooks.h"
+#include "process/relay/departurestore.h"
 #include "process/relay/teamusemonitor.h"
 #include "process/relay/updatebuffer.h"
 #include "process/relay/vmlists.h"
@@ -9,6 +10,7 @@
 
 #include <atomic>
 #include <condition_variable>
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -25,8 +27,15 @@
 struct RelaySubscriber {
     RelayMessages::Greeting greeting;
     UpdateBuffer buffer{UpdateBuffer::Counts::HeldBack};
-    /// Highest sequence among the subscriber's messages that this relay has applied.
+    /// Highest sequence among the subscriber's messages that this relay has applied. For another relay, the instances that leave by those messages
+    /// are stored, too.
     std::atomic<std::uint64_t> confirmed{0};
+    /// A message of another relay that can be confirmed once the departures up to a number are stored.
+    struct Unconfirmed {
+        std::uint64_t sequence = 0;
+        std::uint64_t departure = 0;
+    };
+    std::deque<Unconfirmed> unconfirmed;
     /// For a VM: what it reports of itself.
     RelayMessages::VmPresence presence;
 
@@ -78,6 +87,8 @@
         std::size_t majority = 1;
         InstanceSelector::Options board;
         SteadyClock clock;
+        /// Where instances that leave are stored; null if they are kept in memory alone. Must outlive the hub's last use.
+        DepartureStore *departures = nullptr;
         /// Window over which the deployment counts teams' limits. When it is zero, admissions aren't recorded.
         std::chrono::milliseconds rateWindow{0};
     };
@@ -95,9 +106,15 @@
     void setConfiguration(const std::shared_ptr<const CatalogueMessages::Configuration> &configuration);
 
     /// Applies a registration that an instance sent to this relay, and forwards it. With @p needsMajority, waits until a majority of the relays
-    /// knows it; returns false when that didn't happen by the deadline.
+    /// has stored it; returns false when that didn't happen by the deadline.
     bool publish(const RelayMessages::Registration &registration, bool needsMajority, SteadyTime deadline);
 
+    /// Applies registrations that were stored before this relay started.
+    void restore(const std::vector<RelayMessages::Registration> &registrations);
+
+    /// Called whenever DepartureStore::stored() has grown.
+    void departuresStored();
+
     /// Sets how many VMs the fleet had before this relay started, unless a higher number is known. Counts for the first 20 s.
     void expectVms(std::uint32_t vms);
 
@@ -137,6 +154,11 @@
 private:
     // These are called with the mutex held.
     RelayMessages::Update merge(const RelayMessages::Update &update);
+    /// Applies one registration, stores those that it makes leave, and adds the changed ones to @p changed.
+    void applyRegistration(const RelayMessages::Registration &registration, RelayMessages::Update &changed);
+    /// Whether all departures up to this number are stored.
+    bool isStored(std::uint64_t departure) const;
+    void confirm(RelaySubscriber &subscriber, std::uint64_t sequence);
     void sendToVms(const RelayMessages::Update &update, const RelaySubscriber *excluded);
     void sendToPeers(const RelayMessages::Update &update);
     void sendRelayState(const RelayPeer &peer);
@@ -155,6 +177,8 @@
     mutable std::mutex mutex;
     std::condition_variable confirmations;
     InstanceSelector board;
+    /// Number of the last departure that was passed to the store.
+    std::uint64_t lastDeparture = 0;
     std::shared_ptr<const CatalogueMessages::Configuration> configuration;
     std::vector<std::shared_ptr<RelaySubscriber>> subscribers;
     std::map<std::string, std::shared_ptr<RelayPeer>> peers;
--- a/tests/integration/relayedfleettest.cpp
+++ b/tests/integration/relayedfleettest.cpp
@@ -163,6 +163,27 @@
     CATCH_CHECK(fleet.registerUpstream(2, "draining", 3) == 503);
 }
 
+// Guards against instances that are in use again after a loss of all processes right behind an acknowledged leave, when no VM has heard of it yet, and
+// against a registration from before the leave that arrives after the restart.
+CATCH_TEST_CASE("An acknowledged leave holds after all processes were killed", "[integration][relay][leaving-upstream][restart]")
+{
+    RelayedFleet fleet;
+    CATCH_REQUIRE(fleet.putConfiguration(1, "key", {0, 1, 2}));
+    CATCH_REQUIRE(fleet.registerUpstream(0, "ready", 2) == 200);
+    CATCH_REQUIRE(Harness::waitUntil(3s, [&fleet] { return fleet.answersEverywhere("key", 200); }));
+    CATCH_REQUIRE(fleet.control(2, "DELETE", "/v1/instances/i-1").status == 200);
+    for (int number = 0; number < RelayedFleet::controls + RelayedFleet::entries; ++number) {
+        fleet.kill(number);
+    }
+    for (int number = 0; number < RelayedFleet::controls + RelayedFleet::entries; ++number) {
+        fleet.start(number, false);
+    }
+    CATCH_REQUIRE(Harness::waitUntil(10s, [&fleet] { return fleet.registerUpstream(0, "ready", 1) == 200; }));
+    CATCH_REQUIRE(Harness::waitUntil(10s, [&fleet] { return fleet.answersEverywhere("key", 503); }));
+    std::this_thread::sleep_for(1s);
+    CATCH_CHECK(fleet.answersEverywhere("key", 503));
+}
+
 // Guards against a control VM that ends its process, with success, because its disk failed for a while.
 CATCH_TEST_CASE("A control VM whose disk failed for a while takes part again without a new process", "[integration][relay][config-in-force]")
 {
--- /dev/null
+++ b/tests/unit/process/relay/departurelogtest.cpp
@@ -0,0 +1,136 @@
+#include "process/relay/departurelog.h"
+
+#include "unit/process/control/simulateddisk.h"
+#include "unit/process/relay/registrations.h"
+
+#include <catch2/catch.hpp>
+
+#include <mutex>
+
+using namespace Hyssophall;
+using HyssophallTest::registrationOf;
+
+namespace {
+
+/// A departure log on a simulated disk, as one process runs it.
+class Process
+{
+public:
+    Process(Disk &disk, std::chrono::system_clock::time_point now)
+        : log(disk, this->hooks(now))
+    {
+        this->log.start();
+    }
+
+    bool awaitStored(std::uint64_t number, std::chrono::milliseconds timeout = std::chrono::seconds(5))
+    {
+        std::unique_lock<std::mutex> lock(this->mutex);
+        return this->changed.wait_for(lock, timeout, [this, number] { return this->log.stored() >= number; });
+    }
+
+    std::map<std::string, RelayMessages::Registration> loaded;
+    std::mutex mutex;
+    std::condition_variable changed;
+    DepartureLog log;
+
+private:
+    DepartureLog::Hooks hooks(std::chrono::system_clock::time_point now)
+    {
+        DepartureLog::Hooks hooks;
+        hooks.systemClock = [now] { return now; };
+        hooks.loaded = [this](const std::vector<RelayMessages::Registration> &registrations) {
+            for (const RelayMessages::Registration &registration : registrations) {
+                this->loaded[registration.id()] = registration;
+            }
+        };
+        hooks.stored = [this] {
+            const std::lock_guard<std::mutex> lock(this->mutex);
+            this->changed.notify_all();
+        };
+        return hooks;
+    }
+};
+
+RelayMessages::Registration goneInstance(const std::string &id, std::uint64_t sequence = 2)
+{
+    RelayMessages::Registration gone = registrationOf(id, 1, sequence);
+    gone.set_state(RelayMessages::REGISTRATION_STATE_GONE);
+    return gone;
+}
+
+const std::chrono::system_clock::time_point noon = std::chrono::system_clock::time_point(std::chrono::hours(12));
+
+} // namespace
+
+// Guards against an acknowledged leave that a loss of power, a torn write or a failing disk takes back.
+CATCH_TEST_CASE("What the departure log has stored survives any loss of power", "[relay][leaving-upstream]")
+{
+    for (std::uint64_t seed = 1; seed <= 60; ++seed) {
+        CATCH_CAPTURE(seed);
+        SimulatedDisk disk(seed);
+        std::map<std::string, std::uint64_t> acknowledged;
+        std::mt19937_64 random(seed);
+        for (int start = 0; start < 4; ++start) {
+            {
+                Process process(disk, noon);
+                for (const auto &[id, sequence] : acknowledged) {
+                    CATCH_REQUIRE(process.loaded.contains(id));
+                    CATCH_CHECK(process.loaded.at(id).sequence() >= sequence);
+                }
+                for (int number = 0; number < 6; ++number) {
+                    if (random() % 8 == 0) {
+                        disk.failAt(1 + random() % 4);
+                    }
+                    const std::string id = "i-" + std::to_string(random() % 5);
+                    const std::uint64_t sequence = static_cast<std::uint64_t>(start * 10 + number);
+                    const std::uint64_t added = process.log.add(goneInstance(id, sequence));
+                    if (!process.awaitStored(added, disk.hasFailed() ? std::chrono::milliseconds(10) : std::chrono::milliseconds(300))) {
+                        break;
+                    }
+                    acknowledged[id] = sequence;
+                }
+            }
+            disk.crash();
+        }
+    }
+}
+
+// Guards against a relay that never confirms a leave again after its disk has failed for a while.
+CATCH_TEST_CASE("The departure log stores what was added while its disk failed", "[relay][leaving-upstream]")
+{
+    SimulatedDisk disk(1);
+    {
+        Process process(disk, noon);
+        CATCH_REQUIRE(process.awaitStored(process.log.add(goneInstance("i-1"))));
+        disk.failAt(1);
+        const std::uint64_t added = process.log.add(goneInstance("i-2"));
+        CATCH_CHECK_FALSE(process.awaitStored(added, std::chrono::milliseconds(100)));
+        disk.crash();
+        CATCH_CHECK(process.awaitStored(added));
+    }
+    disk.crash();
+    Process next(disk, noon);
+    CATCH_CHECK(next.loaded.size() == 2);
+}
+
+// Guards against a file that grows without bound, and against records that are dropped while a registration can still be on its way.
+CATCH_TEST_CASE("The departure log drops records after the retention time and keeps its file small", "[relay][leaving-upstream]")
+{
+    SimulatedDisk disk(1);
+    {
+        Process process(disk, noon);
+        for (std::uint64_t number = 1; number <= 3000; ++number) {
+            process.log.add(goneInstance("i-" + std::to_string(number % 3), number));
+            if (number % 100 == 0) {
+                CATCH_REQUIRE(process.awaitStored(number));
+            }
+        }
+    }
+    CATCH_CHECK(disk.content(DepartureLog::fileName).size() < 200 * 1200);
+    {
+        Process process(disk, noon + DepartureLog::retention - std::chrono::minutes(1));
+        CATCH_CHECK(process.loaded.size() == 3);
+    }
+    Process process(disk, noon + DepartureLog::retention + std::chrono::minutes(1));
+    CATCH_CHECK(process.loaded.empty());
+}
--- a/tests/unit/process/relay/relayhubtest.cpp
+++ b/tests/unit/process/relay/relayhubtest.cpp
@@ -4,6 +4,7 @@
 
 #include <catch2/catch.hpp>
 
+#include <atomic>
 #include <thread>
 
 using namespace Hyssophall;
@@ -13,11 +14,31 @@
 
 using Milliseconds = std::chrono::milliseconds;
 
+/// Stores departures when the test says so.
+class MockDepartureStore : public DepartureStore
+{
+public:
+    std::uint64_t add(const RelayMessages::Registration &registration) override
+    {
+        this->registrations.push_back(registration);
+        return this->registrations.size();
+    }
+
+    std::uint64_t stored() const override
+    {
+        return this->storedNumber;
+    }
+
+    std::vector<RelayMessages::Registration> registrations;
+    std::atomic<std::uint64_t> storedNumber{0};
+};
+
 /// One relay with two VMs and two other relays, all connected.
 struct HubFixture {
-    HubFixture()
+    explicit HubFixture(DepartureStore *departures = nullptr)
     {
         RelayHub::Options options;
+        options.departures = departures;
         options.own.set_address("10.0.0.1:7000");
         options.majority = 2;
         options.board.random = [] { return 1; };
@@ -110,6 +131,72 @@
     peer.join();
 }
 
+// Guards against an acknowledged leave that is lost with the processes of the relays, which hold it in memory alone.
+CATCH_TEST_CASE("A leaving instance is acknowledged and confirmed only once it is stored", "[relay][leaving-upstream]")
+{
+    MockDepartureStore store;
+    HubFixture fixture(&store);
+    RelayMessages::Registration leaving = registrationOf("i-1", 1, 2);
+    leaving.set_state(RelayMessages::REGISTRATION_STATE_DRAINING);
+    const auto confirmFirstPeer = [&fixture] {
+        RelayMessages::Update confirmation;
+        confirmation.set_confirmed(fixture.nextMessage(fixture.peers[0]->buffer).sequence());
+        fixture.hub->receiveFromPeer(*fixture.peers[0], confirmation);
+    };
+    const auto soon = [] { return std::chrono::steady_clock::now() + Milliseconds(20); };
+    CATCH_CHECK_FALSE(fixture.hub->publish(leaving, true, soon()));
+    confirmFirstPeer();
+    // One other relay has stored it, this one hasn't.
+    CATCH_CHECK(store.registrations.size() == 1);
+    std::thread peer([&] {
+        std::this_thread::sleep_for(Milliseconds(50));
+        confirmFirstPeer();
+        std::this_thread::sleep_for(Milliseconds(50));
+        store.storedNumber = 1;
+        fixture.hub->departuresStored();
+    });
+    CATCH_CHECK(fixture.hub->publish(leaving, true, std::chrono::steady_clock::now() + std::chrono::seconds(5)));
+    CATCH_CHECK(store.storedNumber == 1);
+    peer.join();
+
+    // The same for what another relay sends: its confirmation waits, that of a VM doesn't.
+    const std::shared_ptr<RelaySubscriber> relay = fixture.connect("relay-2", "10.0.0.2:7000");
+    RelayMessages::Update update;
+    *update.add_registrations() = registrationOf("i-2", 1, 3);
+    update.mutable_registrations(0)->set_state(RelayMessages::REGISTRATION_STATE_GONE);
+    update.set_sequence(5);
+    fixture.hub->receive(*relay, update);
+    CATCH_CHECK(relay->confirmed == 0);
+    RelayMessages::Update empty;
+    empty.set_sequence(6);
+    fixture.hub->receive(*relay, empty);
+    fixture.hub->receive(*fixture.first, empty);
+    CATCH_CHECK(relay->confirmed == 0);
+    CATCH_CHECK(fixture.first->confirmed == 6);
+    store.storedNumber = 2;
+    fixture.hub->departuresStored();
+    CATCH_CHECK(relay->confirmed == 6);
+    // A renewal of what is stored isn't stored again.
+    leaving.set_sequence(9);
+    CATCH_CHECK_FALSE(fixture.hub->publish(leaving, true, soon()));
+    CATCH_CHECK(store.registrations.size() == 2);
+}
+
+// Guards against a late registration that brings an instance back after all relays have restarted.
+CATCH_TEST_CASE("A relay that has restarted refuses a late registration of an instance that had left", "[relay][leaving-upstream]")
+{
+    HubFixture fixture;
+    RelayMessages::Registration gone = registrationOf("i-1", 1, 4);
+    gone.set_state(RelayMessages::REGISTRATION_STATE_GONE);
+    fixture.hub->restore({gone});
+    CATCH_CHECK(fixture.nextMessage(fixture.first->buffer).registrations_size() == 1);
+    CATCH_CHECK(fixture.hub->publish(registrationOf("i-1", 1, 5), false, SteadyTime()));
+    CATCH_CHECK(fixture.hub->findInstance("i-1")->state() == RelayMessages::REGISTRATION_STATE_GONE);
+    // A later start is another incarnation.
+    CATCH_CHECK(fixture.hub->publish(registrationOf("i-1", 2, 1), false, SteadyTime()));
+    CATCH_CHECK(fixture.hub->findInstance("i-1")->state() == RelayMessages::REGISTRATION_STATE_READY);
+}
+
 // Guards against VMs that stay connected to a relay that no longer receives changes, and against limits that count VMs twice or not at all.
 CATCH_TEST_CASE("A relay reports whether it is current and how many VMs it sees", "[relay][fleet-limit]")
 {
