Control: Look for the next leader when the known one doesn't reply

While the leader of the control group was frozen, operators got no acknowledgement from any control VM for seconds, though the others had elected another leader.

Cause: a proposal waited for the leader that its VM remembered until its whole deadline was over (900 ms of 3 s allowed for an attempt), and each VM did so once. After that it might ask the same VM again.

An attempt now ends after 400 ms, and addresses that gave no reply come last for the rest of the call.

Before: "A proposer that gets no reply of the leader finds the next one before the operator gives up" failed on the former sources. Now: it passes.

--- a/libraries/process/control/remotechangeproposer.cpp
+++ b/libraries/process/control/remotechangeproposer.cpp
@@ -4,6 +4,8 @@
 
 #include <algorithm>
 #include <boost/leaf/handle_errors.hpp>
+#include <optional>
+#include <set>
 #include <thread>
 #include <utility>
 
@@ -12,7 +14,8 @@
 namespace {
 
 constexpr std::chrono::milliseconds pauseBetweenAttempts{50};
-constexpr std::chrono::milliseconds attemptTimeout{3000};
+/// An attempt at a leader that is frozen or partitioned gets no reply. A change that is proposed again has the same id, so it is applied once.
+constexpr std::chrono::milliseconds attemptTimeout{400};
 constexpr std::chrono::milliseconds statusTimeout{1000};
 
 /// Result of an attempt without a reply.
@@ -66,28 +69,32 @@
     const ControlMessages::ProposeRequest &request, SteadyTime deadline)
 {
     bool mayBeAccepted = false;
+    std::set<std::string> silent;
     for (std::size_t attempt = 0; this->hooks.now() < deadline; ++attempt) {
-        const std::string address = this->nextAddress(attempt);
+        const std::string address = this->nextAddress(attempt, silent);
         if (address.empty()) {
             break;
         }
         const std::chrono::milliseconds remaining = std::chrono::duration_cast<std::chrono::milliseconds>(deadline - this->hooks.now());
-        AttemptFailure failure;
+        std::optional<AttemptFailure> failure;
         const ControlMessages::ProposeReply reply = boost::leaf::try_handle_all(
             [this, &address, &request, remaining] { return this->hooks.propose(address, request, std::min(remaining, attemptTimeout)); },
             [&failure](const ControlUnavailable &unavailable) {
-                failure.mayBeAccepted = unavailable.reason == ControlUnavailable::Reason::Unknown;
+                failure = AttemptFailure{unavailable.reason == ControlUnavailable::Reason::Unknown};
                 return ControlMessages::ProposeReply();
             },
             [&failure] {
-                failure.mayBeAccepted = true;
+                failure = AttemptFailure{true};
                 return ControlMessages::ProposeReply();
             });
         if (reply.result() == ControlMessages::ProposeReply::RESULT_DECIDED) {
             this->rememberLeader(address);
             return reply.outcome();
         }
-        mayBeAccepted = mayBeAccepted || failure.mayBeAccepted || reply.result() == ControlMessages::ProposeReply::RESULT_UNKNOWN;
+        if (failure) {
+            silent.insert(address);
+        }
+        mayBeAccepted = mayBeAccepted || (failure && failure->mayBeAccepted) || reply.result() == ControlMessages::ProposeReply::RESULT_UNKNOWN;
         this->rememberLeader(reply.result() == ControlMessages::ProposeReply::RESULT_NOT_LEADER ? reply.leader_address() : "");
         this->hooks.sleep(pauseBetweenAttempts);
     }
@@ -110,12 +117,18 @@
     return boost::leaf::new_error(ControlUnavailable{ControlUnavailable::Reason::NoQuorum});
 }
 
-std::string RemoteChangeProposer::nextAddress(std::size_t attempt)
+std::string RemoteChangeProposer::nextAddress(std::size_t attempt, const std::set<std::string> &silent)
 {
-    const std::vector<std::string> addresses = this->hooks.addresses();
-    std::lock_guard<std::mutex> lock(this->mutex);
-    if (!this->leaderAddress.empty()) {
-        return this->leaderAddress;
+    std::vector<std::string> addresses = this->hooks.addresses();
+    {
+        std::lock_guard<std::mutex> lock(this->mutex);
+        // The others may still name a leader that no longer replies, until they have elected another one.
+        if (!this->leaderAddress.empty() && !silent.contains(this->leaderAddress)) {
+            return this->leaderAddress;
+        }
+    }
+    if (!std::all_of(addresses.begin(), addresses.end(), [&silent](const std::string &address) { return silent.contains(address); })) {
+        std::erase_if(addresses, [&silent](const std::string &address) { return silent.contains(address); });
     }
     return addresses.empty() ? std::string() : addresses[attempt % addresses.size()];
 }
--- a/libraries/process/control/remotechangeproposer.h
+++ b/libraries/process/control/remotechangeproposer.h
@@ -7,6 +7,7 @@
 #include <memory>
 #include <mutex>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -45,7 +46,8 @@
 
 private:
     boost::leaf::result<ControlMessages::ChangeOutcome> proposeUntilDecided(const ControlMessages::ProposeRequest &request, SteadyTime deadline);
-    std::string nextAddress(std::size_t attempt);
+    /// The leader if it is known, otherwise the addresses in turn. Those in @p silent, which gave no reply, only when no other is left.
+    std::string nextAddress(std::size_t attempt, const std::set<std::string> &silent);
     void rememberLeader(const std::string &address);
 
     const Hooks hooks;
--- a/tests/unit/process/control/remotechangeproposertest.cpp
+++ b/tests/unit/process/control/remotechangeproposertest.cpp
@@ -70,3 +70,31 @@
         return reply;
     }) == "7");
 }
+
+// Guards against operators who get no acknowledgement from any control VM because each of them waits for a leader that is frozen, though the others have
+// elected another one.
+CATCH_TEST_CASE("A proposer that gets no reply of the leader finds the next one before the operator gives up", "[control-log][large-fleet]")
+{
+    constexpr std::chrono::milliseconds operatorTimeout{900};
+    SteadyTime now;
+    std::string leader = "b";
+    RemoteChangeProposer::Hooks hooks;
+    hooks.addresses = [] { return std::vector<std::string>{"a", "b", "c"}; };
+    hooks.propose = [&now, &leader](const std::string &address, const ControlMessages::ProposeRequest &, std::chrono::milliseconds timeout) -> Result {
+        if (address == "b" && leader != "b") {
+            now += timeout;
+            return failing(ControlUnavailable::Reason::Unknown);
+        }
+        ControlMessages::ProposeReply reply
+            = replyOf(address == leader ? ControlMessages::ProposeReply::RESULT_DECIDED : ControlMessages::ProposeReply::RESULT_NOT_LEADER);
+        reply.set_leader_address(leader);
+        return reply;
+    };
+    hooks.status = [](const std::string &, std::chrono::milliseconds) { return std::nullopt; };
+    hooks.now = [&now] { return now; };
+    hooks.sleep = [&now](std::chrono::milliseconds pause) { now += pause; };
+    RemoteChangeProposer proposer(std::move(hooks));
+    CATCH_REQUIRE(proposer.propose(ControlMessages::CatalogueChange(), now + operatorTimeout));
+    leader = "c";
+    CATCH_CHECK(proposer.propose(ControlMessages::CatalogueChange(), now + operatorTimeout));
+}
