Relay: Bound the moves of VMs while no relay is current

A VM now waits twice as long with each relay in a row that it leaves for this reason. The time that it gives a connection doubles with each failure rather than with each third one.

--- a/libraries/process/relay/relayservice.cpp
+++ b/libraries/process/relay/relayservice.cpp
@@ -47,7 +47,9 @@
         if (this->hub.isOtherFailureDomain(first.greeting())) {
             context->set_compression_algorithm(GRPC_COMPRESS_GZIP);
         }
+        const SteadyTime startedAt = std::chrono::steady_clock::now();
         const std::shared_ptr<RelaySubscriber> subscriber = this->hub.connect(first);
+        this->admission.recordStart(std::chrono::steady_clock::now() - startedAt);
         RelayExchange::Stream callbacks;
         callbacks.read = [stream](RelayMessages::Update &update) { return stream->Read(&update); };
         callbacks.write = [stream](const RelayMessages::Update &update) { return stream->Write(update); };
--- a/libraries/process/relay/relayuplink.cpp
+++ b/libraries/process/relay/relayuplink.cpp
@@ -8,12 +8,11 @@
 
 namespace {
 
-/// Pause between two connections. It and the connect timeout double with every few connections that fail in a row, so that a relay on which many VMs
-/// wait isn't kept busy by connections that are given up too early.
+/// Pause between two connections. It and the connect timeout double with each connection that fails in a row, so that a relay on which many VMs wait isn't
+/// kept busy by connections that are given up too early.
 constexpr std::chrono::milliseconds initialReconnectDelay{30};
 constexpr std::chrono::milliseconds maximumReconnectDelay{500};
 constexpr std::chrono::milliseconds maximumConnectTimeout{2000};
-constexpr int failuresPerDoubling = 3;
 /// Updates are collected for longer in a larger fleet, whose relays get messages of more VMs.
 constexpr std::chrono::milliseconds minimumBatchDelay{4};
 constexpr std::chrono::milliseconds maximumExtraDelay{30};
@@ -27,6 +26,9 @@
 /// The same limit while the VM has no configuration. A relay that has a configuration sends it with its first message; a relay that started with
 /// an empty disk has none for a while.
 constexpr std::chrono::milliseconds unconfiguredTimeout{250};
+/// Both limits double with each relay in a row that the VM leaves for this reason. When no relay is current, moving helps nobody, and each move costs the next
+/// relay a full state.
+constexpr std::chrono::milliseconds maximumNotCurrentTimeout{16000};
 /// How long the relay's configuration may be newer than the VM's before the VM reconnects. A relay sends a configuration before it reports its
 /// version, and a VM applies it within milliseconds. The limit is half of the time that the platform allows for a configuration to come into
 /// force.
@@ -38,7 +40,7 @@
 
 std::chrono::milliseconds doubled(std::chrono::milliseconds initial, int failures, std::chrono::milliseconds maximum)
 {
-    return std::min(initial * (1 << std::min(failures / failuresPerDoubling, maximumDoublings)), maximum);
+    return std::min(initial * (1 << std::min(failures, maximumDoublings)), maximum);
 }
 
 } // namespace
@@ -240,6 +242,7 @@
     this->reconnectIfBehind(now);
     if (newStatus.current()) {
         this->notCurrentSince.reset();
+        this->movesFromNotCurrent = 0;
         this->choice.recordSuccess(this->connectedTo);
         this->switchToLocalRelay(now);
         return;
@@ -277,8 +280,10 @@
 
 void RelayUplink::switchRelayIfNotCurrent(SteadyTime now)
 {
-    const std::chrono::milliseconds timeout = this->hooks.isConfigured() ? notCurrentTimeout : unconfiguredTimeout;
+    const std::chrono::milliseconds timeout
+        = doubled(this->hooks.isConfigured() ? notCurrentTimeout : unconfiguredTimeout, this->movesFromNotCurrent, maximumNotCurrentTimeout);
     if (now - *this->notCurrentSince >= timeout && this->choice.hasAlternative(this->connectedTo, now)) {
+        ++this->movesFromNotCurrent;
         this->choice.avoid(this->connectedTo, notCurrentBackoff, now);
         this->link->cancel();
     }
--- a/libraries/process/relay/relayuplink.h
+++ b/libraries/process/relay/relayuplink.h
@@ -118,6 +118,8 @@
     std::optional<SteadyTime> visibleUntil;
     /// Since when the relay has reported that it isn't current.
     std::optional<SteadyTime> notCurrentSince;
+    /// Relays in a row that this VM has left because they weren't current.
+    int movesFromNotCurrent = 0;
     /// Since when the relay has reported a later configuration than the one in force on this VM.
     std::optional<SteadyTime> configurationBehindSince;
     std::thread thread;
--- a/tests/unit/process/relay/relayuplinktest.cpp
+++ b/tests/unit/process/relay/relayuplinktest.cpp
@@ -87,6 +87,29 @@
     std::atomic<bool> isConfirming{true};
 };
 
+/// A relay that keeps reporting that it isn't current, and counts the streams that it gets.
+class NotCurrentRelay : public RelayMessages::Relay::Service
+{
+public:
+    grpc::Status Exchange(grpc::ServerContext *context, grpc::ServerReaderWriter<RelayMessages::Update, RelayMessages::Update> *stream) override
+    {
+        ++this->streams;
+        RelayMessages::Update update;
+        while (!context->IsCancelled()) {
+            RelayMessages::Update reported;
+            reported.mutable_status()->set_current(false);
+            reported.mutable_status()->set_known_vms(1);
+            if (!stream->Write(reported)) {
+                break;
+            }
+            std::this_thread::sleep_for(50ms);
+        }
+        return grpc::Status::OK;
+    }
+
+    std::atomic<int> streams{0};
+};
+
 /// Starts a server on @p port, or on a free one that it stores there if it is 0.
 std::unique_ptr<grpc::Server> startRelay(grpc::Service &relay, int &port)
 {
@@ -98,10 +121,12 @@
     return server;
 }
 
-std::unique_ptr<RelayUplink> uplinkTo(int port)
+std::unique_ptr<RelayUplink> uplinkTo(const std::vector<int> &ports)
 {
     RelayUplink::Options options;
-    options.seeds = {"127.0.0.1:" + std::to_string(port)};
+    for (const int port : ports) {
+        options.seeds.push_back("127.0.0.1:" + std::to_string(port));
+    }
     options.fleetSecret = "a secret of the tests";
     RelayUplink::Hooks hooks;
     hooks.clock = std::chrono::steady_clock::now;
@@ -200,7 +225,7 @@
     {
         int port = 0;
         this->server = startRelay(this->relay, port);
-        this->uplink = uplinkTo(port);
+        this->uplink = uplinkTo({port});
     }
 
     ~UnconfirmingFixture()
@@ -301,7 +326,7 @@
     int port = 0;
     RecordingRelay former;
     std::unique_ptr<grpc::Server> server = startRelay(former, port);
-    const std::unique_ptr<RelayUplink> uplink = uplinkTo(port);
+    const std::unique_ptr<RelayUplink> uplink = uplinkTo({port});
     CATCH_REQUIRE(isMet([&former] { return former.messages().size() >= 2; }));
     server->Shutdown(std::chrono::system_clock::now());
     server.reset();
@@ -335,7 +360,7 @@
     BusyRelay relay;
     const std::unique_ptr<grpc::Server> server = startRelay(relay, port);
     {
-        const std::unique_ptr<RelayUplink> uplink = uplinkTo(port);
+        const std::unique_ptr<RelayUplink> uplink = uplinkTo({port});
         CATCH_CHECK(isMet([&uplink] { return uplink->isCurrent(); }));
         const std::vector<SteadyTime> arrivals = relay.arrivalTimes();
         CATCH_REQUIRE(arrivals.size() == BusyRelay::refusals + 1);
@@ -345,3 +370,31 @@
     }
     server->Shutdown(std::chrono::system_clock::now());
 }
+
+// Guards against a fleet whose VMs all go round between relays that aren't current, such as during a change of the control group's leader, and so keep the
+// relays too busy to become current.
+CATCH_TEST_CASE("A VM that finds no current relay moves less and less often", "[relay][large-fleet]")
+{
+    NotCurrentRelay relays[4];
+    std::vector<int> ports;
+    std::vector<std::unique_ptr<grpc::Server>> servers;
+    for (NotCurrentRelay &relay : relays) {
+        int port = 0;
+        servers.push_back(startRelay(relay, port));
+        ports.push_back(port);
+    }
+    int streams = 0;
+    {
+        const std::unique_ptr<RelayUplink> uplink = uplinkTo(ports);
+        std::this_thread::sleep_for(8s);
+        for (const NotCurrentRelay &relay : relays) {
+            streams += relay.streams;
+        }
+    }
+    for (const std::unique_ptr<grpc::Server> &server : servers) {
+        server->Shutdown(std::chrono::system_clock::now());
+    }
+    // The first relay, and moves after 0.7, 1.4, 2.8 and 5.6 s.
+    CATCH_CHECK(streams >= 2);
+    CATCH_CHECK(streams <= 5);
+}
--- a/tests/unit/process/relay/streamadmissiontest.cpp
+++ b/tests/unit/process/relay/streamadmissiontest.cpp
@@ -56,6 +56,31 @@
     }
 }
 
+// Guards against a relay whose time goes into starting streams, so that those that it has time out and come back.
+CATCH_TEST_CASE("A relay that is short of processor time starts fewer streams", "[relay][large-fleet]")
+{
+    SteadyTime now = std::chrono::steady_clock::now();
+    StreamAdmission::Options options;
+    StreamAdmission admission(options, [&now] { return now; });
+    const auto startsIn = [&](std::chrono::milliseconds duration, std::chrono::milliseconds startDuration) {
+        int started = 0;
+        for (const SteadyTime end = now + duration; now < end; now += 1ms) {
+            if (!admission.tryStart()) {
+                ++started;
+                admission.recordStart(startDuration);
+            }
+        }
+        return started;
+    };
+    CATCH_CHECK(startsIn(10s, 1ms) >= 0.95 * options.startsPerSecond * 10);
+    startsIn(5s, 30ms);
+    const int started = startsIn(10s, 30ms);
+    CATCH_CHECK(started * 30ms <= 10s * options.startingShare * 1.1);
+    CATCH_CHECK(started > 0);
+    startsIn(5s, 1ms);
+    CATCH_CHECK(startsIn(10s, 1ms) >= 0.95 * options.startsPerSecond * 10);
+}
+
 // Guards against a silent stream that isn't ended because another one isn't silent, and against a callback that runs after its stream has ended.
 CATCH_TEST_CASE("Each of several streams is ended after its own silence", "[relay]")
 {
