Caller: Send the other headers of a response when one is unusual

The caller of an order didn't learn that it had run.

Cause: libmicrohttpd refuses a header with an empty value or a tab in it, and ulfius adds no further header after one that is refused.

An empty value is sent as a space and a tab as a space, which mean the same (RFC 9110, 5.5). A header that can't be sent is left out alone.

--- a/libraries/process/proxy/ulfiusmessage.cpp
+++ b/libraries/process/proxy/ulfiusmessage.cpp
@@ -1,5 +1,6 @@
 #include "process/proxy/ulfiusmessage.h"
 
+#include <algorithm>
 #include <charconv>
 #include <optional>
 
@@ -21,6 +22,14 @@
     return name;
 }
 
+/// The value as the web server's library accepts it. From a header that it doesn't accept on, it would leave out all that follow. White space around a
+/// value and the kind of white space in it have no meaning (RFC 9110, 5.5).
+std::string sendableValue(std::string value)
+{
+    std::replace(value.begin(), value.end(), '\t', ' ');
+    return value.empty() ? " " : value;
+}
+
 void putHeader(_u_map &headers, const HttpHeader &header)
 {
     if (isSameHeaderName(header.name, "Set-Cookie")) {
@@ -88,8 +97,8 @@
         ulfius_set_binary_body_response(&ulfiusResponse, static_cast<unsigned int>(response.status), response.body.data(), response.body.size());
     }
     for (const HttpHeader &header : response.headers) {
-        if (!isSameHeaderName(header.name, "Content-Length")) {
-            putHeader(*ulfiusResponse.map_header, header);
+        if (!isSameHeaderName(header.name, "Content-Length") && isPlainHeader(header)) {
+            putHeader(*ulfiusResponse.map_header, {header.name, sendableValue(header.value)});
         }
     }
 }
--- a/tests/unit/process/proxy/callerendpointtest.cpp
+++ b/tests/unit/process/proxy/callerendpointtest.cpp
@@ -92,6 +92,23 @@
     CATCH_CHECK(contains(gateway.upstream.requests().at(1), "\r\n\r\n" + body));
 }
 
+// Guards against an odd header that takes away those that follow it, such as the signature: the web server's library stops at the first one that it refuses.
+CATCH_TEST_CASE("An unusual header of an instance's response doesn't affect the other headers", "[proxy][whole-answer]")
+{
+    for (const std::string odd :
+        {"Content-Language:", "Content-Language: ", "X-Tab: a\tb", "X Space: a", ": a", "X-Control: a\x01", "X-Latin: \xe9", "X-Twice:\r\nX-Twice:"}) {
+        CATCH_CAPTURE(odd);
+        Gateway gateway([&odd](RawConnection &connection, const std::string &) {
+            connection.write(RawUpstream::answer("ok", odd + "\r\nX-Response-Signature: signed\r\nX-Last: 1\r\n"));
+        });
+        const std::string response = RawCaller(gateway.endpoint->port()).exchange(get("/read"));
+        CATCH_CHECK(contains(response, "HTTP/1.1 200 "));
+        CATCH_CHECK(contains(response, "\r\nX-Response-Signature: signed\r\n"));
+        CATCH_CHECK(contains(response, "\r\nX-Last: 1\r\n"));
+        CATCH_CHECK(contains(response, "\r\n\r\nok"));
+    }
+}
+
 // Guards against forwarding a truncated body or a request without a valid path, key or route.
 CATCH_TEST_CASE("Requests that can't be run are refused with their code and not truncated or forwarded", "[proxy][true-refusal]")
 {
