--- a/libraries/connection/upstreamconnection.cpp
+++ b/libraries/connection/upstreamconnection.cpp
@@ -134,6 +134,16 @@
     return list;
 }
 
+/// False if a part of the request would end its line, so that an instance would read other headers or another request than meant.
+bool isPlainCall(const UpstreamCall &call)
+{
+    const auto isVisible
+        = [](const std::string &text) { return std::all_of(text.begin(), text.end(), [](unsigned char byte) { return byte > ' ' && byte != 0x7f; }); };
+    const HttpHeaders &headers = call.request.headers;
+    return isVisible(call.request.method) && isVisible(call.request.target) && std::all_of(headers.begin(), headers.end(), isPlainHeader)
+        && isPlainHeader({"X-Request-Id", call.requestId}) && isPlainHeader({call.deadlineHeader, ""});
+}
+
 UpstreamFailureKind failureKind(CURLcode code, const Transfer &transfer)
 {
     if (transfer.rejectedBeforeSend) {
@@ -322,6 +332,10 @@
         result.failure = UpstreamFailure{UpstreamFailureKind::TimedOut, false, false};
         return result;
     }
+    if (!isPlainCall(call)) {
+        result.failure = UpstreamFailure{UpstreamFailureKind::RejectedBeforeSend, false, false};
+        return result;
+    }
     Transfer transfer(call, this->handle->maximumAnswerBytes);
     transfer.abortPoints = std::move(abortPoints);
     const HeaderList headers = headerList(call, remaining);
--- a/tests/unit/connection/upstreamclienttest.cpp
+++ b/tests/unit/connection/upstreamclienttest.cpp
@@ -518,6 +518,26 @@
     CATCH_CHECK(result.reusedConnection);
 }
 
+// Guards against a name or id of somebody else that ends its line and writes headers or a request of its own.
+CATCH_TEST_CASE("A request of which a part would end its line isn't sent", "[connection][smuggling]")
+{
+    RawUpstream upstream(respondOnce);
+    UpstreamClient client({});
+    const std::string smuggled = "a\r\n\r\nPOST /path HTTP/1.1\r\nX-A: b";
+    std::vector<UpstreamCall> calls(5, callTo(upstream, "GET"));
+    calls[0].request.headers = {{"X-Target-Instance", smuggled}};
+    calls[1].request.headers = {{smuggled, "a"}};
+    calls[2].request.target = "/path " + smuggled;
+    calls[3].requestId = smuggled;
+    calls[4].request.method = "GET /path HTTP/1.1\r\nX-A: b";
+    for (const UpstreamCall &call : calls) {
+        const UpstreamResult result = client.send(call);
+        CATCH_REQUIRE(result.failure);
+        CATCH_CHECK_FALSE(result.failure->mayHaveSent);
+    }
+    CATCH_CHECK(upstream.requests().empty());
+}
+
 // Guards against aborting the last try on a reused connection after half of its time.
 CATCH_TEST_CASE("The last try on a reused connection gets all of the remaining time", "[connection]")
 {
--- a/tests/unit/platform/codectest.cpp
+++ b/tests/unit/platform/codectest.cpp
@@ -197,6 +197,30 @@
     CATCH_CHECK(static_cast<bool>(Platform::readRegistration("i-1", nestedField)));
 }
 
+// Guards against a check-in that writes requests of its own into those to an instance: the id is sent in a header.
+CATCH_TEST_CASE("An id of an instance that can't be sent in a header is refused", "[platform][odd-entries][smuggling]")
+{
+    for (const std::string id : {"i-1\r\nX-A: b", "i-1\n", "\ri-1", "i-1 ", " i-1", "i\t1", "i-\x7f"}) {
+        CATCH_CAPTURE(id);
+        CATCH_CHECK_FALSE(static_cast<bool>(Platform::checkInstanceId(id)));
+        CATCH_CHECK_FALSE(static_cast<bool>(Platform::readRegistration(id, goodRegistration().dump())));
+    }
+    CATCH_CHECK_FALSE(static_cast<bool>(Platform::checkInstanceId(std::string("i\0", 2))));
+    CATCH_CHECK(static_cast<bool>(Platform::checkInstanceId("i-7f3a91c2")));
+}
+
+// Guards against a tenant whose name ends the header in which instances get it.
+CATCH_TEST_CASE("A configuration with a tenant whose name can't be sent in a header is refused", "[platform][smuggling]")
+{
+    for (const std::string name : {"t1\r\nX-A: b", "t1\n", "", " t1", "t1\x7f"}) {
+        CATCH_CAPTURE(name);
+        Json json = goodConfiguration();
+        json["tenants"][name] = json["tenants"]["t1"];
+        json["tenants"].erase("t1");
+        CATCH_CHECK(invalidField(json.dump()) == "tenants." + name);
+    }
+}
+
 // Guards against VMs that lose the stream to their relay again and again, because a message contains a text that protobuf refuses to read.
 CATCH_TEST_CASE("An id that isn't UTF-8 is refused, and every registration that is accepted can be read by VMs", "[platform][odd-entries]")
 {
