Connection: Take only an empty line for the end of a response's head

A caller could get a 200 with an empty body, framed as whole, for a response that its instance had broken off in the middle of the head.

Cause: a line of white space alone, which continues the header before it (RFC 9112, 5.2), was taken for the empty line that ends the head. When the instance closed after it, a response without a length counted as complete.

Before: "A response that ends anywhere in its head is incomplete" failed on the former sources, after "X-Empty:" and a line with one space. Now: it passes at each byte of four heads.

--- a/libraries/connection/responseassembler.cpp
+++ b/libraries/connection/responseassembler.cpp
@@ -45,7 +45,8 @@
         return false;
     }
     const std::string_view text = trimmed(line);
-    this->headersEnded = text.empty();
+    // A line of white space alone continues the header before it. At the end of a connection, libcurl may deliver a part of a line.
+    this->headersEnded = line == "\r\n" || line == "\n";
     if (text.substr(0, 5) == "HTTP/") {
         const std::size_t space = text.find(' ');
         const std::string_view status = space == std::string_view::npos ? std::string_view() : text.substr(space + 1, 3);
--- a/tests/unit/connection/upstreamclienttest.cpp
+++ b/tests/unit/connection/upstreamclienttest.cpp
@@ -538,6 +538,21 @@
     CATCH_CHECK(upstream.requests().empty());
 }
 
+// Guards against an instance that stops in the middle of its head and closes: its caller would get a 200 with an empty body as a whole response.
+CATCH_TEST_CASE("A response that ends anywhere in its head is incomplete", "[connection][whole-answer]")
+{
+    for (const std::string head : {"HTTP/1.1 200 OK\r\nX-Response-Signature: s\r\nContent-Length: 5\r\nX-Folded: a\r\n b\r\n\r\n",
+             "HTTP/1.1 200 OK\r\nX-Empty:\r\n \r\n\t\r\nTransfer-Encoding: chunked\r\n\r\n",
+             "HTTP/1.1 200 OK\nContent-Length: 5\n \n\n",
+             "HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\nHTTP/1.1 200 OK\r\nX-Folded: a\r\n \r\n\r\n"}) {
+        for (std::size_t length = 1; length < head.size(); ++length) {
+            CATCH_CAPTURE(head.substr(0, length));
+            const UpstreamFailureKind failure = failureOf(head.substr(0, length));
+            CATCH_CHECK((failure == UpstreamFailureKind::ResponseIncomplete || failure == UpstreamFailureKind::ConnectionLost));
+        }
+    }
+}
+
 // Guards against aborting the last try on a reused connection after half of its time.
 CATCH_TEST_CASE("The last try on a reused connection gets all of the remaining time", "[connection]")
 {
