Relay: Don't move VMs to a relay that a majority has lost

While the control group elects a leader, no relay is current. A relay that is frozen was taken for an alternative then: the others report it as unreachable and not as one that isn't current, so all VMs left their relays for it, failed to connect, and went round the others.

A relay that the present one reports as unreachable counts as an alternative only if the present one reaches no majority of the relays, as in the smaller part of a split.

--- a/libraries/process/relay/relaychoice.cpp
+++ b/libraries/process/relay/relaychoice.cpp
@@ -100,8 +100,12 @@
 
 bool RelayChoice::hasAlternative(const std::string &address, SteadyTime now) const
 {
-    return std::any_of(this->relays.begin(), this->relays.end(), [&address, now](const Relay &relay) {
-        return relay.address != address && !relay.isNotCurrent && relay.avoidedUntil <= now && relay.refusedUntil <= now;
+    const std::ptrdiff_t reachable
+        = std::count_if(this->relays.begin(), this->relays.end(), [&address](const Relay &relay) { return relay.address == address || relay.isReachable; });
+    const bool reachesMajority = 2 * static_cast<std::size_t>(reachable) > this->relays.size();
+    return std::any_of(this->relays.begin(), this->relays.end(), [&address, now, reachesMajority](const Relay &relay) {
+        const bool mayBeCurrent = !relay.isNotCurrent && (relay.isReachable || !reachesMajority);
+        return relay.address != address && mayBeCurrent && relay.avoidedUntil <= now && relay.refusedUntil <= now;
     });
 }
 
--- a/libraries/process/relay/relaychoice.h
+++ b/libraries/process/relay/relaychoice.h
@@ -42,8 +42,8 @@
     /// Whether the relay is known to be in the VM's own failure domain.
     bool isLocal(const std::string &address) const;
 
-    /// Whether a relay other than @p address can be tried at once and isn't reported as one that isn't current either. Ignores whether it is
-    /// reported as reachable, since a relay that is partitioned reports all others as unreachable.
+    /// Whether a relay other than @p address can be tried at once and may be current as far as @p address reports. One that @p address reports as
+    /// unreachable may be current only if @p address reaches no majority of the relays; otherwise it is the unreachable one that is lost.
     bool hasAlternative(const std::string &address, SteadyTime now) const;
 
     /// Whether the VM is connected across failure domains while a relay of its own failure domain is reported as reachable and not in backoff.
--- a/tests/unit/process/relay/relaychoicetest.cpp
+++ b/tests/unit/process/relay/relaychoicetest.cpp
@@ -46,6 +46,26 @@
     CATCH_CHECK(choice.hasAlternative("one:1", start));
 }
 
+// Guards against a whole fleet that leaves its relays for one that is frozen, while the others elect a leader of the control group and none is current.
+CATCH_TEST_CASE("A lost relay is no alternative to one that reaches a majority of the relays", "[relay][large-fleet]")
+{
+    RelayChoice choice("c", {"one:1", "two:1", "three:1"});
+    const auto report = [&choice](const std::string &address, bool isReachable) {
+        RelayMessages::RelayAddress relay = relayOf(address, "a", isReachable);
+        relay.set_not_current(isReachable);
+        choice.addOrUpdate(relay);
+    };
+    for (const char *address : {"two:1", "three:1", "four:1"}) {
+        report(address, true);
+    }
+    report("lost:1", false);
+    CATCH_CHECK_FALSE(choice.hasAlternative("one:1", start));
+    // In the smaller part of a split, those that it doesn't reach may be current.
+    report("three:1", false);
+    report("four:1", false);
+    CATCH_CHECK(choice.hasAlternative("one:1", start));
+}
+
 // Guards against repeated attempts to connect to a lost relay. They take up time in which the VM could receive updates from another one.
 CATCH_TEST_CASE("The backoff of a relay doubles with each failure until the relay works", "[relay]")
 {
