Connection: Bound the memory of large responses over all requests

An instance that sends bytes without end could take 8 MiB of a VM for each request to it, whatever other requests had taken, so that the VM ran out of memory with all its callers' requests.

Cause: the size of a response was bounded for each request alone.

Bodies of over 64 KiB share limits.buffered_answer_bytes (32 MiB); one that finds no room fails with 502. Small responses don't draw on it. A gauge shows the most that was in use.

The test "Instances that send without end don't use more memory than the client may" reads what this change adds, so it couldn't be built on the former code. It passes for six kinds of endless bytes, 24 requests at a time, while small responses are served.

--- a/libraries/connection/responseassembler.cpp
+++ b/libraries/connection/responseassembler.cpp
@@ -8,6 +8,10 @@
 namespace {
 
 constexpr std::size_t maximumHeaderBytes = 64 * 1024;
+/// A body up to this size doesn't draw on the budget, so that large ones can't keep small ones from being received.
+constexpr std::size_t unreservedBytes = 64 * 1024;
+/// Bytes are taken from the budget in parts of this size, in which the body's capacity grows as well.
+constexpr std::size_t reservationStep = 256 * 1024;
 
 std::string_view trimmed(std::string_view text)
 {
@@ -31,12 +35,30 @@
 
 } // namespace
 
-ResponseAssembler::ResponseAssembler(std::string method, std::size_t maximumBytes)
+ResponseAssembler::ResponseAssembler(std::string method, std::size_t maximumBytes, ByteBudget &budget)
     : method(std::move(method))
     , maximumBytes(maximumBytes)
+    , budget(budget)
 {
 }
 
+ResponseAssembler::~ResponseAssembler()
+{
+    this->budget.giveBack(this->reserved);
+}
+
+bool ResponseAssembler::reserve(std::size_t bytes)
+{
+    while (bytes > unreservedBytes && bytes > this->reserved) {
+        if (!this->budget.tryTake(reservationStep)) {
+            return false;
+        }
+        this->reserved += reservationStep;
+        this->response.body.reserve(this->reserved);
+    }
+    return true;
+}
+
 bool ResponseAssembler::addHeaderLine(std::string_view line)
 {
     this->headerBytes += line.size();
@@ -77,7 +99,8 @@
 
 bool ResponseAssembler::addBody(std::string_view part)
 {
-    if (this->response.body.size() + part.size() > this->maximumBytes) {
+    const std::size_t size = this->response.body.size() + part.size();
+    if (size > this->maximumBytes || !this->reserve(size)) {
         this->overLimit = true;
         return false;
     }
--- a/libraries/connection/responseassembler.h
+++ b/libraries/connection/responseassembler.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "connection/bytebudget.h"
 #include "connection/httpmessage.h"
 
 #include <cstddef>
@@ -13,13 +14,17 @@
 class ResponseAssembler
 {
 public:
-    /// @p method is the method of the request, @p maximumBytes the largest body allowed.
-    ResponseAssembler(std::string method, std::size_t maximumBytes);
+    /// @p method is the method of the request, @p maximumBytes the largest body allowed. A body of over 64 KiB also needs room in @p budget, which all
+    /// responses of the VM share, until the assembler is destroyed.
+    ResponseAssembler(std::string method, std::size_t maximumBytes, ByteBudget &budget);
+    ~ResponseAssembler();
+    ResponseAssembler(const ResponseAssembler &) = delete;
+    ResponseAssembler &operator=(const ResponseAssembler &) = delete;
 
     /// Adds one header line, including its line end. Interim (1xx) responses are skipped. False if the header section exceeds 64 KiB.
     bool addHeaderLine(std::string_view line);
 
-    /// Adds a part of the body. False if the body exceeds its maximum size.
+    /// Adds a part of the body. False if the body exceeds its maximum size, or the budget is used up.
     bool addBody(std::string_view part);
 
     /// True once any byte of the response was received.
@@ -36,8 +41,13 @@
 private:
     bool neverHasBody() const;
 
+    bool reserve(std::size_t bytes);
+
     const std::string method;
     const std::size_t maximumBytes;
+    ByteBudget &budget;
+    /// Bytes taken from the budget.
+    std::size_t reserved = 0;
     HttpResponse response;
     std::size_t headerBytes = 0;
     bool overLimit = false;
--- a/libraries/connection/upstreamclient.cpp
+++ b/libraries/connection/upstreamclient.cpp
@@ -28,6 +28,7 @@
 
 UpstreamClient::UpstreamClient(const Options &options)
     : options(options)
+    , budget(std::make_shared<ByteBudget>(options.bufferedAnswerBytes))
 {
 }
 
@@ -38,7 +39,7 @@
     std::unique_ptr<UpstreamConnection> connection = call.idempotent && !call.newConnection ? pool->acquire(startTime) : nullptr;
     const bool isPooled = connection != nullptr;
     if (connection == nullptr) {
-        connection = UpstreamConnection::create(call.host, call.port, this->options.maximumAnswerBytes, this->options.connectTimeout);
+        connection = UpstreamConnection::create(call.host, call.port, {this->options.maximumAnswerBytes, this->budget}, this->options.connectTimeout);
     }
     UpstreamResult result;
     if (connection == nullptr) {
@@ -69,6 +70,11 @@
     }
 }
 
+std::size_t UpstreamClient::mostBufferedBytes() const
+{
+    return this->budget->mostTaken();
+}
+
 std::size_t UpstreamClient::poolCount() const
 {
     std::lock_guard<std::mutex> lock(this->mutex);
--- a/libraries/connection/upstreamclient.h
+++ b/libraries/connection/upstreamclient.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "connection/bytebudget.h"
 #include "connection/connectionpool.h"
 #include "connection/upstreamsender.h"
 
@@ -19,6 +20,8 @@
     struct Options {
         /// Largest body of a response.
         std::size_t maximumAnswerBytes = 8 * 1024 * 1024;
+        /// Bytes of bodies of over 64 KiB that are received at a time, over all requests. A response that finds no room fails.
+        std::size_t bufferedAnswerBytes = 32 * 1024 * 1024;
         /// Within a region a connection is established in a few milliseconds. The kernel retransmits a lost SYN after 1 s, which this timeout allows for.
         std::chrono::milliseconds connectTimeout{1500};
         /// Idle connections kept for each instance. An instance accepts about 350 connections, which are shared by 48 VMs.
@@ -37,6 +40,9 @@
     /// Number of instances that have a pool.
     std::size_t poolCount() const;
 
+    /// The most bytes of Options::bufferedAnswerBytes that were in use at a time.
+    std::size_t mostBufferedBytes() const;
+
 private:
     using Address = std::pair<std::string, std::uint16_t>;
 
@@ -45,6 +51,7 @@
     void classifyTimeout(const UpstreamCall &call, ConnectionPool &pool, SteadyTime startTime, UpstreamResult &result) const;
 
     const Options options;
+    const std::shared_ptr<ByteBudget> budget;
     mutable std::mutex mutex;
     std::map<Address, std::shared_ptr<ConnectionPool>> pools;
     SteadyTime nextIdleCheck;
--- a/libraries/connection/upstreamconnection.cpp
+++ b/libraries/connection/upstreamconnection.cpp
@@ -52,9 +52,9 @@
 
 // State of one transfer, shared by its libcurl callbacks.
 struct Transfer {
-    Transfer(const UpstreamCall &call, std::size_t maximumAnswerBytes)
+    Transfer(const UpstreamCall &call, const UpstreamConnection::ResponseLimits &limits)
         : call(call)
-        , assembler(call.request.method, maximumAnswerBytes)
+        , assembler(call.request.method, limits.maximumBytes, *limits.budget)
     {
     }
 
@@ -176,11 +176,11 @@
 class UpstreamConnection::Handle
 {
 public:
-    Handle(CURL *easy, std::string url, std::size_t maximumAnswerBytes, std::chrono::milliseconds connectTimeout)
+    Handle(CURL *easy, std::string url, ResponseLimits limits, std::chrono::milliseconds connectTimeout)
         : multi(curl_multi_init(), curl_multi_cleanup)
         , easy(easy, curl_easy_cleanup)
         , url(std::move(url))
-        , maximumAnswerBytes(maximumAnswerBytes)
+        , limits(std::move(limits))
         , connectTimeout(connectTimeout)
     {
     }
@@ -246,7 +246,7 @@
     const std::unique_ptr<CURLM, CURLMcode (*)(CURLM *)> multi;
     const std::unique_ptr<CURL, void (*)(CURL *)> easy;
     const std::string url;
-    const std::size_t maximumAnswerBytes;
+    const ResponseLimits limits;
     const std::chrono::milliseconds connectTimeout;
     curl_socket_t socket = CURL_SOCKET_BAD;
 
@@ -260,7 +260,7 @@
         while (running > 0 && code == CURLE_OK) {
             if (curl_multi_perform(this->multi.get(), &running) != CURLM_OK) {
                 code = CURLE_RECV_ERROR;
-            } else if (transfer.receivedBytes > framingFactor * this->maximumAnswerBytes + maximumHeaderBytes) {
+            } else if (transfer.receivedBytes > framingFactor * this->limits.maximumBytes + maximumHeaderBytes) {
                 transfer.overLimit = true;
                 code = CURLE_ABORTED_BY_CALLBACK;
             } else if (running > 0) {
@@ -304,7 +304,7 @@
 };
 
 std::unique_ptr<UpstreamConnection> UpstreamConnection::create(
-    const std::string &host, std::uint16_t port, std::size_t maximumAnswerBytes, std::chrono::milliseconds connectTimeout)
+    const std::string &host, std::uint16_t port, ResponseLimits limits, std::chrono::milliseconds connectTimeout)
 {
     initializeLibrary();
     CURL *easy = curl_easy_init();
@@ -313,7 +313,7 @@
     }
     const std::string bracketed = host.find(':') == std::string::npos ? host : "[" + host + "]";
     std::unique_ptr<Handle> handle
-        = std::make_unique<Handle>(easy, "http://" + bracketed + ":" + std::to_string(port) + "/", maximumAnswerBytes, connectTimeout);
+        = std::make_unique<Handle>(easy, "http://" + bracketed + ":" + std::to_string(port) + "/", std::move(limits), connectTimeout);
     return std::unique_ptr<UpstreamConnection>(new UpstreamConnection(std::move(handle)));
 }
 
@@ -336,7 +336,7 @@
         result.failure = UpstreamFailure{UpstreamFailureKind::RejectedBeforeSend, false, false};
         return result;
     }
-    Transfer transfer(call, this->handle->maximumAnswerBytes);
+    Transfer transfer(call, this->handle->limits);
     transfer.abortPoints = std::move(abortPoints);
     const HeaderList headers = headerList(call, remaining);
     this->handle->prepare(call, remaining, headers, transfer);
--- a/libraries/connection/upstreamconnection.h
+++ b/libraries/connection/upstreamconnection.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "connection/bytebudget.h"
 #include "connection/upstreamsender.h"
 
 #include <chrono>
@@ -20,9 +21,17 @@
 class UpstreamConnection
 {
 public:
+    /// What a response may use.
+    struct ResponseLimits {
+        /// Largest body.
+        std::size_t maximumBytes = 0;
+        /// Shared by the responses of all connections.
+        std::shared_ptr<ByteBudget> budget;
+    };
+
     /// Null if libcurl can't create a handle. Connects on the first send().
     static std::unique_ptr<UpstreamConnection> create(
-        const std::string &host, std::uint16_t port, std::size_t maximumAnswerBytes, std::chrono::milliseconds connectTimeout);
+        const std::string &host, std::uint16_t port, ResponseLimits limits, std::chrono::milliseconds connectTimeout);
     ~UpstreamConnection();
     UpstreamConnection(const UpstreamConnection &) = delete;
     UpstreamConnection &operator=(const UpstreamConnection &) = delete;
--- a/libraries/process/settings/settingfields.cpp
+++ b/libraries/process/settings/settingfields.cpp
@@ -243,6 +243,8 @@
             countField<std::size_t>([](Settings &settings) -> std::size_t & { return settings.limits.maximumRequestBytes; }, 1, gibibyte, "bytes")},
         {"limits.maximum_answer_bytes",
             countField<std::size_t>([](Settings &settings) -> std::size_t & { return settings.limits.maximumAnswerBytes; }, 1, gibibyte, "bytes")},
+        {"limits.buffered_answer_bytes",
+            countField<std::size_t>([](Settings &settings) -> std::size_t & { return settings.limits.bufferedAnswerBytes; }, 1, gibibyte, "bytes")},
         {"limits.owner_wait_ms", millisecondsField([](Settings &settings) -> Milliseconds & { return settings.limits.ownerWait; }, 0, 60000)},
         {"limits.rate_wait_ms", millisecondsField([](Settings &settings) -> Milliseconds & { return settings.limits.rateWait; }, 0, 60000)},
         {"limits.connect_timeout_ms", millisecondsField([](Settings &settings) -> Milliseconds & { return settings.limits.connectTimeout; }, 1, 60000)},
--- a/libraries/process/settings/settings.h
+++ b/libraries/process/settings/settings.h
@@ -104,6 +104,7 @@
     struct Limits {
         std::size_t maximumRequestBytes = 1024 * 1024;
         std::size_t maximumAnswerBytes = 8 * 1024 * 1024;
+        std::size_t bufferedAnswerBytes = 32 * 1024 * 1024;
         std::chrono::milliseconds rateWait{250};
         /// How long a request waits for its team's rate while no owner of the team's bucket answers.
         std::chrono::milliseconds ownerWait{1000};
--- a/services/hyssophalld/daemon.cpp
+++ b/services/hyssophalld/daemon.cpp
@@ -23,6 +23,7 @@
 {
     UpstreamClient::Options options;
     options.maximumAnswerBytes = settings.limits.maximumAnswerBytes;
+    options.bufferedAnswerBytes = settings.limits.bufferedAnswerBytes;
     options.connectTimeout = settings.limits.connectTimeout;
     return options;
 }
@@ -142,6 +143,9 @@
     this->parts->addGauges(*this->metrics);
     this->metrics->addGauge(
         "hyssophall_upstream_pools", "Upstream instances with pooled connections.", [this] { return static_cast<double>(this->client->poolCount()); });
+    this->metrics->addGauge("hyssophall_buffered_answer_bytes_most",
+        "Most bytes of large responses that were being received at a time, since the start.",
+        [this] { return static_cast<double>(this->client->mostBufferedBytes()); });
     this->metrics->addGauge("hyssophall_requests_in_flight", "Requests of callers in flight.", [this] {
         const std::lock_guard<std::mutex> lock(this->callersMutex);
         return this->callers == nullptr ? 0.0 : static_cast<double>(this->callers->requestsInFlight());
--- a/tests/unit/connection/upstreamclienttest.cpp
+++ b/tests/unit/connection/upstreamclienttest.cpp
@@ -553,6 +553,50 @@
     }
 }
 
+// Guards against a VM that runs out of memory, and loses the requests of all its callers, because instances send bytes without end.
+CATCH_TEST_CASE("Instances that send without end don't use more memory than the client may", "[connection][memory]")
+{
+    constexpr std::size_t budget = 4 * 1024 * 1024;
+    constexpr std::size_t maximumAnswerBytes = 1024 * 1024;
+    constexpr int calls = 24;
+    for (const std::string start : {"HTTP/1.1 200 OK\r\n\r\n",
+             "HTTP/1.1 200 OK\r\nContent-Length: 99999999999\r\n\r\n",
+             "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nfffffff\r\n",
+             "HTTP/1.1 200 OK\r\nX-Endless: ",
+             "HTTP/1.1 200 OK\r\n",
+             ""}) {
+        CATCH_CAPTURE(start);
+        std::atomic<bool> stopped{false};
+        RawUpstream upstream([&start, &stopped](RawConnection &connection, const std::string &request) {
+            if (request.find("/small") != std::string::npos) {
+                connection.write(RawUpstream::answer("small"));
+                return;
+            }
+            connection.write(start);
+            const std::string line = start.ends_with("OK\r\n") ? "X-Line: a\r\n" : std::string(16 * 1024, 'x');
+            while (!stopped && connection.tryWrite(line)) { }
+            throw RawUpstream::Close();
+        });
+        UpstreamClient client({.maximumAnswerBytes = maximumAnswerBytes, .bufferedAnswerBytes = budget});
+        std::vector<std::thread> threads;
+        std::atomic<int> failed{0};
+        for (int number = 0; number < calls; ++number) {
+            threads.emplace_back([&] { failed += client.send(callTo(upstream, "GET", std::chrono::seconds(3))).failure ? 1 : 0; });
+        }
+        UpstreamCall small = callTo(upstream, "GET");
+        small.request.target = "/small";
+        for (int number = 0; number < 5; ++number) {
+            CATCH_CHECK(client.send(small).response);
+        }
+        for (std::thread &thread : threads) {
+            thread.join();
+        }
+        stopped = true;
+        CATCH_CHECK(failed == calls);
+        CATCH_CHECK(client.mostBufferedBytes() <= budget);
+    }
+}
+
 // Guards against aborting the last try on a reused connection after half of its time.
 CATCH_TEST_CASE("The last try on a reused connection gets all of the remaining time", "[connection]")
 {
