Relay: Wake only the leaves that are confirmed

Cause, read in the code and measured in a test: each leave waits for its confirmations in a call of its own, and all of them were woken, under the hub's lock, for each message of another relay, hundreds a second.

A waiting leave has a condition of its own and is woken once its registration is confirmed by a majority.

Before: "A leave that waits for its confirmation isn't woken by other messages" counted more context switches than the 2,000 that it allows on the former sources. Now: it passes.

--- a/libraries/process/relay/relayhub.cpp
+++ b/libraries/process/relay/relayhub.cpp
@@ -100,20 +100,37 @@
             *changed.add_registrations() = *known;
         }
     }
-    std::map<std::string, std::uint64_t> awaited;
+    DepartureWaiter waiter;
+    waiter.departure = this->lastDeparture;
     for (const std::pair<const std::string, std::shared_ptr<RelayPeer>> &entry : this->peers) {
-        awaited[entry.first] = entry.second->buffer.nextSequence();
+        waiter.sequences[entry.first] = entry.second->buffer.nextSequence();
     }
     this->sendToPeers(changed);
-    if (!needsMajority) {
+    if (!needsMajority || this->hasMajority(waiter)) {
         return true;
     }
-    return this->confirmations.wait_until(lock, deadline, [this, &awaited, departure = this->lastDeparture] {
-        const std::ptrdiff_t confirmed = std::count_if(awaited.begin(), awaited.end(), [this](const std::pair<const std::string, std::uint64_t> &entry) {
-            return this->peers.at(entry.first)->confirmed >= entry.second;
-        });
-        return static_cast<std::size_t>(confirmed) + (this->isStored(departure) ? 1 : 0) >= this->options.majority;
-    });
+    const std::list<DepartureWaiter *>::iterator position = this->waiters.insert(this->waiters.end(), &waiter);
+    waiter.confirmed.wait_until(lock, deadline, [&waiter] { return waiter.isConfirmed; });
+    this->waiters.erase(position);
+    return waiter.isConfirmed;
+}
+
+bool RelayHub::hasMajority(const DepartureWaiter &waiter) const
+{
+    const std::ptrdiff_t others = std::count_if(waiter.sequences.begin(),
+        waiter.sequences.end(),
+        [this](const std::pair<const std::string, std::uint64_t> &entry) { return this->peers.at(entry.first)->confirmed >= entry.second; });
+    return static_cast<std::size_t>(others) + (this->isStored(waiter.departure) ? 1 : 0) >= this->options.majority;
+}
+
+void RelayHub::wakeConfirmedWaiters()
+{
+    for (DepartureWaiter *waiter : this->waiters) {
+        if (!waiter->isConfirmed && this->hasMajority(*waiter)) {
+            waiter->isConfirmed = true;
+            waiter->confirmed.notify_one();
+        }
+    }
 }
 
 void RelayHub::restore(const std::vector<RelayMessages::Registration> &registrations)
@@ -144,8 +161,8 @@
                 subscriber->buffer.wake();
             }
         }
+        this->wakeConfirmedWaiters();
     }
-    this->confirmations.notify_all();
 }
 
 bool RelayHub::isStored(std::uint64_t departure) const
@@ -367,12 +384,14 @@
         if (isNew || peer.isNotCurrent != wasNotCurrent) {
             this->sendRelayState(peer);
         }
-        peer.confirmed = std::max(peer.confirmed, update.confirmed());
+        if (update.confirmed() > peer.confirmed) {
+            peer.confirmed = update.confirmed();
+            this->wakeConfirmedWaiters();
+        }
         RelayMessages::Update registrations;
         *registrations.mutable_registrations() = update.registrations();
         this->sendToVms(this->merge(registrations), nullptr);
     }
-    this->confirmations.notify_all();
     if (isNew) {
         LOG(INFO) << "Relay " << peer.address << " is connected";
     }
--- a/libraries/process/relay/relayhub.h
+++ b/libraries/process/relay/relayhub.h
@@ -12,6 +12,7 @@
 #include <condition_variable>
 #include <deque>
 #include <functional>
+#include <list>
 #include <map>
 #include <memory>
 #include <mutex>
@@ -152,7 +153,20 @@
     std::optional<RelayMessages::Registration> findInstance(const std::string &id) const;
 
 private:
+    /// A call of publish() that waits until enough relays have stored its registration.
+    struct DepartureWaiter {
+        /// By the address of a relay: the message to it that contains the registration.
+        std::map<std::string, std::uint64_t> sequences;
+        /// Number of the departure in this relay's store.
+        std::uint64_t departure = 0;
+        bool isConfirmed = false;
+        std::condition_variable confirmed;
+    };
+
     // These are called with the mutex held.
+    bool hasMajority(const DepartureWaiter &waiter) const;
+    /// Wakes the waiters whose registration has been stored by enough relays, and no others: a large release has hundreds of them.
+    void wakeConfirmedWaiters();
     RelayMessages::Update merge(const RelayMessages::Update &update);
     /// Applies one registration, stores those that it makes leave, and adds the changed ones to @p changed.
     void applyRegistration(const RelayMessages::Registration &registration, RelayMessages::Update &changed);
@@ -175,7 +189,7 @@
     const Hooks hooks;
     const SteadyTime startedAt;
     mutable std::mutex mutex;
-    std::condition_variable confirmations;
+    std::list<DepartureWaiter *> waiters;
     InstanceSelector board;
     /// Number of the last departure that was passed to the store.
     std::uint64_t lastDeparture = 0;
--- a/tests/unit/process/relay/relayhubtest.cpp
+++ b/tests/unit/process/relay/relayhubtest.cpp
@@ -5,7 +5,9 @@
 #include <catch2/catch.hpp>
 
 #include <atomic>
+#include <sys/resource.h>
 #include <thread>
+#include <vector>
 
 using namespace Hyssophall;
 using HyssophallTest::registrationOf;
@@ -182,6 +184,41 @@
     CATCH_CHECK(store.registrations.size() == 2);
 }
 
+// Guards against a relay that spends its processor time on waking the calls of all instances of a release for each message of another relay.
+CATCH_TEST_CASE("A leave that waits for its confirmation isn't woken by other messages", "[relay][large-fleet]")
+{
+    constexpr int leaves = 100;
+    constexpr int messages = 300;
+    HubFixture fixture;
+    std::atomic<long> wakeUps{0};
+    std::atomic<int> acknowledged{0};
+    std::vector<std::thread> calls;
+    for (int number = 0; number < leaves; ++number) {
+        calls.emplace_back([&, number] {
+            RelayMessages::Registration leaving = registrationOf("i-" + std::to_string(number), 1, 2);
+            leaving.set_state(RelayMessages::REGISTRATION_STATE_DRAINING);
+            acknowledged += fixture.hub->publish(leaving, true, std::chrono::steady_clock::now() + std::chrono::seconds(30)) ? 1 : 0;
+            rusage used{};
+            getrusage(RUSAGE_THREAD, &used);
+            wakeUps += used.ru_nvcsw;
+        });
+    }
+    std::this_thread::sleep_for(Milliseconds(300));
+    for (int number = 0; number < messages; ++number) {
+        fixture.hub->receiveFromPeer(*fixture.peers[0], RelayMessages::Update());
+        std::this_thread::sleep_for(Milliseconds(1));
+    }
+    RelayMessages::Update confirmation;
+    confirmation.set_confirmed(fixture.nextMessage(fixture.peers[0]->buffer).sequence());
+    fixture.hub->receiveFromPeer(*fixture.peers[0], confirmation);
+    for (std::thread &call : calls) {
+        call.join();
+    }
+    CATCH_CHECK(acknowledged == leaves);
+    // The start, the wait, and waits for the lock among a hundred threads.
+    CATCH_CHECK(wakeUps < 20 * leaves);
+}
+
 // Guards against a late registration that brings an instance back after all relays have restarted.
 CATCH_TEST_CASE("A relay that has restarted refuses a late registration of an instance that had left", "[relay][leaving-upstream]")
 {
