--- a/libraries/process/relay/relayuplink.cpp
+++ b/libraries/process/relay/relayuplink.cpp
@@ -38,6 +38,8 @@
 /// Both sides send a message at least every 150 ms, so on a working connection the last confirmed message was sent at most 300 ms ago.
 constexpr std::chrono::milliseconds confirmationMaximumAge{500};
 
+constexpr std::uint64_t randomSteps = 1000;
+
 std::chrono::milliseconds doubled(std::chrono::milliseconds initial, int failures, std::chrono::milliseconds maximum)
 {
     return std::min(initial * (1 << std::min(failures, maximumDoublings)), maximum);
@@ -249,6 +251,8 @@
     }
     if (!this->notCurrentSince) {
         this->notCurrentSince = now;
+        // Spreads the moves of VMs whose relays cease to be current at the same time.
+        this->moveDelayFactor = 1 + static_cast<double>(this->hooks.random() % randomSteps) / randomSteps;
     }
     this->switchRelayIfNotCurrent(now);
 }
@@ -282,7 +286,7 @@
 {
     const std::chrono::milliseconds timeout
         = doubled(this->hooks.isConfigured() ? notCurrentTimeout : unconfiguredTimeout, this->movesFromNotCurrent, maximumNotCurrentTimeout);
-    if (now - *this->notCurrentSince >= timeout && this->choice.hasAlternative(this->connectedTo, now)) {
+    if (now - *this->notCurrentSince >= timeout * this->moveDelayFactor && this->choice.hasAlternative(this->connectedTo, now)) {
         ++this->movesFromNotCurrent;
         this->choice.avoid(this->connectedTo, notCurrentBackoff, now);
         this->link->cancel();
--- a/libraries/process/relay/relayuplink.h
+++ b/libraries/process/relay/relayuplink.h
@@ -118,6 +118,8 @@
     std::optional<SteadyTime> visibleUntil;
     /// Since when the relay has reported that it isn't current.
     std::optional<SteadyTime> notCurrentSince;
+    /// From 1 to 2: by which the time is multiplied for which this VM stays with its relay that isn't current.
+    double moveDelayFactor = 1;
     /// Relays in a row that this VM has left because they weren't current.
     int movesFromNotCurrent = 0;
     /// Since when the relay has reported a later configuration than the one in force on this VM.
