Control: Wait for a leader that is known to lead, and log what isn't decided

The logs don't say who led, or which replicas held the entry.

An attempt at a leader that this VM's replica is in contact with is waited for until the deadline again: if it is slow, no other replica could decide. A control VM logs when it begins and ceases to lead, and for a change that isn't decided in time how far each replica is.

The cause of the undecided configuration isn't known yet.

--- a/libraries/process/control/controlgroup.cpp
+++ b/libraries/process/control/controlgroup.cpp
@@ -166,6 +166,12 @@
 void ControlGroup::publishReplicaState()
 {
     this->leadingTerm = this->replica->isLeading() ? this->replica->term() : 0;
+    if (this->leadingTerm != this->loggedLeadingTerm) {
+        LOG(INFO) << (this->leadingTerm > 0 ? "This VM leads the control group in term " : "This VM no longer leads the control group; last in term ")
+                  << (this->leadingTerm > 0 ? this->leadingTerm.load() : this->loggedLeadingTerm) << "; " << this->replica->committedIndex() << " of "
+                  << this->replica->log().lastIndex() << " entries are committed";
+        this->loggedLeadingTerm = this->leadingTerm;
+    }
     if (this->replica->committedIndex() > this->announcedCommitIndex && this->commitQueue.tryPush(this->replica->committedIndex())) {
         this->announcedCommitIndex = this->replica->committedIndex();
     }
--- a/libraries/process/control/controlgroup.h
+++ b/libraries/process/control/controlgroup.h
@@ -72,6 +72,9 @@
     /// Whether the state that this replica has applied is at most about one election timeout old.
     bool isUpToDate() const;
 
+    /// Whether the replica at this fleet address leads the group, as far as this replica has heard within about one election timeout.
+    bool isLeader(const std::string &address) const;
+
     boost::leaf::result<ControlMessages::ChangeOutcome> propose(const ControlMessages::CatalogueChange &change, SteadyTime deadline) override;
     boost::leaf::result<ControlMessages::ChangeOutcome> putReplica(const ControlMessages::Replica &replica, SteadyTime deadline) override;
     boost::leaf::result<ControlMessages::ChangeOutcome> removeReplica(const std::string &replicaId, SteadyTime deadline) override;
@@ -100,6 +103,8 @@
     bool logContainsChange(const std::string &changeId) const;
     bool logContainsRosterChangeAfter(std::uint64_t index) const;
     ControlMessages::ProposeReply notLeader() const;
+    /// Logs how far the replicas are while a change isn't decided.
+    void logUndecided(const std::string &changeId) const;
     bool waitUntil(const std::function<bool()> &condition, std::uint64_t leadingTerm, SteadyTime deadline);
     ControlMessages::StatusReply localStatus() const;
     RemoteChangeProposer::Hooks proposerHooks();
@@ -118,6 +123,8 @@
     /// Key: address of the peer, and whether the link is for snapshots.
     std::map<std::pair<std::string, bool>, std::unique_ptr<PeerLink>> links;
     std::uint64_t announcedCommitIndex = 0;
+    /// Term in which this replica was last logged as the leader; 0 if it wasn't.
+    std::uint64_t loggedLeadingTerm = 0;
     bool isHaltLogged = false;
     /// Replies to requests sent before this time belong to an earlier replica object and are dropped.
     SteadyTime replicaStartedAt;
--- a/libraries/process/control/controlproposals.cpp
+++ b/libraries/process/control/controlproposals.cpp
@@ -3,6 +3,7 @@
 #include "process/control/controlgroup.h"
 
 #include <algorithm>
+#include <glog/logging.h>
 #include <thread>
 #include <utility>
 
@@ -133,6 +134,7 @@
         term = this->replica->term();
     }
     if (!this->waitUntil(isKnown, term, deadline)) {
+        this->logUndecided(change.change_id());
         return replyWithoutOutcome(ControlMessages::ProposeReply::RESULT_UNKNOWN);
     }
     return replyWithOutcome(*known);
@@ -189,6 +191,24 @@
     return this->replica->isUpToDate() && this->appliedIndex >= this->replica->committedIndex();
 }
 
+bool ControlGroup::isLeader(const std::string &address) const
+{
+    std::lock_guard<std::mutex> lock(this->mutex);
+    if (!this->replica->hasLeaderContact()) {
+        return false;
+    }
+    const ControlMessages::Replica *leader = ReplicaGroup::find(this->replica->log().configuration(), this->replica->leaderId());
+    return leader != nullptr && leader->address() == address;
+}
+
+void ControlGroup::logUndecided(const std::string &changeId) const
+{
+    std::lock_guard<std::mutex> lock(this->mutex);
+    LOG(WARNING) << "Change " << changeId << " isn't decided in time in term " << this->replica->term() << ": "
+                 << (this->replica->isLeading() ? "this VM leads" : "this VM doesn't lead any more") << ", last entry " << this->replica->log().lastIndex()
+                 << ", committed " << this->replica->committedIndex() << ", applied " << this->appliedIndex << this->replica->describePeers();
+}
+
 bool ControlGroup::logContainsChange(const std::string &changeId) const
 {
     const std::vector<ControlMessages::Entry> &entries = this->replica->log().entries();
--- a/libraries/process/control/raftleader.cpp
+++ b/libraries/process/control/raftleader.cpp
@@ -3,6 +3,7 @@
 #include "process/control/raftreplica.h"
 
 #include <algorithm>
+#include <string>
 
 namespace Hyssophall {
 
@@ -198,6 +199,19 @@
     });
 }
 
+std::string RaftReplica::describePeers() const
+{
+    std::string text;
+    for (const std::pair<const std::string, Progress> &peer : this->peers) {
+        if (peer.first != this->options.id) {
+            const std::chrono::milliseconds age = std::chrono::duration_cast<std::chrono::milliseconds>(this->hooks.now() - peer.second.lastContact);
+            text += ", " + peer.first + " holds entries up to " + std::to_string(peer.second.matchIndex) + " and replied to a request of "
+                + std::to_string(age.count()) + " ms ago";
+        }
+    }
+    return text;
+}
+
 void RaftReplica::promoteLearner()
 {
     if (this->isGroupChangePending()) {
--- a/libraries/process/control/raftreplica.h
+++ b/libraries/process/control/raftreplica.h
@@ -112,6 +112,10 @@
     std::uint64_t diskIncarnation() const;
     const std::string &id() const;
     const std::string &leaderId() const;
+    /// Whether this replica has heard from a leader, or as the leader from a majority, within an election timeout.
+    bool hasLeaderContact() const;
+    /// For the log of a leader: how far each other replica is and how old the last request is that it has replied to.
+    std::string describePeers() const;
     const ReplicaLog &log() const;
 
 private:
@@ -138,7 +142,6 @@
     // Elections.
     bool mayVoteFor(const ControlMessages::VoteRequest &request) const;
     /// Whether the leader's last message, or as a leader a majority's replies, are newer than an election timeout.
-    bool hasLeaderContact() const;
     bool mayCampaign() const;
     void campaign(bool preVote);
     void requestVotes(bool preVote);
--- a/libraries/process/control/remotechangeproposer.cpp
+++ b/libraries/process/control/remotechangeproposer.cpp
@@ -76,17 +76,19 @@
             break;
         }
         const std::chrono::milliseconds remaining = std::chrono::duration_cast<std::chrono::milliseconds>(deadline - this->hooks.now());
+        const bool isLeading = this->hooks.isLeading && this->hooks.isLeading(address);
+        const std::chrono::milliseconds timeout = isLeading ? remaining : std::min(remaining, attemptTimeout);
         std::optional<AttemptFailure> failure;
-        const ControlMessages::ProposeReply reply = boost::leaf::try_handle_all(
-            [this, &address, &request, remaining] { return this->hooks.propose(address, request, std::min(remaining, attemptTimeout)); },
-            [&failure](const ControlUnavailable &unavailable) {
-                failure = AttemptFailure{unavailable.reason == ControlUnavailable::Reason::Unknown};
-                return ControlMessages::ProposeReply();
-            },
-            [&failure] {
-                failure = AttemptFailure{true};
-                return ControlMessages::ProposeReply();
-            });
+        const ControlMessages::ProposeReply reply
+            = boost::leaf::try_handle_all([this, &address, &request, timeout] { return this->hooks.propose(address, request, timeout); },
+                [&failure](const ControlUnavailable &unavailable) {
+                    failure = AttemptFailure{unavailable.reason == ControlUnavailable::Reason::Unknown};
+                    return ControlMessages::ProposeReply();
+                },
+                [&failure] {
+                    failure = AttemptFailure{true};
+                    return ControlMessages::ProposeReply();
+                });
         if (reply.result() == ControlMessages::ProposeReply::RESULT_DECIDED) {
             this->rememberLeader(address);
             return reply.outcome();
--- a/libraries/process/control/remotechangeproposer.h
+++ b/libraries/process/control/remotechangeproposer.h
@@ -32,6 +32,9 @@
         std::function<std::optional<ControlMessages::StatusReply>(const std::string &, std::chrono::milliseconds)> status;
         SteadyClock now;
         std::function<void(std::chrono::milliseconds)> sleep;
+        /// Whether the replica at the address is known to lead the group at present. Its reply is then waited for until the deadline, since no other
+        /// replica could decide. May be empty: unknown.
+        std::function<bool(const std::string &)> isLeading = {};
     };
 
     explicit RemoteChangeProposer(Hooks hooks);
--- a/libraries/process/relay/controlnode.cpp
+++ b/libraries/process/relay/controlnode.cpp
@@ -157,6 +157,7 @@
         return this->clients->at(address)->propose(request, timeout);
     };
     route.status = [this](const std::string &address, std::chrono::milliseconds timeout) { return this->clients->at(address)->status(timeout); };
+    route.isLeading = [this](const std::string &address) { return this->ownedGroup->isLeader(address); };
     route.now = steadyNow;
     route.sleep = [](std::chrono::milliseconds duration) { std::this_thread::sleep_for(duration); };
     return route;
--- a/tests/unit/process/control/remotechangeproposertest.cpp
+++ b/tests/unit/process/control/remotechangeproposertest.cpp
@@ -98,3 +98,28 @@
     leader = "c";
     CATCH_CHECK(proposer.propose(ControlMessages::CatalogueChange(), now + operatorTimeout));
 }
+
+// Guards against giving up a leader that is slow and known to lead: no other replica could decide.
+CATCH_TEST_CASE("A proposer waits for a slow leader until its deadline", "[control-log][large-fleet]")
+{
+    SteadyTime now;
+    RemoteChangeProposer::Hooks hooks;
+    hooks.addresses = [] { return std::vector<std::string>{"a", "b"}; };
+    hooks.propose = [&now](const std::string &address, const ControlMessages::ProposeRequest &, std::chrono::milliseconds timeout) -> Result {
+        constexpr std::chrono::milliseconds decisionTime{700};
+        now += address == "b" ? std::min(timeout, decisionTime) : std::chrono::milliseconds(0);
+        if (address == "b" && timeout < decisionTime) {
+            return failing(ControlUnavailable::Reason::Unknown);
+        }
+        ControlMessages::ProposeReply reply
+            = replyOf(address == "b" ? ControlMessages::ProposeReply::RESULT_DECIDED : ControlMessages::ProposeReply::RESULT_NOT_LEADER);
+        reply.set_leader_address("b");
+        return reply;
+    };
+    hooks.status = [](const std::string &, std::chrono::milliseconds) { return std::nullopt; };
+    hooks.now = [&now] { return now; };
+    hooks.sleep = [&now](std::chrono::milliseconds pause) { now += pause; };
+    hooks.isLeading = [](const std::string &address) { return address == "b"; };
+    RemoteChangeProposer proposer(std::move(hooks));
+    CATCH_CHECK(proposer.propose(ControlMessages::CatalogueChange(), now + std::chrono::milliseconds(900)));
+}
