--- a/libraries/process/relay/relaychoice.cpp
+++ b/libraries/process/relay/relaychoice.cpp
@@ -38,11 +38,6 @@
     }
 }
 
-std::size_t RelayChoice::count() const
-{
-    return this->relays.size();
-}
-
 std::string RelayChoice::next(SteadyTime now, const RandomSource &random) const
 {
     using Rank = std::tuple<SteadyTime, bool, bool, std::uint64_t>;
--- a/libraries/process/relay/relaychoice.h
+++ b/libraries/process/relay/relaychoice.h
@@ -4,7 +4,6 @@
 #include "relay.pb.h"
 
 #include <chrono>
-#include <cstddef>
 #include <string>
 #include <vector>
 
@@ -21,9 +20,6 @@
     /// Adds or updates a relay, by what it reports of itself or another relay reports of it.
     void addOrUpdate(const RelayMessages::RelayAddress &reported);
 
-    /// Number of relays that are known.
-    std::size_t count() const;
-
     /// Address of the relay to connect to next, or empty when none is known. Prefers, in this order: the relay whose backoff ends first or is over,
     /// one that is reachable by other relays, and one of the VM's own failure domain. Breaks ties at random.
     std::string next(SteadyTime now, const RandomSource &random) const;
--- a/libraries/process/relay/relayuplink.cpp
+++ b/libraries/process/relay/relayuplink.cpp
@@ -13,12 +13,10 @@
 constexpr std::chrono::milliseconds initialReconnectDelay{30};
 constexpr std::chrono::milliseconds maximumReconnectDelay{500};
 constexpr std::chrono::milliseconds maximumConnectTimeout{2000};
-/// Updates are collected for longer in a larger fleet, so that a relay gets at most about this many messages a second from its VMs: while a team is at its
-/// limit, each VM has updates all the time, and the relay answers each message.
-constexpr double messagesPerRelayAndSecond = 2400;
+/// Updates are collected for longer in a larger fleet, whose relays get messages of more VMs.
 constexpr std::chrono::milliseconds minimumBatchDelay{4};
-/// Updates that only increase counts are collected for longer by this factor.
-constexpr double countsDelayFactor = 1.75;
+constexpr std::chrono::milliseconds maximumExtraDelay{30};
+constexpr std::uint32_t vmsPerMillisecond = 15;
 constexpr int maximumDoublings = 6;
 /// A relay that isn't current isn't tried again for this long. It may be current again as soon as the control group has elected a leader.
 constexpr std::chrono::milliseconds notCurrentBackoff{3000};
@@ -155,15 +153,8 @@
 UpdateBuffer::BatchDelay RelayUplink::batchDelay() const
 {
     std::lock_guard<std::mutex> lock(this->mutex);
-    return batchDelay(this->status.known_vms(), this->choice.count());
-}
-
-UpdateBuffer::BatchDelay RelayUplink::batchDelay(std::uint32_t vms, std::size_t relays)
-{
-    const double vmsPerRelay = static_cast<double>(vms) / static_cast<double>(std::max<std::size_t>(1, relays));
-    const std::chrono::duration<double> turn(vmsPerRelay / messagesPerRelayAndSecond);
-    const std::chrono::milliseconds urgent = std::max(minimumBatchDelay, std::chrono::ceil<std::chrono::milliseconds>(turn));
-    return {urgent, std::chrono::ceil<std::chrono::milliseconds>(urgent * countsDelayFactor)};
+    const std::chrono::milliseconds extra(static_cast<std::int64_t>(this->status.known_vms() / vmsPerMillisecond));
+    return {minimumBatchDelay + std::min(extra, maximumExtraDelay) / 2, minimumBatchDelay + std::min(extra, maximumExtraDelay)};
 }
 
 void RelayUplink::recordEnd(const std::string &address, bool hasReceived)
--- a/libraries/process/relay/relayuplink.h
+++ b/libraries/process/relay/relayuplink.h
@@ -71,9 +71,6 @@
     /// before the first confirmation.
     std::optional<std::chrono::milliseconds> knowledgeAge() const;
 
-    /// How long a VM collects updates in a fleet with this many VMs and relays.
-    static UpdateBuffer::BatchDelay batchDelay(std::uint32_t vms, std::size_t relays);
-
     /// Whether the relay sent its status within the last 500 ms and reported that it is current.
     bool isCurrent() const;
 
