--- a/libraries/process/relay/departurelog.cpp
+++ b/libraries/process/relay/departurelog.cpp
@@ -103,7 +103,7 @@
 {
     std::vector<RelayMessages::Registration> registrations;
     const bool isRead = boost::leaf::try_handle_all(
-        [this, &registrations]() -> boost::leaf::result<bool> {
+        [this]() -> boost::leaf::result<bool> {
             BOOST_LEAF_AUTO(bytes, this->disk.read(fileName));
             std::size_t offset = 0;
             while (bytes) {
