Control: Count a replica as up to date only after it has heard a leader

What callers saw: after the loss of all control VMs, a relay that had just started called itself current for up to an election timeout, with the copy of the configuration that its disk held. Entry VMs took that copy for the newest one and denied keys and routes that were added later. Cause: a replica counts its start as contact with a leader, so that it doesn't vote too early, and its committed index was compared with a leader's that it hadn't heard of yet (0). Change: isUpToDate() needs a message of a leader since the start; voting is as before.

--- a/libraries/process/control/raftelection.cpp
+++ b/libraries/process/control/raftelection.cpp
@@ -162,6 +162,7 @@
     this->becomeFollower(leaderTerm);
     this->currentLeader = leader;
     this->lastLeaderContact = this->hooks.now();
+    this->hasHeardLeader = true;
     this->delayElection();
 }
 
--- a/libraries/process/control/raftreplica.cpp
+++ b/libraries/process/control/raftreplica.cpp
@@ -119,7 +119,8 @@
 
 bool RaftReplica::isUpToDate() const
 {
-    const bool isCaughtUp = this->currentRole == Role::Leader || this->committed >= this->leaderCommittedIndex;
+    // A replica that has just started doesn't know what was committed while it wasn't running.
+    const bool isCaughtUp = this->currentRole == Role::Leader || (this->hasHeardLeader && this->committed >= this->leaderCommittedIndex);
     return !this->halted && this->hasLeaderContact() && isCaughtUp;
 }
 
--- a/libraries/process/control/raftreplica.h
+++ b/libraries/process/control/raftreplica.h
@@ -194,6 +194,8 @@
     Role currentRole = Role::Follower;
     std::string currentLeader;
     std::optional<SteadyTime> lastLeaderContact;
+    /// Whether a leader has sent a message since this object was created. lastLeaderContact is also set at the start.
+    bool hasHeardLeader = false;
     SteadyTime electionDue;
 
     bool preVoting = false;
--- a/tests/unit/process/control/raftreplicatest.cpp
+++ b/tests/unit/process/control/raftreplicatest.cpp
@@ -369,3 +369,24 @@
     replica.handleReply(peer, request, now, acknowledgement);
     CATCH_REQUIRE(replica.committedIndex() == 3);
 }
+
+// Guards against a control VM that serves an old copy of the catalogue after the loss of all control VMs and calls it current, so that its entry VMs deny keys
+// and routes that were added since.
+CATCH_TEST_CASE("A replica that has just started isn't up to date until it has heard a leader", "[control-log][config-in-force]")
+{
+    SimulatedGroup group(3, 5);
+    group.bootstrap();
+    proposeUntilDecided(group, "change", 3);
+    for (std::size_t node = 0; node < 3; ++node) {
+        group.kill(node);
+    }
+    group.start(0);
+    group.run(milliseconds(10));
+    CATCH_CHECK_FALSE(group.nodes[0].replica->isUpToDate());
+    group.start(1);
+    group.start(2);
+    CATCH_REQUIRE(group.runUntil([&group] {
+        return std::all_of(group.nodes.begin(), group.nodes.end(), [](const SimulatedGroup::Node &node) { return node.replica->isUpToDate(); });
+    }));
+    requireNoViolations(group);
+}
