Admission: Deny nothing for good by a catalogue that may be out of date

Cause: the lack of a key, route or permission was taken for proven by any catalogue that a VM had. Evidence: "A VM whose catalogue may be out of date denies nothing for good" fails with the former refusals put back (4 assertions). Change: ServingLease::isCatalogueCurrent() says whether a later catalogue may be in force; in a fleet with relays, a VM's is current while its relay has reported within 500 ms that it is current and knows no later configuration. Without that, the request is refused as not run, with 503 and Retry-After: 1. Requests that are malformed by any catalogue are denied as before.

--- a/bench/latency/openparts.h
+++ b/bench/latency/openparts.h
@@ -12,6 +12,11 @@
     {
         return true;
     }
+
+    bool isCatalogueCurrent() const override
+    {
+        return true;
+    }
 };
 
 class OpenLimiter : public Hyssophall::RateLimiter
--- a/libraries/process/fleet/quorumservinglease.cpp
+++ b/libraries/process/fleet/quorumservinglease.cpp
@@ -19,6 +19,11 @@
     return epoch.has_value() && *epoch == this->upToDateEpoch.load();
 }
 
+bool QuorumServingLease::isCatalogueCurrent() const
+{
+    return this->isHeld();
+}
+
 void QuorumServingLease::step()
 {
     const bool isBehind = this->context.catalogueVersion() < this->agent->greatestCatalogueVersion();
--- a/libraries/process/fleet/quorumservinglease.h
+++ b/libraries/process/fleet/quorumservinglease.h
@@ -21,6 +21,8 @@
     QuorumServingLease(FleetContext context, std::shared_ptr<LocalLeaseVoter> voter, std::chrono::milliseconds duration);
 
     bool isHeld() const override;
+    /// The same as isHeld(), since the lease depends on the greatest version that the voters know.
+    bool isCatalogueCurrent() const override;
 
     /// Sends the requests that are due. Called every 20 ms by one thread of QuorumNode.
     void step();
--- a/libraries/process/proxy/admission.cpp
+++ b/libraries/process/proxy/admission.cpp
@@ -26,6 +26,8 @@
 
 // Retry-After while the VM has no catalogue. A VM that has just started usually receives its first catalogue within this time.
 constexpr std::chrono::milliseconds catalogueRetryAfter{500};
+// Retry-After while a newer catalogue may be in force than the VM's. A VM that loses its relay reaches another one within this time.
+constexpr std::chrono::milliseconds outdatedRetryAfter{1000};
 
 /// Host header without its port. An IPv6 number is in brackets, so a colon before the closing bracket starts no port.
 std::string_view hostName(std::string_view host)
@@ -90,7 +92,7 @@
     const std::string *host = findHeader(headers, "Host");
     context.route = currentCatalogue->findRoute(host == nullptr ? std::string_view() : hostName(*host), request.http.method, targetPath(request.http.target));
     if (context.route == nullptr) {
-        return refuse(RefusalCode::RouteUnknown);
+        return this->deny(RefusalCode::RouteUnknown);
     }
     context.service = chooseService(*context.route, this->random());
     record.catalogueVersion = currentCatalogue->version();
@@ -138,7 +140,7 @@
 {
     context.keyHash = callerKeyHash(context.request->http.headers, this->options.headers);
     if (!context.keyHash) {
-        return refuse(RefusalCode::KeyMissing);
+        return this->deny(RefusalCode::KeyMissing);
     }
     // Without the serving lease the catalogue may be out of date: a key that it contains may have been withdrawn, and a key that it lacks may have been
     // created since. So neither result can be relied on.
@@ -148,12 +150,17 @@
     const std::shared_ptr<const CatalogueMessages::Key> key = currentCatalogue.findKey(*context.keyHash);
     context.team = key == nullptr ? nullptr : currentCatalogue.findTeam(key->team());
     if (context.team == nullptr) {
-        return refuse(RefusalCode::KeyUnknown);
+        return this->deny(RefusalCode::KeyUnknown);
     }
     if (!isTeamAllowed(*context.route, context.team->name())) {
-        return refuse(RefusalCode::RouteForbidden);
+        return this->deny(RefusalCode::RouteForbidden);
     }
     return {};
 }
 
+boost::leaf::error_id Admission::deny(RefusalCode code) const
+{
+    return this->lease.isCatalogueCurrent() ? refuse(code) : refuse(RefusalCode::VmIsolated, outdatedRetryAfter);
+}
+
 } // namespace Hyssophall
--- a/libraries/process/proxy/admission.h
+++ b/libraries/process/proxy/admission.h
@@ -34,6 +34,9 @@
 
 private:
     boost::leaf::result<void> authenticate(const CatalogueLookup &catalogue, RequestContext &context) const;
+    /// The refusal with @p code, which tells the caller not to send its request again. While this VM's catalogue may be out of date, a refusal that lets
+    /// the caller try again.
+    boost::leaf::error_id deny(RefusalCode code) const;
 
     const CatalogueLookupSource catalogue;
     const ServingLease &lease;
--- a/libraries/process/relay/relayuplink.cpp
+++ b/libraries/process/relay/relayuplink.cpp
@@ -107,6 +107,14 @@
     return this->statusReceivedAt && this->hooks.clock() - *this->statusReceivedAt < statusMaximumAge && this->status.current();
 }
 
+bool RelayUplink::hasLatestConfiguration() const
+{
+    const std::uint64_t own = this->hooks.configurationVersion();
+    std::lock_guard<std::mutex> lock(this->mutex);
+    return this->statusReceivedAt && this->hooks.clock() - *this->statusReceivedAt < statusMaximumAge && this->status.current()
+        && this->status.configuration_version() <= own;
+}
+
 void RelayUplink::keepConnected()
 {
     std::unique_lock<std::mutex> lock(this->mutex);
--- a/libraries/process/relay/relayuplink.h
+++ b/libraries/process/relay/relayuplink.h
@@ -74,6 +74,9 @@
     /// Whether the relay sent its status within the last 500 ms and reported that it is current.
     bool isCurrent() const;
 
+    /// Whether isCurrent() holds and the relay reported no later configuration than the one in force on this VM.
+    bool hasLatestConfiguration() const;
+
 private:
     void keepConnected();
     void receive(const RelayMessages::Update &update);
--- a/services/hyssophalld/relayparts.cpp
+++ b/services/hyssophalld/relayparts.cpp
@@ -32,6 +32,11 @@
         return this->node.isServing() && (!this->failClosed || this->node.uplink().isCurrent());
     }
 
+    bool isCatalogueCurrent() const override
+    {
+        return this->node.uplink().hasLatestConfiguration();
+    }
+
 private:
     const EntryNode &node;
     const bool failClosed;
--- a/tests/unit/process/proxy/requesthandlermocks.h
+++ b/tests/unit/process/proxy/requesthandlermocks.h
@@ -72,7 +72,13 @@
         return this->held;
     }
 
+    bool isCatalogueCurrent() const override
+    {
+        return this->current;
+    }
+
     bool held = true;
+    bool current = true;
 };
 
 class MockLimiter : public Hyssophall::RateLimiter
--- a/tests/unit/process/proxy/requesthandlertest.cpp
+++ b/tests/unit/process/proxy/requesthandlertest.cpp
@@ -52,6 +52,28 @@
     CATCH_CHECK(!mocked.handle("GET", "/open").refusal);
 }
 
+// Guards against denying for good what a newer catalogue allows: a VM whose relay is partitioned from the control group doesn't know the routes, keys and
+// permissions that were added since.
+CATCH_TEST_CASE("A VM whose catalogue may be out of date denies nothing for good", "[proxy][key-isolation][true-refusal]")
+{
+    MockedRequestHandler mocked;
+    mocked.lease.current = false;
+    CallerRequest request;
+    request.http = {"GET", "/read", {}, ""};
+    request.arrival = std::chrono::steady_clock::now();
+    requireRefusedUnsent(mocked, mocked.path.handle(request), RefusalCode::VmIsolated);
+    request.http.headers = {{"Authorization", "Bearer red-key2"}};
+    const CallerResponse unknownKey = mocked.path.handle(request);
+    requireRefusedUnsent(mocked, unknownKey, RefusalCode::VmIsolated);
+    CATCH_CHECK(unknownKey.http.status == 503);
+    CATCH_CHECK(*findHeader(unknownKey.http.headers, "Retry-After") == "1");
+    requireRefusedUnsent(mocked, mocked.handle("GET", "/blue"), RefusalCode::VmIsolated);
+    requireRefusedUnsent(mocked, mocked.handle("GET", "/none"), RefusalCode::VmIsolated);
+    // What is wrong by any catalogue is denied, and what this one allows is served.
+    requireRefusedUnsent(mocked, mocked.handle("GET", "/read/../blue"), RefusalCode::MalformedRequest);
+    CATCH_CHECK(!mocked.handle("GET", "/read").refusal);
+}
+
 // Guards against using a withdrawn key: a request can wait for a token, a claim and its connection after its admission, so the key is checked again.
 CATCH_TEST_CASE("A request whose key is withdrawn after its admission isn't sent", "[proxy][key-isolation][true-refusal]")
 {
