Relay: Prefer relays that may be current, and go home only to one that is

Cause: RelayChoice::next() preferred a reachable relay to one that may be current, and in the smaller part of a split the only reachable one is the other relay of that part. A VM went to the relay of its failure domain as soon as that was reachable, and left it again since it wasn't current yet. Evidence: "In the smaller part of a split, a VM prefers the relays that its relay doesn't reach" and "A VM switches to the relay of its failure domain only once that relay is current" fail on the former relaychoice.cpp (one assertion each). "A lost relay is chosen after those that are reachable and not current" passes there, too; it keeps the new order from bringing back an earlier fault. Change: one rule says whether a relay may be current, for the choice, for alternatives and for the way home.

--- a/libraries/process/relay/relaychoice.cpp
+++ b/libraries/process/relay/relaychoice.cpp
@@ -40,11 +40,16 @@
 
 std::string RelayChoice::next(SteadyTime now, const RandomSource &random) const
 {
-    using Rank = std::tuple<SteadyTime, bool, bool, std::uint64_t>;
+    using Rank = std::tuple<SteadyTime, bool, bool, bool, std::uint64_t>;
+    const bool reachesMajority = this->reportsMajority();
     std::string best;
     Rank bestRank;
     for (const Relay &relay : this->relays) {
-        const Rank rank{std::max({now, relay.avoidedUntil, relay.refusedUntil}), !relay.isReachable, !this->isLocal(relay), random()};
+        const Rank rank{std::max({now, relay.avoidedUntil, relay.refusedUntil}),
+            !mayBeCurrent(relay, reachesMajority),
+            !relay.isReachable,
+            !this->isLocal(relay),
+            random()};
         if (best.empty() || rank < bestRank) {
             best = relay.address;
             bestRank = rank;
@@ -100,12 +105,9 @@
 
 bool RelayChoice::hasAlternative(const std::string &address, SteadyTime now) const
 {
-    const std::ptrdiff_t reachable
-        = std::count_if(this->relays.begin(), this->relays.end(), [&address](const Relay &relay) { return relay.address == address || relay.isReachable; });
-    const bool reachesMajority = 2 * static_cast<std::size_t>(reachable) > this->relays.size();
+    const bool reachesMajority = this->reportsMajority(address);
     return std::any_of(this->relays.begin(), this->relays.end(), [&address, now, reachesMajority](const Relay &relay) {
-        const bool mayBeCurrent = !relay.isNotCurrent && (relay.isReachable || !reachesMajority);
-        return relay.address != address && mayBeCurrent && relay.avoidedUntil <= now && relay.refusedUntil <= now;
+        return relay.address != address && mayBeCurrent(relay, reachesMajority) && relay.avoidedUntil <= now && relay.refusedUntil <= now;
     });
 }
 
@@ -114,10 +116,22 @@
     const bool isConnectedLocally = std::any_of(
         this->relays.begin(), this->relays.end(), [this, &connectedTo](const Relay &relay) { return relay.address == connectedTo && this->isLocal(relay); });
     return !isConnectedLocally && std::any_of(this->relays.begin(), this->relays.end(), [this, now](const Relay &relay) {
-        return this->isLocal(relay) && relay.isReachable && relay.avoidedUntil <= now && relay.refusedUntil <= now;
+        return this->isLocal(relay) && relay.isReachable && !relay.isNotCurrent && relay.avoidedUntil <= now && relay.refusedUntil <= now;
     });
 }
 
+bool RelayChoice::reportsMajority(const std::string &reporter) const
+{
+    const std::ptrdiff_t reachable
+        = std::count_if(this->relays.begin(), this->relays.end(), [&reporter](const Relay &relay) { return relay.address == reporter || relay.isReachable; });
+    return 2 * static_cast<std::size_t>(reachable) > this->relays.size();
+}
+
+bool RelayChoice::mayBeCurrent(const Relay &relay, bool reachesMajority)
+{
+    return !relay.isNotCurrent && (relay.isReachable || !reachesMajority);
+}
+
 RelayChoice::Relay *RelayChoice::find(const std::string &address)
 {
     const auto found = std::find_if(this->relays.begin(), this->relays.end(), [&address](const Relay &relay) { return relay.address == address; });
--- a/libraries/process/relay/relaychoice.h
+++ b/libraries/process/relay/relaychoice.h
@@ -21,7 +21,7 @@
     void addOrUpdate(const RelayMessages::RelayAddress &reported);
 
     /// Address of the relay to connect to next, or empty when none is known. Prefers, in this order: the relay whose backoff ends first or is over,
-    /// one that is reachable by other relays, and one of the VM's own failure domain. Breaks ties at random.
+    /// one that may be current, one that is reachable by other relays, and one of the VM's own failure domain. Breaks ties at random.
     std::string next(SteadyTime now, const RandomSource &random) const;
 
     /// Call when a connection to the relay has failed or ended. The relay isn't tried for a backoff time that doubles with each failure.
@@ -46,7 +46,8 @@
     /// unreachable may be current only if @p address reaches no majority of the relays; otherwise it is the unreachable one that is lost.
     bool hasAlternative(const std::string &address, SteadyTime now) const;
 
-    /// Whether the VM is connected across failure domains while a relay of its own failure domain is reported as reachable and not in backoff.
+    /// Whether the VM is connected across failure domains while a relay of its own failure domain is reported as reachable and
+    /// current and is not in backoff.
     bool shouldSwitchToLocalRelay(const std::string &connectedTo, SteadyTime now) const;
 
 private:
@@ -64,6 +65,10 @@
     Relay *find(const std::string &address);
     const Relay *find(const std::string &address) const;
     bool isLocal(const Relay &relay) const;
+    /// Whether more than half of the relays are reachable as far as the latest reports say. @p reporter counts as reachable.
+    bool reportsMajority(const std::string &reporter = std::string()) const;
+    /// Whether the relay may be current: one that isn't reachable may be only if the reporting relay reached no majority of the relays.
+    static bool mayBeCurrent(const Relay &relay, bool reachesMajority);
 
     const std::string failureDomain;
     std::vector<Relay> relays;
--- a/tests/unit/process/relay/relaychoicetest.cpp
+++ b/tests/unit/process/relay/relaychoicetest.cpp
@@ -109,3 +109,52 @@
     CATCH_CHECK_FALSE(choice.hasAlternative("other:1", start));
     CATCH_CHECK(choice.hasAlternative("other:1", start + refusal));
 }
+
+// Guards against VMs that leave a relay in the smaller part of a split only for the other relay of that part, so that they keep the configuration from
+// before the split for seconds though they reach the larger part.
+CATCH_TEST_CASE("In the smaller part of a split, a VM prefers the relays that its relay doesn't reach", "[relay][config-in-force][large-fleet]")
+{
+    RelayChoice choice("c", {"c:1", "e:1", "a:1"});
+    RelayMessages::RelayAddress otherOfPart = relayOf("e:1", "e");
+    otherOfPart.set_not_current(true);
+    for (const RelayMessages::RelayAddress &relay :
+        {relayOf("c:1", "c"), otherOfPart, relayOf("a:1", "a", false), relayOf("b:1", "b", false), relayOf("d:1", "d", false)}) {
+        choice.addOrUpdate(relay);
+    }
+    choice.avoid("c:1", std::chrono::seconds(3), start);
+    const std::string chosen = choice.next(start, fixedRandom);
+    CATCH_CHECK((chosen == "a:1" || chosen == "b:1" || chosen == "d:1"));
+    // Once the larger part is known to be lost, too, the reachable one is next.
+    for (const char *address : {"a:1", "b:1", "d:1"}) {
+        choice.recordFailure(address, start);
+    }
+    CATCH_CHECK(choice.next(start, fixedRandom) == "e:1");
+}
+
+// Guards against a lost relay that is tried first by all VMs while the others elect a leader of the control group and none is current.
+CATCH_TEST_CASE("A lost relay is chosen after those that are reachable and not current", "[relay][large-fleet]")
+{
+    RelayChoice choice("f", {"a:1", "b:1", "lost:1"});
+    for (const char *address : {"a:1", "b:1"}) {
+        RelayMessages::RelayAddress relay = relayOf(address, "a");
+        relay.set_not_current(true);
+        choice.addOrUpdate(relay);
+    }
+    choice.addOrUpdate(relayOf("lost:1", "e", false));
+    CATCH_CHECK(choice.next(start, fixedRandom) != "lost:1");
+}
+
+// Guards against VMs that go back and forth after a split has healed: the relay of their failure domain is reachable again before it is current, and
+// they leave it again because it isn't.
+CATCH_TEST_CASE("A VM switches to the relay of its failure domain only once that relay is current", "[relay][large-fleet]")
+{
+    RelayChoice choice("c", {"a:1", "c:1"});
+    choice.addOrUpdate(relayOf("a:1", "a"));
+    RelayMessages::RelayAddress home = relayOf("c:1", "c");
+    home.set_not_current(true);
+    choice.addOrUpdate(home);
+    CATCH_CHECK_FALSE(choice.shouldSwitchToLocalRelay("a:1", start));
+    home.set_not_current(false);
+    choice.addOrUpdate(home);
+    CATCH_CHECK(choice.shouldSwitchToLocalRelay("a:1", start));
+}
