Relay: Test when a VM has the latest configuration

Guards the condition by which a VM denies requests for good, with stand-in relays: one that is current and knows a later configuration, one that ends, and one that isn't current.

--- a/tests/unit/process/relay/relayuplinktest.cpp
+++ b/tests/unit/process/relay/relayuplinktest.cpp
@@ -121,13 +121,18 @@
     return server;
 }
 
-std::unique_ptr<RelayUplink> uplinkTo(const std::vector<int> &ports)
+RelayUplink::Options uplinkOptions(const std::vector<int> &ports)
 {
     RelayUplink::Options options;
     for (const int port : ports) {
         options.seeds.push_back("127.0.0.1:" + std::to_string(port));
     }
     options.fleetSecret = "a secret of the tests";
+    return options;
+}
+
+RelayUplink::Hooks uplinkHooks()
+{
     RelayUplink::Hooks hooks;
     hooks.clock = std::chrono::steady_clock::now;
     hooks.random = [] { return std::uint64_t{1}; };
@@ -141,7 +146,12 @@
     hooks.recordVisibleShare = [](SteadyTime, SteadyTime, double) {};
     hooks.isConfigured = [] { return true; };
     hooks.configurationVersion = [] { return std::uint64_t{0}; };
-    return std::make_unique<RelayUplink>(options, hooks);
+    return hooks;
+}
+
+std::unique_ptr<RelayUplink> uplinkTo(const std::vector<int> &ports)
+{
+    return std::make_unique<RelayUplink>(uplinkOptions(ports), uplinkHooks());
 }
 
 /// A relay that keeps what its VM sends.
@@ -251,6 +261,34 @@
 
 } // namespace
 
+// Guards against denying for good by a configuration that is older than the relay's, or by one of a relay that isn't current.
+CATCH_TEST_CASE("A VM has the latest configuration only if its relay is current and knows no later one", "[relay][config-in-force]")
+{
+    std::atomic<std::uint64_t> ownVersion{relaysVersion - 1};
+    int port = 0;
+    ForgetfulRelay relay;
+    const std::unique_ptr<grpc::Server> server = startRelay(relay, port);
+    RelayUplink::Hooks hooks = uplinkHooks();
+    hooks.configurationVersion = [&ownVersion] { return ownVersion.load(); };
+    RelayUplink uplink(uplinkOptions({port}), hooks);
+    CATCH_CHECK_FALSE(uplink.hasLatestConfiguration());
+    CATCH_REQUIRE(isMet([&uplink] { return uplink.isCurrent(); }));
+    CATCH_CHECK_FALSE(uplink.hasLatestConfiguration());
+    ownVersion = relaysVersion;
+    CATCH_CHECK(uplink.hasLatestConfiguration());
+    server->Shutdown(std::chrono::system_clock::now());
+    CATCH_CHECK(isMet([&uplink] { return !uplink.hasLatestConfiguration(); }));
+
+    int otherPort = 0;
+    NotCurrentRelay notCurrent;
+    const std::unique_ptr<grpc::Server> otherServer = startRelay(notCurrent, otherPort);
+    const std::unique_ptr<RelayUplink> other = uplinkTo({otherPort});
+    CATCH_REQUIRE(isMet([&notCurrent] { return notCurrent.streams > 0; }));
+    std::this_thread::sleep_for(200ms);
+    CATCH_CHECK_FALSE(other->hasLatestConfiguration());
+    otherServer->Shutdown(std::chrono::system_clock::now());
+}
+
 // Guards against a VM that keeps an old configuration until its stream ends, because it missed the one message with the new one.
 CATCH_TEST_CASE("A VM that lacks its relay's configuration reconnects and gets it", "[relay][config-in-force]")
 {
