Admission: Record which catalogue has denied a request

"The record of a denied request names the version of the catalogue" checks it; on the former order of the lines it reads 0, by inspection (not run there).

--- a/libraries/process/proxy/admission.cpp
+++ b/libraries/process/proxy/admission.cpp
@@ -89,13 +89,13 @@
     if (!currentCatalogue->isLoaded()) {
         return refuse(RefusalCode::VmIsolated, catalogueRetryAfter);
     }
+    record.catalogueVersion = currentCatalogue->version();
     const std::string *host = findHeader(headers, "Host");
     context.route = currentCatalogue->findRoute(host == nullptr ? std::string_view() : hostName(*host), request.http.method, targetPath(request.http.target));
     if (context.route == nullptr) {
         return this->deny(RefusalCode::RouteUnknown);
     }
     context.service = chooseService(*context.route, this->random());
-    record.catalogueVersion = currentCatalogue->version();
     record.route = context.route->name();
     record.service = context.service;
     const std::chrono::milliseconds routeTimeout(context.route->timeout_milliseconds());
--- a/tests/unit/process/proxy/requesthandlertest.cpp
+++ b/tests/unit/process/proxy/requesthandlertest.cpp
@@ -1,5 +1,7 @@
 #include "unit/process/proxy/requesthandlermocks.h"
 
+#include "process/proxy/admission.h"
+
 #include <catch2/catch.hpp>
 
 using namespace Hyssophall;
@@ -74,6 +76,27 @@
     CATCH_CHECK(!mocked.handle("GET", "/read").refusal);
 }
 
+// Guards against logs that can't tell which catalogue has denied a request.
+CATCH_TEST_CASE("The record of a denied request names the version of the catalogue", "[proxy]")
+{
+    class VersionedLookup : public HyssophallTest::MockLookup
+    {
+    public:
+        std::uint64_t version() const override
+        {
+            return 7;
+        }
+    };
+    MockedRequestHandler mocked;
+    const std::shared_ptr<const CatalogueLookup> lookup = std::make_shared<VersionedLookup>();
+    const Admission admission([&lookup] { return lookup; }, mocked.lease, mocked.health, [] { return 1; }, {});
+    CallerRequest request;
+    request.http = {"GET", "/none", {}, ""};
+    RequestRecord record;
+    CATCH_CHECK_FALSE(admission.admit(request, record));
+    CATCH_CHECK(record.catalogueVersion == 7);
+}
+
 // Guards against using a withdrawn key: a request can wait for a token, a claim and its connection after its admission, so the key is checked again.
 CATCH_TEST_CASE("A request whose key is withdrawn after its admission isn't sent", "[proxy][key-isolation][true-refusal]")
 {
