Relay: Separate the decision to move from the connection

RelayUplink decided on moves inside the threads of its connection, so only a fleet over real connections could count them. RelayMoves gets statuses, time and random numbers and decides; RelayUplink acts on it. No behaviour changes.

--- /dev/null
+++ b/libraries/process/relay/relaymoves.cpp
@@ -0,0 +1,140 @@
+#include "process/relay/relaymoves.h"
+
+#include <algorithm>
+#include <glog/logging.h>
+#include <utility>
+
+namespace Hyssophall {
+
+namespace {
+
+/// Pause between two connections. It and the connect timeout double with each connection that fails in a row, so that a relay on which many VMs wait isn't
+/// kept busy by connections that are given up too early.
+constexpr std::chrono::milliseconds initialReconnectDelay{30};
+constexpr std::chrono::milliseconds maximumReconnectDelay{500};
+constexpr std::chrono::milliseconds maximumConnectTimeout{2000};
+constexpr int maximumDoublings = 6;
+/// A relay that isn't current isn't tried again for this long. It may be current again as soon as the control group has elected a leader.
+constexpr std::chrono::milliseconds notCurrentBackoff{3000};
+/// How long a relay may report that it isn't current before the VM leaves it. A change of the control group's leader takes about this long,
+/// and another relay wouldn't help meanwhile.
+constexpr std::chrono::milliseconds notCurrentTimeout{700};
+/// The same limit while the VM has no configuration. A relay that has a configuration sends it with its first message; a relay that started with
+/// an empty disk has none for a while.
+constexpr std::chrono::milliseconds unconfiguredTimeout{250};
+/// Both limits double with each relay in a row that the VM leaves for this reason. When no relay is current, moving helps nobody, and each move costs the next
+/// relay a full state.
+constexpr std::chrono::milliseconds maximumNotCurrentTimeout{16000};
+/// How long the relay's configuration may be newer than the VM's before the VM reconnects. A relay sends a configuration before it reports its
+/// version, and a VM applies it within milliseconds. The limit is half of the time that the platform allows for a configuration to come into
+/// force.
+constexpr std::chrono::milliseconds configurationTimeout{1000};
+constexpr std::uint64_t randomSteps = 1000;
+
+std::chrono::milliseconds doubled(std::chrono::milliseconds initial, int failures, std::chrono::milliseconds maximum)
+{
+    return std::min(initial * (1 << std::min(failures, maximumDoublings)), maximum);
+}
+
+} // namespace
+
+RelayMoves::RelayMoves(const std::string &failureDomain, const std::vector<std::string> &seeds, RandomSource random)
+    : random(std::move(random))
+    , choice(failureDomain, seeds)
+{
+}
+
+std::string RelayMoves::next(SteadyTime now) const
+{
+    return this->choice.next(now, this->random);
+}
+
+SteadyTime RelayMoves::refusedUntil(const std::string &address) const
+{
+    return this->choice.refusedUntil(address);
+}
+
+bool RelayMoves::isLocal(const std::string &address) const
+{
+    return this->choice.isLocal(address);
+}
+
+void RelayMoves::beginConnection(const std::string &address)
+{
+    this->connectedTo = address;
+    this->notCurrentSince.reset();
+    this->configurationBehindSince.reset();
+}
+
+std::chrono::milliseconds RelayMoves::connectTimeout(std::chrono::milliseconds minimum) const
+{
+    return doubled(minimum, this->failedConnections, maximumConnectTimeout);
+}
+
+void RelayMoves::update(const RelayMessages::RelayAddress &reported)
+{
+    this->choice.addOrUpdate(reported);
+}
+
+std::optional<RelayMoves::Reason> RelayMoves::applyStatus(const RelayMessages::RelayStatus &status, const Configuration &own, SteadyTime now)
+{
+    if (this->isBehind(status, own.version, now)) {
+        return Reason::ConfigurationBehind;
+    }
+    if (status.current()) {
+        this->notCurrentSince.reset();
+        this->movesFromNotCurrent = 0;
+        this->choice.recordSuccess(this->connectedTo);
+        return this->choice.shouldSwitchToLocalRelay(this->connectedTo, now) ? std::optional<Reason>(Reason::LocalRelay) : std::nullopt;
+    }
+    if (!this->notCurrentSince) {
+        this->notCurrentSince = now;
+        // Spreads the moves of VMs whose relays cease to be current at the same time.
+        this->moveDelayFactor = 1 + static_cast<double>(this->random() % randomSteps) / randomSteps;
+    }
+    if (!this->isBetterElsewhere(own, now)) {
+        return std::nullopt;
+    }
+    ++this->movesFromNotCurrent;
+    this->choice.avoid(this->connectedTo, notCurrentBackoff, now);
+    return Reason::NotCurrent;
+}
+
+bool RelayMoves::isBehind(const RelayMessages::RelayStatus &status, std::uint64_t ownVersion, SteadyTime now)
+{
+    if (status.configuration_version() <= ownVersion) {
+        this->configurationBehindSince.reset();
+        return false;
+    }
+    if (!this->configurationBehindSince) {
+        this->configurationBehindSince = now;
+    }
+    return now - *this->configurationBehindSince >= configurationTimeout;
+}
+
+bool RelayMoves::isBetterElsewhere(const Configuration &own, SteadyTime now)
+{
+    const std::chrono::milliseconds timeout
+        = doubled(own.isLoaded ? notCurrentTimeout : unconfiguredTimeout, this->movesFromNotCurrent, maximumNotCurrentTimeout);
+    return now - *this->notCurrentSince >= timeout * this->moveDelayFactor && this->choice.hasAlternative(this->connectedTo, now);
+}
+
+void RelayMoves::recordRefusal(std::chrono::milliseconds duration, SteadyTime now)
+{
+    this->choice.recordRefusal(this->connectedTo, duration, now);
+}
+
+void RelayMoves::recordEnd(bool hasReceived, SteadyTime now)
+{
+    this->failedConnections = hasReceived ? 0 : this->failedConnections + 1;
+    this->choice.recordFailure(this->connectedTo, now);
+}
+
+std::chrono::milliseconds RelayMoves::reconnectDelay() const
+{
+    const std::chrono::milliseconds delay = doubled(initialReconnectDelay, this->failedConnections, maximumReconnectDelay);
+    // Between half and all of it, so that VMs that were disconnected together don't come back together.
+    return delay / 2 + std::chrono::milliseconds(this->random() % static_cast<std::uint64_t>(delay.count() / 2 + 1));
+}
+
+} // namespace Hyssophall
--- /dev/null
+++ b/libraries/process/relay/relaymoves.h
@@ -0,0 +1,76 @@
+#pragma once
+
+#include "process/hooks.h"
+#include "process/relay/relaychoice.h"
+
+#include <array>
+#include <chrono>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace Hyssophall {
+
+/// Decides when a VM leaves its relay, which one it connects to next and when. Has no thread and no connection. Not thread-safe.
+class RelayMoves
+{
+public:
+    /// Why a connection to a relay ended or wasn't established.
+    enum class Reason {
+        NotCurrent,
+        LocalRelay,
+        ConfigurationBehind,
+        ConnectionEnded,
+        NotConnected,
+        Refused,
+    };
+    static constexpr std::size_t reasonCount = 6;
+
+    /// What a VM has in force when a status arrives.
+    struct Configuration {
+        bool isLoaded = false;
+        /// Includes the configuration that has arrived with the status.
+        std::uint64_t version = 0;
+    };
+
+    RelayMoves(const std::string &failureDomain, const std::vector<std::string> &seeds, RandomSource random);
+
+    /// Address of the relay to connect to, or empty when none is known.
+    std::string next(SteadyTime now) const;
+    SteadyTime refusedUntil(const std::string &address) const;
+    bool isLocal(const std::string &address) const;
+
+    void beginConnection(const std::string &address);
+    /// Time limit for the connection that begins; at least @p minimum.
+    std::chrono::milliseconds connectTimeout(std::chrono::milliseconds minimum) const;
+
+    void update(const RelayMessages::RelayAddress &reported);
+    /// Returns why the connection is to be ended, or nothing if the VM stays with its relay.
+    std::optional<Reason> applyStatus(const RelayMessages::RelayStatus &status, const Configuration &own, SteadyTime now);
+    /// Call instead of recordEnd() when the relay has refused the connection for this long.
+    void recordRefusal(std::chrono::milliseconds duration, SteadyTime now);
+    void recordEnd(bool hasReceived, SteadyTime now);
+    /// Pause before the next connection.
+    std::chrono::milliseconds reconnectDelay() const;
+
+private:
+    bool isBehind(const RelayMessages::RelayStatus &status, std::uint64_t ownVersion, SteadyTime now);
+    bool isBetterElsewhere(const Configuration &own, SteadyTime now);
+
+    const RandomSource random;
+    RelayChoice choice;
+    std::string connectedTo;
+    /// Connections in a row on which no message was received.
+    int failedConnections = 0;
+    /// Since when the relay has reported that it isn't current.
+    std::optional<SteadyTime> notCurrentSince;
+    /// From 1 to 2: by which the time is multiplied for which this VM stays with its relay that isn't current.
+    double moveDelayFactor = 1;
+    /// Relays in a row that this VM has left because they weren't current.
+    int movesFromNotCurrent = 0;
+    /// Since when the relay has reported a later configuration than the one in force on this VM.
+    std::optional<SteadyTime> configurationBehindSince;
+};
+
+} // namespace Hyssophall
--- a/libraries/process/relay/relayuplink.h
+++ b/libraries/process/relay/relayuplink.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "process/relay/relaychoice.h"
 #include "process/relay/relaylink.h"
+#include "process/relay/relaymoves.h"
 
 #include <condition_variable>
 #include <deque>
@@ -86,13 +86,9 @@
     // These are called with the mutex held.
     RelayLink::Options linkOptions(const std::string &address) const;
     void recordEnd(const std::string &address, bool hasReceived);
-    std::chrono::milliseconds reconnectDelay() const;
     double reportedShare() const;
     void applyConfirmation(std::uint64_t confirmed);
     void applyStatus(const RelayMessages::RelayStatus &status);
-    void switchToLocalRelay(SteadyTime now);
-    void switchRelayIfNotCurrent(SteadyTime now);
-    void reconnectIfBehind(SteadyTime now);
 
     const Options options;
     const Hooks hooks;
@@ -100,9 +96,7 @@
     mutable std::mutex mutex;
     std::condition_variable stopped;
     bool stopping = false;
-    RelayChoice choice;
-    /// Connections in a row on which no message was received.
-    int failedConnections = 0;
+    RelayMoves moves;
     std::string connectedTo;
     /// How long the relay of the present connection refuses this VM; empty if it has accepted it.
     std::optional<std::chrono::milliseconds> refusal;
@@ -119,14 +113,6 @@
     std::optional<SteadyTime> confirmedSentAt;
     /// End of the visible period of the present connection, for which it has delivered the updates of the other VMs. Empty before its first message.
     std::optional<SteadyTime> visibleUntil;
-    /// Since when the relay has reported that it isn't current.
-    std::optional<SteadyTime> notCurrentSince;
-    /// From 1 to 2: by which the time is multiplied for which this VM stays with its relay that isn't current.
-    double moveDelayFactor = 1;
-    /// Relays in a row that this VM has left because they weren't current.
-    int movesFromNotCurrent = 0;
-    /// Since when the relay has reported a later configuration than the one in force on this VM.
-    std::optional<SteadyTime> configurationBehindSince;
     std::thread thread;
 };
 
