Relay: Leave a relay that isn't current only for one that has been better for a while

What callers saw: after a time without a leader of the control group, most VMs moved at once, and each move costs a relay a full state and the VM what it knew. Cause: a VM counted the time for which its relay wasn't current, whether or not another one was. So the first relay that followed a new leader drew all VMs of the others, and then the next one did. One status of a current relay reset the growing pause. In the smaller part of a split, which can't become current, VMs waited for as long as in an election. Change: the wait begins when the relay isn't current and another one may be, and begins anew when that ends. The pause is reset once a relay has stayed current for 10 s. In the smaller part of a split, VMs leave after 0.25 to 0.5 s.

--- a/libraries/process/relay/relaychoice.h
+++ b/libraries/process/relay/relaychoice.h
@@ -46,6 +46,9 @@
     /// unreachable may be current only if @p address reaches no majority of the relays; otherwise it is the unreachable one that is lost.
     bool hasAlternative(const std::string &address, SteadyTime now) const;
 
+    /// Whether more than half of the relays are reachable as far as the latest reports say. @p reporter counts as reachable.
+    bool reportsMajority(const std::string &reporter = std::string()) const;
+
     /// Whether the VM is connected across failure domains while a relay of its own failure domain is reported as reachable and
     /// current and is not in backoff.
     bool shouldSwitchToLocalRelay(const std::string &connectedTo, SteadyTime now) const;
@@ -65,8 +68,6 @@
     Relay *find(const std::string &address);
     const Relay *find(const std::string &address) const;
     bool isLocal(const Relay &relay) const;
-    /// Whether more than half of the relays are reachable as far as the latest reports say. @p reporter counts as reachable.
-    bool reportsMajority(const std::string &reporter = std::string()) const;
     /// Whether the relay may be current: one that isn't reachable may be only if the reporting relay reached no majority of the relays.
     static bool mayBeCurrent(const Relay &relay, bool reachesMajority);
 
--- a/libraries/process/relay/relaymoves.cpp
+++ b/libraries/process/relay/relaymoves.cpp
@@ -16,15 +16,17 @@
 constexpr int maximumDoublings = 6;
 /// A relay that isn't current isn't tried again for this long. It may be current again as soon as the control group has elected a leader.
 constexpr std::chrono::milliseconds notCurrentBackoff{3000};
-/// How long a relay may report that it isn't current before the VM leaves it. A change of the control group's leader takes about this long,
-/// and another relay wouldn't help meanwhile.
+/// How long a relay may report that it isn't current, and another one that may be, before the VM leaves it. Relays follow a new leader of the control group
+/// at different times; most VMs whose relay is late needn't move.
 constexpr std::chrono::milliseconds notCurrentTimeout{700};
-/// The same limit while the VM has no configuration. A relay that has a configuration sends it with its first message; a relay that started with
-/// an empty disk has none for a while.
-constexpr std::chrono::milliseconds unconfiguredTimeout{250};
-/// Both limits double with each relay in a row that the VM leaves for this reason. When no relay is current, moving helps nobody, and each move costs the next
-/// relay a full state.
+/// The same limit while the relay is in the smaller part of a split, where it can't become current, or the VM has no configuration. A relay that has a
+/// configuration sends it with its first message; a relay that started with an empty disk has none for a while.
+constexpr std::chrono::milliseconds shortNotCurrentTimeout{250};
+/// Both limits double with each relay that the VM leaves for this reason before it has found one that stays current. When no relay is current, moving helps
+/// nobody, and each move costs the next relay a full state.
 constexpr std::chrono::milliseconds maximumNotCurrentTimeout{16000};
+/// A connection on which the relay has been current for this long resets growing pauses.
+constexpr std::chrono::milliseconds stableDuration{10000};
 /// How long the relay's configuration may be newer than the VM's before the VM reconnects. A relay sends a configuration before it reports its
 /// version, and a VM applies it within milliseconds. The limit is half of the time that the platform allows for a configuration to come into
 /// force.
@@ -62,7 +64,8 @@
 void RelayMoves::beginConnection(const std::string &address)
 {
     this->connectedTo = address;
-    this->notCurrentSince.reset();
+    this->currentSince.reset();
+    this->betterElsewhereSince.reset();
     this->configurationBehindSince.reset();
 }
 
@@ -82,16 +85,15 @@
         return Reason::ConfigurationBehind;
     }
     if (status.current()) {
-        this->notCurrentSince.reset();
-        this->movesFromNotCurrent = 0;
+        this->betterElsewhereSince.reset();
+        this->currentSince = this->currentSince.value_or(now);
+        if (now - *this->currentSince >= stableDuration) {
+            this->movesFromNotCurrent = 0;
+        }
         this->choice.recordSuccess(this->connectedTo);
         return this->choice.shouldSwitchToLocalRelay(this->connectedTo, now) ? std::optional<Reason>(Reason::LocalRelay) : std::nullopt;
     }
-    if (!this->notCurrentSince) {
-        this->notCurrentSince = now;
-        // Spreads the moves of VMs whose relays cease to be current at the same time.
-        this->moveDelayFactor = 1 + static_cast<double>(this->random() % randomSteps) / randomSteps;
-    }
+    this->currentSince.reset();
     if (!this->isBetterElsewhere(own, now)) {
         return std::nullopt;
     }
@@ -114,9 +116,19 @@
 
 bool RelayMoves::isBetterElsewhere(const Configuration &own, SteadyTime now)
 {
+    if (!this->choice.hasAlternative(this->connectedTo, now)) {
+        this->betterElsewhereSince.reset();
+        return false;
+    }
+    if (!this->betterElsewhereSince) {
+        this->betterElsewhereSince = now;
+        // Spreads the moves of VMs whose relays cease to be current at the same time.
+        this->moveDelayFactor = 1 + static_cast<double>(this->random() % randomSteps) / randomSteps;
+    }
+    const bool mayBecomeCurrent = own.isLoaded && this->choice.reportsMajority(this->connectedTo);
     const std::chrono::milliseconds timeout
-        = doubled(own.isLoaded ? notCurrentTimeout : unconfiguredTimeout, this->movesFromNotCurrent, maximumNotCurrentTimeout);
-    return now - *this->notCurrentSince >= timeout * this->moveDelayFactor && this->choice.hasAlternative(this->connectedTo, now);
+        = doubled(mayBecomeCurrent ? notCurrentTimeout : shortNotCurrentTimeout, this->movesFromNotCurrent, maximumNotCurrentTimeout);
+    return now - *this->betterElsewhereSince >= timeout * this->moveDelayFactor;
 }
 
 void RelayMoves::recordRefusal(std::chrono::milliseconds duration, SteadyTime now)
--- a/libraries/process/relay/relaymoves.h
+++ b/libraries/process/relay/relaymoves.h
@@ -56,6 +56,7 @@
 
 private:
     bool isBehind(const RelayMessages::RelayStatus &status, std::uint64_t ownVersion, SteadyTime now);
+    /// Whether the relay, which isn't current, is to be left for one that may be.
     bool isBetterElsewhere(const Configuration &own, SteadyTime now);
 
     const RandomSource random;
@@ -63,11 +64,13 @@
     std::string connectedTo;
     /// Connections in a row on which no message was received.
     int failedConnections = 0;
-    /// Since when the relay has reported that it isn't current.
-    std::optional<SteadyTime> notCurrentSince;
+    /// Since when the relay has reported on the present connection that it is current.
+    std::optional<SteadyTime> currentSince;
+    /// Since when the relay has reported that it isn't current and another one may be.
+    std::optional<SteadyTime> betterElsewhereSince;
     /// From 1 to 2: by which the time is multiplied for which this VM stays with its relay that isn't current.
     double moveDelayFactor = 1;
-    /// Relays in a row that this VM has left because they weren't current.
+    /// Relays that this VM has left because they weren't current, since it was last connected to one that stayed current.
     int movesFromNotCurrent = 0;
     /// Since when the relay has reported a later configuration than the one in force on this VM.
     std::optional<SteadyTime> configurationBehindSince;
