Control: Tell candidates of the terms in which a replica may not vote

Cause: a replica that recalls its position doesn't vote in terms up to the highest one that a peer reports. If that peer is lost afterwards and the others never saw its term, a candidate with a longer log asks again and again in a lower term: it isn't told why it gets no vote, and pre-vote raises nobody's term. The replica that knows the term can't win itself with its shorter log. Change: a vote reply in such a term names the term before the first one in which the replica may vote, and the candidate takes it over. When a replica may vote is unchanged.

--- a/libraries/process/control/raftelection.cpp
+++ b/libraries/process/control/raftelection.cpp
@@ -27,6 +27,7 @@
     if (request.pre_vote()) {
         reply.set_term(this->currentTerm);
         reply.set_granted(request.term() > this->currentTerm && this->mayVoteFor(request));
+        this->reportFirstVotableTerm(request, reply);
         return reply;
     }
     if (request.term() > this->currentTerm) {
@@ -38,9 +39,19 @@
         this->delayElection();
     }
     reply.set_term(this->currentTerm);
+    this->reportFirstVotableTerm(request, reply);
     return reply;
 }
 
+void RaftReplica::reportFirstVotableTerm(const ControlMessages::VoteRequest &request, ControlMessages::VoteReply &reply) const
+{
+    // Only this replica may know of the terms before, if the replica that reported them is lost. A candidate that isn't told never reaches a term in
+    // which it can get this vote.
+    if (request.term() < this->firstVotableTerm) {
+        reply.set_term(std::max(this->currentTerm, this->firstVotableTerm - 1));
+    }
+}
+
 bool RaftReplica::mayVoteFor(const ControlMessages::VoteRequest &request) const
 {
     if (!this->isVoting() || request.term() < this->firstVotableTerm) {
--- a/libraries/process/control/raftreplica.h
+++ b/libraries/process/control/raftreplica.h
@@ -141,6 +141,8 @@
 
     // Elections.
     bool mayVoteFor(const ControlMessages::VoteRequest &request) const;
+    /// Tells a candidate of a term in which this replica may not vote that there were later ones.
+    void reportFirstVotableTerm(const ControlMessages::VoteRequest &request, ControlMessages::VoteReply &reply) const;
     /// Whether the leader's last message, or as a leader a majority's replies, are newer than an election timeout.
     bool mayCampaign() const;
     void campaign(bool preVote);
--- /dev/null
+++ b/tests/unit/process/control/diskfailuretest.cpp
@@ -0,0 +1,200 @@
+// Failures of the disks of the control group's replicas.
+
+#include "unit/process/control/simulatedgroup.h"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <cstdlib>
+#include <set>
+#include <string>
+#include <vector>
+
+using namespace Hyssophall;
+
+namespace {
+
+using std::chrono::milliseconds;
+
+/// Number of seeds of a test; the environment variable raises it for longer runs by hand.
+std::uint64_t seedCount(std::uint64_t usual)
+{
+    const char *const configured = std::getenv("HYSSOPHALL_DISK_SEEDS");
+    return configured != nullptr ? std::strtoull(configured, nullptr, 10) : usual;
+}
+
+/// What a control VM does about its own replica: ControlNode::reopenIfDiskRecovered(), and the restart of a process that has ended.
+class Maintenance
+{
+public:
+    explicit Maintenance(SimulatedGroup &group)
+        : group(group)
+        , untilReopen(group.nodes.size(), milliseconds(0))
+    {
+    }
+
+    void run(milliseconds duration)
+    {
+        for (milliseconds elapsed(0); elapsed < duration; elapsed += interval) {
+            this->group.run(interval);
+            for (std::size_t node = 0; node < this->group.nodes.size(); ++node) {
+                this->maintain(node);
+            }
+        }
+    }
+
+    /// Proposes a change until a leader has an outcome for it. Returns whether it had within the time.
+    bool decide(const std::string &changeId, milliseconds timeout)
+    {
+        for (milliseconds elapsed(0); elapsed < timeout; elapsed += interval) {
+            const std::size_t leader = this->group.leader();
+            if (leader < this->group.nodes.size() && this->group.decidedAt(leader, changeId)) {
+                return true;
+            }
+            this->group.propose(changeId);
+            this->run(interval);
+        }
+        return false;
+    }
+
+    /// Nodes that stay down.
+    std::set<std::size_t> lost;
+
+private:
+    static constexpr milliseconds interval{200};
+    static constexpr milliseconds reopenInterval{5000};
+
+    void maintain(std::size_t node)
+    {
+        this->untilReopen[node] -= interval;
+        SimulatedGroup::Node &each = this->group.nodes[node];
+        if (this->lost.contains(node)) {
+            return;
+        }
+        if (!each.replica) {
+            this->group.start(node);
+        } else if (each.replica->isHalted() && !each.disk->isFull() && this->untilReopen[node] <= milliseconds(0)) {
+            this->untilReopen[node] = reopenInterval;
+            this->group.reopen(node);
+        }
+    }
+
+    SimulatedGroup &group;
+    std::vector<milliseconds> untilReopen;
+};
+
+/// The replica is reopened at most 5 s after its disk has room, may wait 10 s for positions, and an election takes up to 2 s.
+constexpr milliseconds decisionBound{17000};
+
+void changeGroup(SimulatedGroup &group, std::size_t node)
+{
+    const std::size_t leader = group.leader();
+    if (leader == group.nodes.size() || !group.nodes[node].replica || leader == node) {
+        return;
+    }
+    RaftReplica &replica = *group.nodes[leader].replica;
+    if (ReplicaGroup::find(replica.log().configuration(), group.nodes[node].id) != nullptr) {
+        replica.removeReplica(group.nodes[node].id);
+    } else {
+        replica.putReplica(group.replicaOf(node));
+    }
+}
+
+void requireNoViolations(SimulatedGroup &group)
+{
+    const std::vector<std::string> none;
+    group.checkAgreement();
+    CATCH_REQUIRE(group.violations == none);
+}
+
+} // namespace
+
+// Guards against replicas that stop for good after their disks were full one after another, and against changes that are lost by it.
+CATCH_TEST_CASE("Disks that were full one after another leave a group that decides again", "[control-log][config-in-force]")
+{
+    for (std::uint64_t seed = 1; seed <= seedCount(20); ++seed) {
+        CATCH_CAPTURE(seed);
+        SimulatedGroup group(seed % 2 == 0 ? 3 : 5, seed);
+        group.compactEvery = 2 + seed % 10;
+        group.bootstrap();
+        Maintenance maintenance(group);
+        std::size_t victim = group.random() % group.nodes.size();
+        int number = 0;
+        for (int turn = 0; turn < 15; ++turn) {
+            // Half of the turns fill the leader's disk.
+            const std::size_t leader = group.leader();
+            victim = group.random() % 2 == 0 && leader < group.nodes.size() ? leader : (victim + 1) % group.nodes.size();
+            group.nodes[victim].disk->fill();
+            const int steps = 1 + static_cast<int>(group.random() % 15);
+            for (int step = 0; step < steps; ++step) {
+                group.propose("turn-" + std::to_string(number++));
+                const std::uint64_t event = group.random() % 20;
+                if (event == 0) {
+                    group.endProcess(victim);
+                } else if (event == 1) {
+                    group.kill(victim);
+                } else if (event == 2) {
+                    changeGroup(group, group.random() % group.nodes.size());
+                }
+                maintenance.run(milliseconds(200));
+            }
+            group.nodes[victim].disk->makeRoom();
+            maintenance.run(milliseconds(200 * (group.random() % 3)));
+        }
+        CATCH_CHECK(maintenance.decide("last", decisionBound));
+        requireNoViolations(group);
+    }
+}
+
+// Guards against survivors that form a majority and elect no leader for good, since one of them refuses its vote in all terms that the others reach.
+CATCH_TEST_CASE("Any majority decides after disks and links have failed and the others are lost", "[control-log][config-in-force]")
+{
+    for (std::uint64_t seed = 1; seed <= seedCount(220); ++seed) {
+        CATCH_CAPTURE(seed);
+        SimulatedGroup group(seed % 2 == 0 ? 3 : 5, seed);
+        group.compactEvery = 2 + seed % 10;
+        group.bootstrap();
+        Maintenance maintenance(group);
+        for (int round = 0; round < 40; ++round) {
+            const std::size_t node = group.random() % group.nodes.size();
+            const std::size_t other = group.random() % group.nodes.size();
+            switch (group.random() % 6) {
+            case 0:
+                group.cutLink(node, other);
+                break;
+            case 1:
+                group.heal();
+                break;
+            case 2:
+                group.nodes[node].disk->fill();
+                break;
+            case 3:
+                group.nodes[node].disk->makeRoom();
+                break;
+            case 4:
+                group.kill(node);
+                break;
+            default:
+                break;
+            }
+            group.propose("round-" + std::to_string(round));
+            group.run(milliseconds(group.random() % 300));
+            if (group.random() % 2 == 0) {
+                maintenance.run(milliseconds(200));
+            }
+        }
+        group.heal();
+        std::vector<std::size_t> order;
+        for (std::size_t node = 0; node < group.nodes.size(); ++node) {
+            group.nodes[node].disk->makeRoom();
+            order.push_back(node);
+        }
+        std::shuffle(order.begin(), order.end(), group.random);
+        for (std::size_t count = 0; count < group.nodes.size() / 2; ++count) {
+            maintenance.lost.insert(order[count]);
+            group.kill(order[count]);
+        }
+        CATCH_CHECK(maintenance.decide("last", decisionBound));
+        requireNoViolations(group);
+    }
+}
--- a/tests/unit/process/control/simulateddisk.h
+++ b/tests/unit/process/control/simulateddisk.h
@@ -29,6 +29,22 @@
         return this->operationsLeft == 0;
     }
 
+    /// Until makeRoom(), writes fail after a random part of their bytes. Names and lengths can still be changed, and files synced.
+    void fill()
+    {
+        this->full = true;
+    }
+
+    void makeRoom()
+    {
+        this->full = false;
+    }
+
+    bool isFull() const
+    {
+        return this->full;
+    }
+
     void crash()
     {
         this->operationsLeft = neverFails;
@@ -75,11 +91,19 @@
 
     boost::leaf::result<void> write(const std::string &name, const std::string &bytes) override
     {
+        if (this->full) {
+            this->open(name).current = this->randomPartOf(bytes);
+            return boost::leaf::new_error(StorageError{StorageError::Kind::Failed, name});
+        }
         return this->perform(name, [this, &name, &bytes] { this->open(name).current = bytes; });
     }
 
     boost::leaf::result<void> append(const std::string &name, const std::string &bytes) override
     {
+        if (this->full) {
+            this->open(name).current += this->randomPartOf(bytes);
+            return boost::leaf::new_error(StorageError{StorageError::Kind::Failed, name});
+        }
         return this->perform(name, [this, &name, &bytes] { this->open(name).current += bytes; });
     }
 
@@ -128,6 +152,11 @@
         return *file;
     }
 
+    std::string randomPartOf(const std::string &bytes)
+    {
+        return bytes.substr(0, this->random() % 2 == 0 ? 0 : this->random() % (bytes.size() + 1));
+    }
+
     template<typename Operation>
     boost::leaf::result<void> perform(const std::string &name, Operation operation)
     {
@@ -148,6 +177,7 @@
     std::map<std::string, std::shared_ptr<File>> durableNames;
     std::uint64_t operationsLeft = neverFails;
     bool failed = false;
+    bool full = false;
 };
 
 } // namespace Hyssophall
--- a/tests/unit/process/control/simulatedgroup.cpp
+++ b/tests/unit/process/control/simulatedgroup.cpp
@@ -22,9 +22,26 @@
     if (!storage) {
         return;
     }
-    node.storage = std::move(*storage);
     node.catalogue = NaiveCatalogue();
     node.state = std::make_unique<ControlState>(node.catalogue);
+    this->createReplica(index, std::move(*storage));
+}
+
+bool SimulatedGroup::reopen(std::size_t index)
+{
+    boost::leaf::result<std::unique_ptr<LogStorage>> storage = LogStorage::create(*this->nodes[index].disk, [this] { return this->random(); });
+    if (!storage) {
+        return false;
+    }
+    this->createReplica(index, std::move(*storage));
+    return true;
+}
+
+void SimulatedGroup::createReplica(std::size_t index, std::unique_ptr<LogStorage> opened)
+{
+    Node &node = this->nodes[index];
+    node.replica.reset();
+    node.storage = std::move(opened);
     RaftReplica::Options options;
     options.id = node.id;
     RaftReplica::Hooks hooks{[this] { return this->now; },
@@ -40,6 +57,11 @@
     this->nodes[node].disk->crash();
 }
 
+void SimulatedGroup::endProcess(std::size_t node)
+{
+    this->nodes[node].replica.reset();
+}
+
 void SimulatedGroup::loseDisk(std::size_t node)
 {
     this->kill(node);
--- a/tests/unit/process/control/simulatedgroup.h
+++ b/tests/unit/process/control/simulatedgroup.h
@@ -79,6 +79,10 @@
 
     void start(std::size_t node);
     void kill(std::size_t node);
+    /// Ends the process without a loss of power.
+    void endProcess(std::size_t node);
+    /// As ControlGroup::reopen(): replaces a halted replica by one with the state that the disk holds now. Returns whether that succeeded.
+    bool reopen(std::size_t node);
     /// Starts all nodes that are down or whose disk has failed.
     void restartFailed();
     void loseDisk(std::size_t node);
@@ -108,6 +112,7 @@
     void deliver(std::size_t to, std::function<void()> delivery);
     void sendRequest(std::size_t from, const ControlMessages::Replica &peer, const RaftReplica::Request &request);
     void step();
+    void createReplica(std::size_t node, std::unique_ptr<LogStorage> opened);
     void applyAndCheckCommitted(Node &node);
     std::size_t indexOf(const std::string &id) const;
 
