Control: Replace entries of the log in one step

Cause: a follower that gets other entries from a new leader removed its own and then stored the new ones. If its disk fails or its process ends in between, its log ends before entries that it has acknowledged to the former leader. That one still answers its recall, so it doesn't vote until a leader has sent it later entries. If the new leader is lost by then, its vote is needed to elect another. Change: LogStorage::replaceAfter() writes the kept and the new entries to a new file and renames it, so the disk holds the former or all of the new entries. The form of the files is unchanged. Which replica may vote is unchanged, too.

--- a/libraries/process/control/logstorage.cpp
+++ b/libraries/process/control/logstorage.cpp
@@ -188,17 +188,47 @@
 
 boost::leaf::result<void> LogStorage::truncateAfter(std::uint64_t index)
 {
-    const std::map<std::uint64_t, std::uint64_t>::const_iterator firstDropped = this->entryEnds.upper_bound(index);
     State next = this->state;
-    next.syncedLength = firstDropped == this->entryEnds.begin() ? 0 : std::prev(firstDropped)->second;
+    next.syncedLength = this->lengthUpTo(index);
     // The shorter length is stored before the file is truncated. A crash in between leaves the old entries, which is the valid state from before.
     BOOST_LEAF_CHECK(this->storeState(next));
     BOOST_LEAF_CHECK(this->disk.truncate(this->logName(next.generation), next.syncedLength));
     BOOST_LEAF_CHECK(this->disk.sync(this->logName(next.generation)));
-    this->entryEnds.erase(firstDropped, this->entryEnds.end());
+    this->entryEnds.erase(this->entryEnds.upper_bound(index), this->entryEnds.end());
     return {};
 }
 
+boost::leaf::result<void> LogStorage::replaceAfter(std::uint64_t index, const std::vector<ControlMessages::Entry> &entries)
+{
+    const std::string name = this->logName(this->state.generation);
+    BOOST_LEAF_AUTO(former, this->disk.read(name));
+    State next = this->state;
+    next.syncedLength = this->lengthUpTo(index);
+    if (!former || former->size() < next.syncedLength) {
+        return corruptionError(name);
+    }
+    std::string bytes = former->substr(0, next.syncedLength);
+    std::map<std::uint64_t, std::uint64_t> ends;
+    for (const ControlMessages::Entry &entry : entries) {
+        bytes += ChecksummedRecord::encode(entry.SerializeAsString());
+        ends[entry.index()] = bytes.size();
+    }
+    // A file may be longer than the stored length, but not shorter.
+    BOOST_LEAF_CHECK(this->storeState(next));
+    BOOST_LEAF_CHECK(this->replaceFile(name, bytes));
+    next.syncedLength = bytes.size();
+    BOOST_LEAF_CHECK(this->storeState(next));
+    this->entryEnds.erase(this->entryEnds.upper_bound(index), this->entryEnds.end());
+    this->entryEnds.merge(ends);
+    return {};
+}
+
+std::uint64_t LogStorage::lengthUpTo(std::uint64_t index) const
+{
+    const std::map<std::uint64_t, std::uint64_t>::const_iterator next = this->entryEnds.upper_bound(index);
+    return next == this->entryEnds.begin() ? 0 : std::prev(next)->second;
+}
+
 boost::leaf::result<void> LogStorage::saveSnapshot(const ControlMessages::StateSnapshot &snapshot, const std::vector<ControlMessages::Entry> &remaining)
 {
     BOOST_LEAF_CHECK(this->replaceFile(snapshotName, ChecksummedRecord::encode(snapshot.SerializeAsString())));
--- a/libraries/process/control/logstorage.h
+++ b/libraries/process/control/logstorage.h
@@ -29,6 +29,7 @@
     boost::leaf::result<void> saveVote(std::uint64_t term, const std::string &votedFor) override;
     boost::leaf::result<void> append(const std::vector<ControlMessages::Entry> &entries) override;
     boost::leaf::result<void> truncateAfter(std::uint64_t index) override;
+    boost::leaf::result<void> replaceAfter(std::uint64_t index, const std::vector<ControlMessages::Entry> &entries) override;
     boost::leaf::result<void> saveSnapshot(const ControlMessages::StateSnapshot &snapshot, const std::vector<ControlMessages::Entry> &remaining) override;
 
 private:
@@ -48,6 +49,8 @@
     boost::leaf::result<void> loadLog();
     boost::leaf::result<void> repairTail(const std::string &bytes, std::size_t length);
     boost::leaf::result<void> dropEntriesCoveredBySnapshot();
+    /// Length of the log file, in bytes, up to the entry with this index.
+    std::uint64_t lengthUpTo(std::uint64_t index) const;
     boost::leaf::result<void> storeState(const State &next);
     boost::leaf::result<void> replaceFile(const std::string &name, const std::string &bytes);
     std::string logName(std::uint64_t generation) const;
--- a/libraries/process/control/raftfollower.cpp
+++ b/libraries/process/control/raftfollower.cpp
@@ -69,6 +69,7 @@
 bool RaftReplica::appendReceived(const ControlMessages::AppendRequest &request)
 {
     std::vector<ControlMessages::Entry> added;
+    bool isReplacing = false;
     for (const ControlMessages::Entry &entry : request.entries()) {
         if (entry.index() <= this->replicaLog.snapshotIndex()) {
             continue;
@@ -80,19 +81,25 @@
         if (added.empty() && stored) {
             // A committed entry must never change. If the leader contradicts one, the group's guarantees are broken: this replica halts and keeps its log.
             this->halted = entry.index() <= this->committed;
-            if (this->halted || !this->checkStored(this->storage.truncateAfter(entry.index() - 1))) {
+            if (this->halted) {
                 return false;
             }
-            this->replicaLog.truncateAfter(entry.index() - 1);
+            isReplacing = true;
         }
         added.push_back(entry);
     }
     if (added.empty()) {
         return true;
     }
-    if (!this->checkStored(this->storage.append(added))) {
+    // If the former entries were removed first, a failure in between would leave a log without entries that this replica has acknowledged, and it
+    // wouldn't vote until a leader has sent it later ones.
+    const std::uint64_t last = added.front().index() - 1;
+    if (!this->checkStored(isReplacing ? this->storage.replaceAfter(last, added) : this->storage.append(added))) {
         return false;
     }
+    if (isReplacing) {
+        this->replicaLog.truncateAfter(last);
+    }
     for (const ControlMessages::Entry &entry : added) {
         this->replicaLog.append(entry);
     }
--- a/libraries/process/control/replicastorage.h
+++ b/libraries/process/control/replicastorage.h
@@ -33,6 +33,9 @@
     /// Removes all entries after @p index.
     virtual boost::leaf::result<void> truncateAfter(std::uint64_t index) = 0;
 
+    /// Replaces all entries after @p index. After a failure, the disk holds either the former or all of the new entries.
+    virtual boost::leaf::result<void> replaceAfter(std::uint64_t index, const std::vector<ControlMessages::Entry> &entries) = 0;
+
     /// Replaces the snapshot, and the log's entries by @p remaining, the entries after the snapshot.
     virtual boost::leaf::result<void> saveSnapshot(const ControlMessages::StateSnapshot &snapshot, const std::vector<ControlMessages::Entry> &remaining) = 0;
 };
--- a/tests/unit/process/control/diskfailuretest.cpp
+++ b/tests/unit/process/control/diskfailuretest.cpp
@@ -198,3 +198,51 @@
         requireNoViolations(group);
     }
 }
+
+// Guards against a replica that waits for a leader before it votes, since its disk failed between the removal of entries that a leader had replaced and
+// the storing of the new ones. The leader of before still knows that the removed entries were acknowledged. If the new one is lost, none can be elected.
+CATCH_TEST_CASE("A replica whose disk fails while entries are replaced doesn't prevent an election", "[control-log][config-in-force]")
+{
+    bool hasFailed = true;
+    for (std::uint64_t operation = 1; hasFailed; ++operation) {
+        CATCH_CAPTURE(operation);
+        CATCH_REQUIRE(operation < 100);
+        SimulatedGroup group(5, operation);
+        group.bootstrap();
+        Maintenance maintenance(group);
+        CATCH_REQUIRE(maintenance.decide("first", decisionBound));
+        const std::size_t former = group.leader();
+        const std::size_t victim = (former + 1) % 5;
+        const std::vector<std::size_t> others{(former + 2) % 5, (former + 3) % 5, (former + 4) % 5};
+        for (const std::size_t other : others) {
+            for (const std::size_t cut : {former, victim}) {
+                group.cutLink(cut, other);
+                group.cutLink(other, cut);
+            }
+        }
+        // Only these two store the change, so it isn't committed.
+        group.propose("replaced");
+        CATCH_REQUIRE(group.runUntil([&group, former] { return group.leader() < 5 && group.leader() != former; }));
+        const std::size_t leader = group.leader();
+        group.nodes[victim].disk->failAt(operation);
+        group.heal();
+        for (const std::size_t other : others) {
+            group.cutLink(former, other);
+            group.cutLink(other, former);
+        }
+        group.run(milliseconds(1000));
+        hasFailed = group.nodes[victim].disk->hasFailed();
+        if (operation % 2 == 0) {
+            group.nodes[victim].disk->recover();
+        } else {
+            group.kill(victim);
+        }
+        maintenance.lost = {leader, leader == others[0] ? others[1] : others[0]};
+        for (const std::size_t lost : maintenance.lost) {
+            group.kill(lost);
+        }
+        group.heal();
+        CATCH_CHECK(maintenance.decide("last", decisionBound));
+        requireNoViolations(group);
+    }
+}
--- a/tests/unit/process/control/logstoragetest.cpp
+++ b/tests/unit/process/control/logstoragetest.cpp
@@ -97,3 +97,35 @@
     CATCH_REQUIRE(stored.entries.back().change().change_id() == "change 8");
     std::filesystem::remove_all(folder);
 }
+
+// Guards against a log that ends before both the former and the new entries after a failure, so that it lacks entries that were acknowledged.
+CATCH_TEST_CASE("Replacing entries leaves the former or the new ones after a failure at any operation", "[control-log]")
+{
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+        bool hasFailed = true;
+        for (std::uint64_t operation = 1; hasFailed; ++operation) {
+            CATCH_CAPTURE(seed, operation);
+            CATCH_REQUIRE(operation < 100);
+            SimulatedDisk disk(seed);
+            std::unique_ptr<LogStorage> storage = std::move(LogStorage::create(disk, fixedRandom).value());
+            CATCH_REQUIRE(storage->append(entriesFrom(1, 9)));
+            std::vector<ControlMessages::Entry> replacing = entriesFrom(6, 7);
+            for (ControlMessages::Entry &entry : replacing) {
+                entry.set_term(2);
+            }
+            disk.failAt(operation);
+            const bool isStored = static_cast<bool>(storage->replaceAfter(5, replacing));
+            hasFailed = disk.hasFailed();
+            CATCH_REQUIRE(isStored != hasFailed);
+            if (seed % 2 == 0) {
+                disk.crash();
+            } else {
+                disk.recover();
+            }
+            const std::vector<ControlMessages::Entry> loaded = LogStorage::create(disk, fixedRandom).value()->takeLoadedState().entries;
+            const bool isNew = loaded.back().term() == 2;
+            CATCH_CHECK(loaded.size() == (isNew ? 7 : 9));
+            CATCH_CHECK((isNew || !isStored));
+        }
+    }
+}
--- a/tests/unit/process/control/simulateddisk.h
+++ b/tests/unit/process/control/simulateddisk.h
@@ -24,6 +24,12 @@
         this->operationsLeft = operation;
     }
 
+    /// Ends failAt() without a loss of power.
+    void recover()
+    {
+        this->operationsLeft = neverFails;
+    }
+
     bool hasFailed() const
     {
         return this->operationsLeft == 0;
