Control: Give back the room of writes that failed

What callers saw: on a disk that stays nearly full, a control VM's replica stays silent for good although the disk has room for what it has to write. That waits for a probe of 64 KB, which then fails each time. The probe itself was appended to a file that stayed after a failure, so it took the rest, also from the copy of the configuration and the stored leaves. The cut never goes below the stored length, so no acknowledged entry is touched.

--- a/libraries/process/control/logstorage.cpp
+++ b/libraries/process/control/logstorage.cpp
@@ -17,6 +17,11 @@
     return boost::leaf::new_error(StorageError{StorageError::Kind::Corrupted, name});
 }
 
+boost::leaf::error_id failedError(const std::string &name)
+{
+    return boost::leaf::new_error(StorageError{StorageError::Kind::Failed, name});
+}
+
 } // namespace
 
 LogStorage::LogStorage(Disk &disk)
@@ -177,8 +182,11 @@
         ends[entry.index()] = this->state.syncedLength + bytes.size();
     }
     const std::string name = this->logName(this->state.generation);
-    BOOST_LEAF_CHECK(this->disk.append(name, bytes));
-    BOOST_LEAF_CHECK(this->disk.sync(name));
+    if (!this->disk.append(name, bytes) || !this->disk.sync(name)) {
+        // Otherwise the part that was written might take the last room on the disk. No entry after the synced length is acknowledged.
+        static_cast<void>(this->disk.truncate(name, this->state.syncedLength));
+        return failedError(name);
+    }
     State next = this->state;
     next.syncedLength += bytes.size();
     BOOST_LEAF_CHECK(this->storeState(next));
@@ -242,8 +250,7 @@
     }
     next.syncedLength = bytes.size();
     const std::string oldName = this->logName(this->state.generation);
-    BOOST_LEAF_CHECK(this->disk.write(this->logName(next.generation), bytes));
-    BOOST_LEAF_CHECK(this->disk.sync(this->logName(next.generation)));
+    BOOST_LEAF_CHECK(this->writeNew(this->logName(next.generation), bytes));
     BOOST_LEAF_CHECK(this->disk.syncFolder());
     BOOST_LEAF_CHECK(this->storeState(next));
     this->entryEnds = std::move(ends);
@@ -264,12 +271,20 @@
 boost::leaf::result<void> LogStorage::replaceFile(const std::string &name, const std::string &bytes)
 {
     const std::string temporary = name + ".new";
-    BOOST_LEAF_CHECK(this->disk.write(temporary, bytes));
-    BOOST_LEAF_CHECK(this->disk.sync(temporary));
+    BOOST_LEAF_CHECK(this->writeNew(temporary, bytes));
     BOOST_LEAF_CHECK(this->disk.rename(temporary, name));
     return this->disk.syncFolder();
 }
 
+boost::leaf::result<void> LogStorage::writeNew(const std::string &name, const std::string &bytes)
+{
+    if (!this->disk.write(name, bytes) || !this->disk.sync(name)) {
+        static_cast<void>(this->disk.remove(name));
+        return failedError(name);
+    }
+    return {};
+}
+
 std::string LogStorage::logName(std::uint64_t generation) const
 {
     return "log-" + std::to_string(generation);
--- a/libraries/process/control/logstorage.h
+++ b/libraries/process/control/logstorage.h
@@ -53,6 +53,8 @@
     std::uint64_t lengthUpTo(std::uint64_t index) const;
     boost::leaf::result<void> storeState(const State &next);
     boost::leaf::result<void> replaceFile(const std::string &name, const std::string &bytes);
+    /// Writes and syncs a file that isn't in use yet. After a failure it is removed, so that a part of it doesn't take the last room on the disk.
+    boost::leaf::result<void> writeNew(const std::string &name, const std::string &bytes);
     std::string logName(std::uint64_t generation) const;
 
     Disk &disk;
--- a/libraries/process/relay/controlnode.cpp
+++ b/libraries/process/relay/controlnode.cpp
@@ -1,5 +1,7 @@
 #include "process/relay/controlnode.h"
 
+#include "process/control/diskprobe.h"
+
 #include <boost/leaf/handle_errors.hpp>
 #include <glog/logging.h>
 #include <xxhash.h>
@@ -23,8 +25,6 @@
 constexpr std::chrono::milliseconds copyTimeout{200};
 /// The copy is rewritten once the fleet has grown by this factor over the number of VMs in the copy.
 constexpr double copyRewriteGrowth = 1.1;
-/// Size of the test write to a disk that failed. Smaller writes may still succeed on a disk that is nearly full.
-constexpr std::size_t probeBytes = 64 * 1024;
 /// Least time between two attempts to reopen the replica. Reading the whole log costs more than a test write, and each attempt on a corrupted
 /// log is logged.
 constexpr std::chrono::seconds reopenInterval{5};
@@ -355,15 +355,7 @@
     }
     // These are the operations that the log needs, so they fail while the disk is still full.
     PosixDisk disk(this->settings.vm.dataFolder + "/probe");
-    const bool isWritable = boost::leaf::try_handle_all(
-        [&disk]() -> boost::leaf::result<bool> {
-            BOOST_LEAF_CHECK(disk.append("probe", std::string(probeBytes, 'x')));
-            BOOST_LEAF_CHECK(disk.sync("probe"));
-            BOOST_LEAF_CHECK(disk.remove("probe"));
-            return true;
-        },
-        [] { return false; });
-    if (!isWritable) {
+    if (!DiskProbe::isWritable(disk)) {
         // Not logged: the failure that halted the replica was logged when it occurred.
         return;
     }
--- a/tests/unit/process/control/diskfailuretest.cpp
+++ b/tests/unit/process/control/diskfailuretest.cpp
@@ -1,5 +1,6 @@
 // Failures of the disks of the control group's replicas.
 
+#include "process/control/diskprobe.h"
 #include "unit/process/control/simulatedgroup.h"
 
 #include <catch2/catch.hpp>
@@ -100,6 +101,15 @@
     }
 }
 
+ControlMessages::Entry entryOf(std::uint64_t index, std::size_t size)
+{
+    ControlMessages::Entry entry;
+    entry.set_term(1);
+    entry.set_index(index);
+    entry.mutable_change()->set_change_id(std::string(size, 'x'));
+    return entry;
+}
+
 void requireNoViolations(SimulatedGroup &group)
 {
     const std::vector<std::string> none;
@@ -246,3 +256,36 @@
         requireNoViolations(group);
     }
 }
+
+// Guards against a replica that stays silent for good although its disk has room: the part of a write that fitted, or of the probe, took all that was left,
+// and neither is removed before a probe succeeds.
+CATCH_TEST_CASE("A write that doesn't fit on the disk leaves room for the probe and for smaller writes", "[control-log]")
+{
+    constexpr std::size_t room = 100 * 1024;
+    for (const int failing : {0, 1, 2}) {
+        CATCH_CAPTURE(failing);
+        SimulatedDisk disk(1);
+        const RandomSource random = [] { return 42; };
+        {
+            const std::unique_ptr<LogStorage> storage = std::move(LogStorage::create(disk, random).value());
+            CATCH_REQUIRE(storage->append({entryOf(1, 10), entryOf(2, 10), entryOf(3, 10)}));
+            disk.limitTo(disk.used() + room);
+            ControlMessages::StateSnapshot snapshot;
+            snapshot.mutable_last()->set_index(2);
+            snapshot.mutable_last()->set_term(1);
+            snapshot.mutable_catalogue()->add_teams()->set_name(std::string(2 * room, 'x'));
+            CATCH_REQUIRE_FALSE((failing == 0 ? storage->append({entryOf(4, 2 * room)})
+                    : failing == 1            ? storage->replaceAfter(2, {entryOf(3, 2 * room)})
+                                              : storage->saveSnapshot(snapshot, {entryOf(3, 10)})));
+        }
+        CATCH_CHECK(DiskProbe::isWritable(disk));
+        const std::unique_ptr<LogStorage> storage = std::move(LogStorage::create(disk, random).value());
+        CATCH_CHECK(storage->append({entryOf(4, room / 2)}));
+
+        // Less room is left than the probe needs.
+        const std::size_t used = disk.used();
+        CATCH_CHECK_FALSE(DiskProbe::isWritable(disk));
+        CATCH_CHECK(disk.used() == used);
+        CATCH_CHECK(storage->append({entryOf(5, room / 4)}));
+    }
+}
--- a/tests/unit/process/control/simulateddisk.h
+++ b/tests/unit/process/control/simulateddisk.h
@@ -51,6 +51,22 @@
         return this->full;
     }
 
+    /// Writes that don't fit into this many bytes of all files together store the part that fits and fail.
+    void limitTo(std::size_t bytes)
+    {
+        this->capacity = bytes;
+    }
+
+    /// Bytes of all files.
+    std::size_t used() const
+    {
+        std::size_t bytes = 0;
+        for (const auto &[name, file] : this->names) {
+            bytes += file->current.size();
+        }
+        return bytes;
+    }
+
     void crash()
     {
         this->operationsLeft = neverFails;
@@ -101,6 +117,13 @@
             this->open(name).current = this->randomPartOf(bytes);
             return boost::leaf::new_error(StorageError{StorageError::Kind::Failed, name});
         }
+        if (this->capacity != unlimited) {
+            this->open(name).current.clear();
+        }
+        if (bytes.size() > this->room()) {
+            this->open(name).current = bytes.substr(0, this->room());
+            return boost::leaf::new_error(StorageError{StorageError::Kind::Failed, name});
+        }
         return this->perform(name, [this, &name, &bytes] { this->open(name).current = bytes; });
     }
 
@@ -110,6 +133,10 @@
             this->open(name).current += this->randomPartOf(bytes);
             return boost::leaf::new_error(StorageError{StorageError::Kind::Failed, name});
         }
+        if (bytes.size() > this->room()) {
+            this->open(name).current += bytes.substr(0, this->room());
+            return boost::leaf::new_error(StorageError{StorageError::Kind::Failed, name});
+        }
         return this->perform(name, [this, &name, &bytes] { this->open(name).current += bytes; });
     }
 
@@ -143,6 +170,7 @@
 
 private:
     static constexpr std::uint64_t neverFails = UINT64_MAX;
+    static constexpr std::size_t unlimited = SIZE_MAX;
 
     struct File {
         std::string current;
@@ -158,6 +186,12 @@
         return *file;
     }
 
+    std::size_t room() const
+    {
+        const std::size_t taken = this->used();
+        return taken < this->capacity ? this->capacity - taken : 0;
+    }
+
     std::string randomPartOf(const std::string &bytes)
     {
         return bytes.substr(0, this->random() % 2 == 0 ? 0 : this->random() % (bytes.size() + 1));
@@ -184,6 +218,7 @@
     std::uint64_t operationsLeft = neverFails;
     bool failed = false;
     bool full = false;
+    std::size_t capacity = unlimited;
 };
 
 } // namespace Hyssophall
