--- a/libraries/process/control/logstorage.cpp
+++ b/libraries/process/control/logstorage.cpp
@@ -17,6 +17,11 @@
     return boost::leaf::new_error(StorageError{StorageError::Kind::Corrupted, name});
 }
 
+boost::leaf::error_id failedError(const std::string &name)
+{
+    return boost::leaf::new_error(StorageError{StorageError::Kind::Failed, name});
+}
+
 } // namespace
 
 LogStorage::LogStorage(Disk &disk)
@@ -177,8 +182,11 @@
         ends[entry.index()] = this->state.syncedLength + bytes.size();
     }
     const std::string name = this->logName(this->state.generation);
-    BOOST_LEAF_CHECK(this->disk.append(name, bytes));
-    BOOST_LEAF_CHECK(this->disk.sync(name));
+    if (!this->disk.append(name, bytes) || !this->disk.sync(name)) {
+        // Otherwise the part that was written might take the last room on the disk. No entry after the synced length is acknowledged.
+        static_cast<void>(this->disk.truncate(name, this->state.syncedLength));
+        return failedError(name);
+    }
     State next = this->state;
     next.syncedLength += bytes.size();
     BOOST_LEAF_CHECK(this->storeState(next));
@@ -188,17 +196,47 @@
 
 boost::leaf::result<void> LogStorage::truncateAfter(std::uint64_t index)
 {
-    const std::map<std::uint64_t, std::uint64_t>::const_iterator firstDropped = this->entryEnds.upper_bound(index);
     State next = this->state;
-    next.syncedLength = firstDropped == this->entryEnds.begin() ? 0 : std::prev(firstDropped)->second;
+    next.syncedLength = this->lengthUpTo(index);
     // The shorter length is stored before the file is truncated. A crash in between leaves the old entries, which is the valid state from before.
     BOOST_LEAF_CHECK(this->storeState(next));
     BOOST_LEAF_CHECK(this->disk.truncate(this->logName(next.generation), next.syncedLength));
     BOOST_LEAF_CHECK(this->disk.sync(this->logName(next.generation)));
-    this->entryEnds.erase(firstDropped, this->entryEnds.end());
+    this->entryEnds.erase(this->entryEnds.upper_bound(index), this->entryEnds.end());
     return {};
 }
 
+boost::leaf::result<void> LogStorage::replaceAfter(std::uint64_t index, const std::vector<ControlMessages::Entry> &entries)
+{
+    const std::string name = this->logName(this->state.generation);
+    BOOST_LEAF_AUTO(former, this->disk.read(name));
+    State next = this->state;
+    next.syncedLength = this->lengthUpTo(index);
+    if (!former || former->size() < next.syncedLength) {
+        return corruptionError(name);
+    }
+    std::string bytes = former->substr(0, next.syncedLength);
+    std::map<std::uint64_t, std::uint64_t> ends;
+    for (const ControlMessages::Entry &entry : entries) {
+        bytes += ChecksummedRecord::encode(entry.SerializeAsString());
+        ends[entry.index()] = bytes.size();
+    }
+    // A file may be longer than the stored length, but not shorter.
+    BOOST_LEAF_CHECK(this->storeState(next));
+    BOOST_LEAF_CHECK(this->replaceFile(name, bytes));
+    next.syncedLength = bytes.size();
+    BOOST_LEAF_CHECK(this->storeState(next));
+    this->entryEnds.erase(this->entryEnds.upper_bound(index), this->entryEnds.end());
+    this->entryEnds.merge(ends);
+    return {};
+}
+
+std::uint64_t LogStorage::lengthUpTo(std::uint64_t index) const
+{
+    const std::map<std::uint64_t, std::uint64_t>::const_iterator next = this->entryEnds.upper_bound(index);
+    return next == this->entryEnds.begin() ? 0 : std::prev(next)->second;
+}
+
 boost::leaf::result<void> LogStorage::saveSnapshot(const ControlMessages::StateSnapshot &snapshot, const std::vector<ControlMessages::Entry> &remaining)
 {
     BOOST_LEAF_CHECK(this->replaceFile(snapshotName, ChecksummedRecord::encode(snapshot.SerializeAsString())));
@@ -212,8 +250,7 @@
     }
     next.syncedLength = bytes.size();
     const std::string oldName = this->logName(this->state.generation);
-    BOOST_LEAF_CHECK(this->disk.write(this->logName(next.generation), bytes));
-    BOOST_LEAF_CHECK(this->disk.sync(this->logName(next.generation)));
+    BOOST_LEAF_CHECK(this->writeNew(this->logName(next.generation), bytes));
     BOOST_LEAF_CHECK(this->disk.syncFolder());
     BOOST_LEAF_CHECK(this->storeState(next));
     this->entryEnds = std::move(ends);
@@ -234,12 +271,20 @@
 boost::leaf::result<void> LogStorage::replaceFile(const std::string &name, const std::string &bytes)
 {
     const std::string temporary = name + ".new";
-    BOOST_LEAF_CHECK(this->disk.write(temporary, bytes));
-    BOOST_LEAF_CHECK(this->disk.sync(temporary));
+    BOOST_LEAF_CHECK(this->writeNew(temporary, bytes));
     BOOST_LEAF_CHECK(this->disk.rename(temporary, name));
     return this->disk.syncFolder();
 }
 
+boost::leaf::result<void> LogStorage::writeNew(const std::string &name, const std::string &bytes)
+{
+    if (!this->disk.write(name, bytes) || !this->disk.sync(name)) {
+        static_cast<void>(this->disk.remove(name));
+        return failedError(name);
+    }
+    return {};
+}
+
 std::string LogStorage::logName(std::uint64_t generation) const
 {
     return "log-" + std::to_string(generation);
--- a/tests/unit/process/control/simulateddisk.h
+++ b/tests/unit/process/control/simulateddisk.h
@@ -24,11 +24,49 @@
         this->operationsLeft = operation;
     }
 
+    /// Ends failAt() without a loss of power.
+    void recover()
+    {
+        this->operationsLeft = neverFails;
+    }
+
     bool hasFailed() const
     {
         return this->operationsLeft == 0;
     }
 
+    /// Until makeRoom(), writes fail after a random part of their bytes. Names and lengths can still be changed, and files synced.
+    void fill()
+    {
+        this->full = true;
+    }
+
+    void makeRoom()
+    {
+        this->full = false;
+    }
+
+    bool isFull() const
+    {
+        return this->full;
+    }
+
+    /// Writes that don't fit into this many bytes of all files together store the part that fits and fail.
+    void limitTo(std::size_t bytes)
+    {
+        this->capacity = bytes;
+    }
+
+    /// Bytes of all files.
+    std::size_t used() const
+    {
+        std::size_t bytes = 0;
+        for (const auto &[name, file] : this->names) {
+            bytes += file->current.size();
+        }
+        return bytes;
+    }
+
     void crash()
     {
         this->operationsLeft = neverFails;
@@ -75,11 +113,30 @@
 
     boost::leaf::result<void> write(const std::string &name, const std::string &bytes) override
     {
+        if (this->full) {
+            this->open(name).current = this->randomPartOf(bytes);
+            return boost::leaf::new_error(StorageError{StorageError::Kind::Failed, name});
+        }
+        if (this->capacity != unlimited) {
+            this->open(name).current.clear();
+        }
+        if (bytes.size() > this->room()) {
+            this->open(name).current = bytes.substr(0, this->room());
+            return boost::leaf::new_error(StorageError{StorageError::Kind::Failed, name});
+        }
         return this->perform(name, [this, &name, &bytes] { this->open(name).current = bytes; });
     }
 
     boost::leaf::result<void> append(const std::string &name, const std::string &bytes) override
     {
+        if (this->full) {
+            this->open(name).current += this->randomPartOf(bytes);
+            return boost::leaf::new_error(StorageError{StorageError::Kind::Failed, name});
+        }
+        if (bytes.size() > this->room()) {
+            this->open(name).current += bytes.substr(0, this->room());
+            return boost::leaf::new_error(StorageError{StorageError::Kind::Failed, name});
+        }
         return this->perform(name, [this, &name, &bytes] { this->open(name).current += bytes; });
     }
 
@@ -113,6 +170,7 @@
 
 private:
     static constexpr std::uint64_t neverFails = UINT64_MAX;
+    static constexpr std::size_t unlimited = SIZE_MAX;
 
     struct File {
         std::string current;
@@ -128,6 +186,17 @@
         return *file;
     }
 
+    std::size_t room() const
+    {
+        const std::size_t taken = this->used();
+        return taken < this->capacity ? this->capacity - taken : 0;
+    }
+
+    std::string randomPartOf(const std::string &bytes)
+    {
+        return bytes.substr(0, this->random() % 2 == 0 ? 0 : this->random() % (bytes.size() + 1));
+    }
+
     template<typename Operation>
     boost::leaf::result<void> perform(const std::string &name, Operation operation)
     {
@@ -148,6 +217,8 @@
     std::map<std::string, std::shared_ptr<File>> durableNames;
     std::uint64_t operationsLeft = neverFails;
     bool failed = false;
+    bool full = false;
+    std::size_t capacity = unlimited;
 };
 
 } // namespace Hyssophall
