Relay: End a cancelled link while its relay doesn't respond

What callers saw: nothing that is shown. A VM that stops, or that leaves its relay, waited for the rest of the connect timeout if the relay accepted the connection and stayed silent. The timeout doubles up to 2 s, longer than a stopping process has left after its drain.

Cause: RelayLink::cancel() ended a stream, but a link that was still connecting looked at it only after the connection was established or had timed out.

Change: The wait for the connection checks every 50 ms whether the link is cancelled.

Test: "A cancelled link ends soon while its relay doesn't respond" (bound: the 300 ms that a stopping process has for its last steps).

--- a/libraries/process/relay/relaylink.cpp
+++ b/libraries/process/relay/relaylink.cpp
@@ -33,13 +33,17 @@
     return gpr_time_add(gpr_now(GPR_CLOCK_MONOTONIC), gpr_time_from_millis(duration.count(), GPR_TIMESPAN));
 }
 
-/// Waits until the channel is connected, the attempt fails or @p deadline passes. Unlike WaitForConnected(), it doesn't wait for further attempts
-/// after the first one is refused.
-bool isConnected(grpc::Channel &channel, gpr_timespec deadline)
+/// How long a cancelled link goes on waiting for its connection at most.
+constexpr std::chrono::milliseconds cancelCheckInterval{50};
+
+/// Waits until the channel is connected, the attempt fails, @p deadline passes or @p isCancelled returns true. Unlike WaitForConnected(), it doesn't wait for
+/// further attempts after the first one is refused.
+bool isConnected(grpc::Channel &channel, gpr_timespec deadline, const std::function<bool()> &isCancelled)
 {
     grpc_connectivity_state state = channel.GetState(true);
     while (state == GRPC_CHANNEL_IDLE || state == GRPC_CHANNEL_CONNECTING) {
-        if (!channel.WaitForStateChange(state, deadline)) {
+        const bool isChanged = channel.WaitForStateChange(state, gpr_time_min(deadline, after(cancelCheckInterval)));
+        if (isCancelled() || (!isChanged && gpr_time_cmp(gpr_now(GPR_CLOCK_MONOTONIC), deadline) >= 0)) {
             return false;
         }
         state = channel.GetState(true);
@@ -96,7 +100,11 @@
 {
     const std::shared_ptr<grpc::Channel> channel
         = grpc::CreateCustomChannel(this->options.address, grpc::InsecureChannelCredentials(), channelArguments(this->options.connectTimeout));
-    if (!isConnected(*channel, after(this->options.connectTimeout))) {
+    const std::function<bool()> isCancelled = [this] {
+        std::lock_guard<std::mutex> lock(this->mutex);
+        return this->cancelled;
+    };
+    if (!isConnected(*channel, after(this->options.connectTimeout), isCancelled)) {
         return false;
     }
     Call activeCall;
--- a/tests/unit/process/relay/relaylinktest.cpp
+++ b/tests/unit/process/relay/relaylinktest.cpp
@@ -8,6 +8,7 @@
 
 #include <array>
 #include <chrono>
+#include <future>
 #include <string>
 #include <thread>
 
@@ -112,3 +113,36 @@
     }
     close(listener);
 }
+
+// Guards against a process that can't end for the rest of the connect timeout, which doubles up to 2 s, because its relay accepts connections and stays silent.
+CATCH_TEST_CASE("A cancelled link ends soon while its relay doesn't respond", "[relay][graceful-shutdown]")
+{
+    const int listener = socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    socklen_t length = sizeof(address);
+    CATCH_REQUIRE(bind(listener, reinterpret_cast<sockaddr *>(&address), length) == 0);
+    CATCH_REQUIRE(listen(listener, 8) == 0);
+    CATCH_REQUIRE(getsockname(listener, reinterpret_cast<sockaddr *>(&address), &length) == 0);
+    RelayLink::Options options;
+    options.address = "127.0.0.1:" + std::to_string(ntohs(address.sin_port));
+    options.fleetSecret = "a secret of the tests";
+    options.connectTimeout = std::chrono::milliseconds(2000);
+    RelayExchange::Hooks hooks;
+    hooks.receive = [](const RelayMessages::Update &) {};
+    hooks.beforeSend = [](RelayMessages::Update &) {};
+    for (const std::chrono::milliseconds beforeCancel : {std::chrono::milliseconds(0), std::chrono::milliseconds(100)}) {
+        CATCH_CAPTURE(beforeCancel.count());
+        RelayLink link(options, hooks);
+        UpdateBuffer outgoing;
+        std::future<bool> result = std::async(std::launch::async, [&link, &outgoing] { return link.run(RelayMessages::Update(), outgoing); });
+        std::this_thread::sleep_for(beforeCancel);
+        const SteadyTime cancelledAt = std::chrono::steady_clock::now();
+        link.cancel();
+        CATCH_CHECK_FALSE(result.get());
+        // A stopping process has 300 ms for its last steps.
+        CATCH_CHECK(std::chrono::steady_clock::now() - cancelledAt < std::chrono::milliseconds(300));
+    }
+    close(listener);
+}
