Daemon: End the process at the drain limit and refuse requests until then

Cause: with an order in flight at the drain limit, ~Daemon waited in the web server's end for the order's thread: only idempotent requests are given up when their connection is closed. The server had stopped accepting before, while its socket stayed open, so new connections were read by nobody.

Change: if requests are in flight at the limit, connections are accepted and their requests refused until the process has written its log and spans and ends with std::_Exit(). Refusing until the kill would leave the end to the platform. With nothing in flight, the process ends in order as before, and stops accepting only then.

--- a/libraries/process/proxy/callerendpoint.h
+++ b/libraries/process/proxy/callerendpoint.h
@@ -38,7 +38,7 @@
     /// Opens the port and starts the server; port 0 selects a free port. Errors: EndpointFailure.
     static boost::leaf::result<std::unique_ptr<CallerEndpoint>> create(const Options &options, Handler handler);
 
-    /// Stops the server at once. Requests still in flight are aborted, so call waitUntilIdle() first.
+    /// Closes all connections and waits until the handlers of requests in flight have returned; connections are no longer accepted meanwhile.
     ~CallerEndpoint();
     CallerEndpoint(const CallerEndpoint &) = delete;
     CallerEndpoint &operator=(const CallerEndpoint &) = delete;
--- a/libraries/process/proxy/shutdownsequence.h
+++ b/libraries/process/proxy/shutdownsequence.h
@@ -20,7 +20,7 @@
         std::function<void()> stopAccepting;
         /// Waits until no request is in flight; false if the limit passes first.
         std::function<bool(std::chrono::milliseconds)> waitUntilIdle;
-        /// Stops accepting connections, returns tokens and leases to the fleet and leaves the gossip membership.
+        /// Returns tokens and leases to the fleet and leaves the gossip membership. Further requests are still refused.
         std::function<void()> leaveFleet;
     };
 
--- a/libraries/process/telemetry/jsonlogsink.cpp
+++ b/libraries/process/telemetry/jsonlogsink.cpp
@@ -71,13 +71,18 @@
         this->writer.write(kind, this->lineOf(std::move(fields)));
     }
 
+    void closeWriter()
+    {
+        this->writer.close();
+    }
+
 private:
     /// Closes the file after the writer has ended.
     struct File {
         ~File()
         {
             if (this->owned) {
-                close(this->descriptor);
+                ::close(this->descriptor);
             }
         }
 
@@ -139,4 +144,9 @@
     this->sink->write(kind, std::move(fields));
 }
 
+void JsonLogSink::close()
+{
+    this->sink->closeWriter();
+}
+
 } // namespace Hyssophall
--- a/libraries/process/telemetry/jsonlogsink.h
+++ b/libraries/process/telemetry/jsonlogsink.h
@@ -23,6 +23,9 @@
     /// Writes an object of the caller's, with the time and the VM added. Never blocks; see LineWriter for what is dropped.
     void write(LineKind kind, nlohmann::json fields);
 
+    /// As LineWriter::close(); for a process that ends without destroying its objects.
+    void close();
+
 private:
     class Sink;
 
--- a/libraries/process/telemetry/linewriter.cpp
+++ b/libraries/process/telemetry/linewriter.cpp
@@ -27,10 +27,17 @@
 }
 
 LineWriter::~LineWriter()
+{
+    this->close();
+}
+
+void LineWriter::close()
 {
     this->stopping = true;
     this->lines.close();
-    this->thread.join();
+    if (this->thread.joinable()) {
+        this->thread.join();
+    }
 }
 
 void LineWriter::write(LineKind kind, std::string line)
--- a/libraries/process/telemetry/linewriter.h
+++ b/libraries/process/telemetry/linewriter.h
@@ -46,7 +46,7 @@
 
     explicit LineWriter(Options options);
 
-    /// Writes what waits, for half a second at most.
+    /// Closes the writer.
     ~LineWriter();
     LineWriter(const LineWriter &) = delete;
     LineWriter &operator=(const LineWriter &) = delete;
@@ -54,6 +54,9 @@
     /// Never blocks. @p line has no line end.
     void write(LineKind kind, std::string line);
 
+    /// Writes what waits, for half a second at most. Later lines are dropped.
+    void close();
+
     std::uint64_t droppedLines() const;
 
 private:
--- a/libraries/process/telemetry/spanwriter.cpp
+++ b/libraries/process/telemetry/spanwriter.cpp
@@ -31,10 +31,17 @@
 }
 
 SpanWriter::~SpanWriter()
+{
+    this->close();
+}
+
+void SpanWriter::close()
 {
     this->stopping = true;
     this->ring.close();
-    this->writer.join();
+    if (this->writer.joinable()) {
+        this->writer.join();
+    }
 }
 
 void SpanWriter::requestFinished(const RequestRecord &record)
--- a/libraries/process/telemetry/spanwriter.h
+++ b/libraries/process/telemetry/spanwriter.h
@@ -29,9 +29,12 @@
     /// @p vm is the id of this VM. Errors: TelemetryFileFailure.
     static boost::leaf::result<std::unique_ptr<SpanWriter>> create(const std::string &file, const std::string &vm);
 
-    /// Writes what is waiting.
+    /// Closes the writer.
     ~SpanWriter() override;
 
+    /// Writes what is waiting. Later spans are dropped.
+    void close();
+
     void requestFinished(const RequestRecord &record) override;
 
     std::uint64_t droppedRequests() const;
--- a/services/hyssophalld/daemon.cpp
+++ b/services/hyssophalld/daemon.cpp
@@ -173,15 +173,22 @@
         const SteadyTime now = std::chrono::steady_clock::now();
         return this->parts->waitUntilIdle(std::max(std::chrono::milliseconds(0), std::chrono::duration_cast<std::chrono::milliseconds>(end - now))) && isIdle;
     };
-    steps.leaveFleet = [this] {
-        this->callers->stopAccepting();
-        this->callers->waitUntilIdle(lastRefusalsTime);
-        this->parts->leave();
-    };
+    steps.leaveFleet = [this] { this->parts->leave(); };
     LOG(INFO) << "Shutting down with " << this->callers->requestsInFlight() << " requests in flight";
     const bool finished = ShutdownSequence(this->settings.shutdown, steps).run();
     LOG(INFO) << (finished ? "All requests finished" : "The drain limit expired with requests in flight");
+    if (finished) {
+        this->callers->stopAccepting();
+        this->callers->waitUntilIdle(lastRefusalsTime);
+    }
     return finished;
 }
 
+void Daemon::closeSpans()
+{
+    if (this->spans != nullptr) {
+        this->spans->close();
+    }
+}
+
 } // namespace Hyssophall
--- a/services/hyssophalld/daemon.h
+++ b/services/hyssophalld/daemon.h
@@ -25,12 +25,16 @@
     /// TelemetryFileFailure, EndpointFailure.
     static boost::leaf::result<std::unique_ptr<Daemon>> create(const Settings &settings, JsonLogSink &log);
 
-    /// Stops everything in the reverse order of its start. Requests in flight are interrupted unless shutDown() ran before.
+    /// Stops everything in the reverse order of its start. Waits for requests in flight.
     ~Daemon();
 
-    /// Drains requests and leaves the fleet, as after SIGTERM; see ShutdownSequence. Returns whether all requests finished.
+    /// Drains requests and leaves the fleet, as after SIGTERM; see ShutdownSequence. Returns whether all requests finished. If some haven't, further ones are
+    /// still refused, and the process should end without destroying this object, which would wait for them.
     bool shutDown();
 
+    /// Writes the spans that wait.
+    void closeSpans();
+
 private:
     Daemon(const Settings &settings, JsonLogSink &log);
 
--- a/services/hyssophalld/main.cpp
+++ b/services/hyssophalld/main.cpp
@@ -136,7 +136,12 @@
 {
     BOOST_LEAF_AUTO(daemon, Daemon::create(settings, log));
     waitForStop(signals);
-    daemon->shutDown();
+    if (!daemon->shutDown()) {
+        // The web server's end would wait for the requests in flight, and nobody would accept connections meanwhile.
+        daemon->closeSpans();
+        log.close();
+        std::_Exit(EXIT_SUCCESS);
+    }
     return 0;
 }
 
--- a/tests/integration/stoppingvmtest.cpp
+++ b/tests/integration/stoppingvmtest.cpp
@@ -81,6 +81,12 @@
     std::vector<std::unique_ptr<RawUpstream>> upstreams;
 };
 
+bool isServing(const RelayedFleet &fleet)
+{
+    const std::string url = "http://" + RelayedFleet::address(RelayedFleet::controls + stoppedEntry) + ":" + std::to_string(fleet.callerPort) + "/x/0";
+    return Harness::send({"GET", url, {{"Host", "a.example"}, {"X-Key", "key"}, {"X-Request-Id", "first"}}, "", 2000ms}).status == 200;
+}
+
 /// One request of a caller and what came back; the response is empty if the connection ended without one.
 struct Attempt {
     std::string id;
@@ -220,8 +226,139 @@
     return attempts.size();
 }
 
+/// Callers without a pause that send short requests to a stopping VM: on a new connection each, and on connections that were open before the stop.
+class RefusedCallers
+{
+public:
+    explicit RefusedCallers(const RelayedFleet &fleet)
+        : port(static_cast<std::uint16_t>(fleet.callerPort))
+        , host(RelayedFleet::address(RelayedFleet::controls + stoppedEntry))
+    {
+        for (int number = 0; number < keptConnections; ++number) {
+            this->kept.push_back(std::make_unique<RawCaller>(this->port, this->host));
+            CATCH_REQUIRE(this->kept.back()->exchange(request("first-" + std::to_string(number))).starts_with("HTTP/1.1 200"));
+            // Stays below the team's limit.
+            std::this_thread::sleep_for(30ms);
+        }
+    }
+
+    void start()
+    {
+        this->threads.emplace_back([this] { this->callOnKeptConnections(); });
+        for (int caller = 0; caller < newConnectionCallers; ++caller) {
+            this->threads.emplace_back([this, caller] { this->callOnNewConnections("new-" + std::to_string(caller) + "-"); });
+        }
+    }
+
+    std::vector<Attempt> stop()
+    {
+        this->stopping = true;
+        for (std::thread &thread : this->threads) {
+            thread.join();
+        }
+        return std::move(this->attempts);
+    }
+
+private:
+    static constexpr int keptConnections = 60;
+    static constexpr int newConnectionCallers = 3;
+    static constexpr std::chrono::milliseconds pause{50};
+
+    static std::string request(const std::string &id)
+    {
+        return "GET /x/0 HTTP/1.1\r\nHost: a.example\r\nX-Key: key\r\nX-Deadline-Ms: 10000\r\nX-Request-Id: " + id + "\r\n\r\n";
+    }
+
+    void callOnKeptConnections()
+    {
+        // Each connection is closed by its next response.
+        for (std::size_t number = 0; number < this->kept.size() && !this->stopping; ++number) {
+            this->call(*this->kept[number], "kept-" + std::to_string(number));
+            std::this_thread::sleep_for(pause);
+        }
+    }
+
+    void callOnNewConnections(const std::string &idPrefix)
+    {
+        for (int number = 0; !this->stopping; ++number) {
+            try {
+                RawCaller connection(this->port, this->host);
+                this->call(connection, idPrefix + std::to_string(number));
+            } catch (const std::runtime_error &) {
+                Attempt attempt;
+                attempt.id = idPrefix + std::to_string(number) + " (not connected)";
+                attempt.sentAt = attempt.endedAt = std::chrono::steady_clock::now();
+                this->add(std::move(attempt));
+            }
+            std::this_thread::sleep_for(pause);
+        }
+    }
+
+    void call(RawCaller &connection, const std::string &id)
+    {
+        Attempt attempt;
+        attempt.id = id;
+        attempt.sentAt = std::chrono::steady_clock::now();
+        connection.write(request(id));
+        attempt.response = connection.readAnswer();
+        attempt.endedAt = std::chrono::steady_clock::now();
+        this->add(std::move(attempt));
+    }
+
+    void add(Attempt attempt)
+    {
+        std::lock_guard<std::mutex> lock(this->mutex);
+        this->attempts.push_back(std::move(attempt));
+    }
+
+    const std::uint16_t port;
+    const std::string host;
+    std::vector<std::unique_ptr<RawCaller>> kept;
+    std::atomic<bool> stopping{false};
+    std::mutex mutex;
+    std::vector<Attempt> attempts;
+    std::vector<std::thread> threads;
+};
+
 } // namespace
 
+// Guards against a stop that waits for a request in flight beyond the drain limit: the process is killed, and meanwhile nobody answers other requests.
+CATCH_TEST_CASE("A VM whose request is in flight at the drain limit answers others until its process ends by itself", "[integration][relay][graceful-shutdown]")
+{
+    constexpr std::chrono::milliseconds shortNotice{500};
+    constexpr std::chrono::milliseconds killedAfter{3000};
+    RelayedFleet fleet("drain_notice_ms = " + std::to_string(shortNotice.count()) + "\nkill_after_s = 3\n");
+    Instances instances;
+    CATCH_REQUIRE(fleet.putConfiguration(1, "key", {0, 1, 2}, 10s));
+    instances.registerAt(fleet, 1);
+    CATCH_REQUIRE(Harness::waitUntil(10s, [&fleet] { return isServing(fleet); }));
+    RefusedCallers callers(fleet);
+    RawCaller order(static_cast<std::uint16_t>(fleet.callerPort), RelayedFleet::address(RelayedFleet::controls + stoppedEntry));
+    order.write("POST /o/5000 HTTP/1.1\r\nHost: a.example\r\nX-Key: key\r\nX-Deadline-Ms: 10000\r\nX-Request-Id: order\r\nContent-Length: 7\r\n\r\norder-1");
+    CATCH_REQUIRE(Harness::waitUntil(5s, [&instances] { return instances.arrivals("order") == 1; }));
+    const SteadyTime stoppedAt = std::chrono::steady_clock::now();
+    fleet.terminate(RelayedFleet::controls + stoppedEntry);
+    callers.start();
+    const bool hasEnded = fleet.hasEnded(RelayedFleet::controls + stoppedEntry, killedAfter);
+    const SteadyTime endedAt = std::chrono::steady_clock::now();
+    CATCH_CHECK(hasEnded);
+    fleet.kill(RelayedFleet::controls + stoppedEntry);
+    // Earlier, the platform doesn't allow to cut off a request at which an instance is at work.
+    CATCH_CHECK(endedAt >= stoppedAt + killedAfter * 5 / 6);
+    CATCH_CHECK(order.readAnswer().empty());
+    CATCH_CHECK(fleet.log(RelayedFleet::controls + stoppedEntry).find("The drain limit expired with requests in flight") != std::string::npos);
+    std::size_t refused = 0;
+    for (const Attempt &attempt : callers.stop()) {
+        const bool isRefused = attempt.response.starts_with("HTTP/1.1 503");
+        refused += isRefused ? 1 : 0;
+        CATCH_CAPTURE(describe(attempt, stoppedAt));
+        CATCH_CHECK((!isRefused || instances.arrivals(attempt.id) == 0));
+        // The last ones may cross the end of the process.
+        CATCH_CHECK((!attempt.response.empty() || attempt.sentAt >= endedAt - readingTime));
+    }
+    CATCH_CHECK(refused > 50);
+}
+
 // Guards against requests that a VM has read and cuts off in a planned stop, and against callers that are told "not run" for one that ran. More seeds:
 // HYSSOPHALL_STOP_SEEDS=50.
 CATCH_TEST_CASE("A planned stop under load answers each request that the VM has read", "[integration][relay][graceful-shutdown]")
@@ -234,16 +371,40 @@
     std::size_t requests = 0;
     for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
         instances.registerAt(fleet, static_cast<int>(seed));
-        CATCH_REQUIRE(Harness::waitUntil(10s, [&fleet] {
-            return Harness::send({"GET",
-                                     "http://" + RelayedFleet::address(RelayedFleet::controls) + ":" + std::to_string(fleet.callerPort) + "/x/0",
-                                     {{"Host", "a.example"}, {"X-Key", "key"}, {"X-Request-Id", "first"}},
-                                     "",
-                                     2000ms})
-                       .status
-                == 200;
-        }));
+        CATCH_REQUIRE(Harness::waitUntil(10s, [&fleet] { return isServing(fleet); }));
         requests += playStop(fleet, instances, seed);
     }
     CATCH_CHECK(requests > 50 * seeds);
 }
+
+// Guards against a control VM that is killed in a planned stop, because its end waits for changes that nobody decides and for the streams of its VMs.
+CATCH_TEST_CASE("A control VM without a majority ends by itself while changes wait for a decision", "[integration][relay][graceful-shutdown]")
+{
+    // The shortest time of a deployment between SIGTERM and the kill.
+    constexpr std::chrono::seconds shortestKillAfter{6};
+    constexpr int stoppedControl = 0;
+    RelayedFleet fleet;
+    CATCH_REQUIRE(fleet.putConfiguration(1, "key", {stoppedControl}, 10s));
+    fleet.kill(1);
+    fleet.kill(2);
+    std::atomic<bool> stopping{false};
+    std::vector<std::thread> operators;
+    for (int number = 0; number < 4; ++number) {
+        operators.emplace_back([&fleet, &stopping] {
+            while (!stopping) {
+                fleet.control(stoppedControl, "PUT", "/v1/config", fleet.document);
+                std::this_thread::sleep_for(20ms);
+            }
+        });
+    }
+    std::this_thread::sleep_for(500ms);
+    const SteadyTime stoppedAt = std::chrono::steady_clock::now();
+    fleet.terminate(stoppedControl);
+    const bool hasEnded = fleet.hasEnded(stoppedControl, shortestKillAfter);
+    CATCH_CAPTURE(std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::steady_clock::now() - stoppedAt).count());
+    stopping = true;
+    for (std::thread &thread : operators) {
+        thread.join();
+    }
+    CATCH_CHECK(hasEnded);
+}
