Relay: Go to the relay of the own failure domain at once after the start

Cause: with the delayed way home, a VM whose three known relays are elsewhere would stay with one of them for 5 to 15 s after its start, where its bytes cross failure domains and outcomes reach it late. Change: the delay applies to VMs that were connected to a relay of their own failure domain or for 10 s to another one. The scripted disturbances of relaymovestest.cpp keep their bounds.

--- a/libraries/process/relay/relaymoves.cpp
+++ b/libraries/process/relay/relaymoves.cpp
@@ -70,6 +70,7 @@
 void RelayMoves::beginConnection(const std::string &address, SteadyTime now)
 {
     this->connectedTo = address;
+    this->isSettled = this->isSettled || this->isLocal(address);
     this->returnedAt = this->leavingFor == Reason::LocalRelay && this->isLocal(address) ? std::optional<SteadyTime>(now) : std::nullopt;
     this->leavingFor.reset();
     this->localRelaySince.reset();
@@ -98,6 +99,7 @@
         this->currentSince = this->currentSince.value_or(now);
         if (now - *this->currentSince >= stableDuration) {
             this->movesFromNotCurrent = 0;
+            this->isSettled = true;
         }
         this->choice.recordSuccess(this->connectedTo);
         return this->isLocalRelayDue(now) ? this->leave(Reason::LocalRelay) : std::nullopt;
@@ -128,6 +130,10 @@
         this->localRelaySince = now;
         this->localRelayFactor = 1 + localRelaySpread * static_cast<double>(this->random() % randomSteps) / randomSteps;
     }
+    if (!this->isSettled) {
+        // It has just started, so it serves little yet and costs its relay least now.
+        return true;
+    }
     return now - *this->localRelaySince >= doubled(localRelayDelay, this->shortReturns, maximumLocalRelayDelay) * this->localRelayFactor;
 }
 
--- a/libraries/process/relay/relaymoves.h
+++ b/libraries/process/relay/relaymoves.h
@@ -67,6 +67,8 @@
     std::string connectedTo;
     /// Connections in a row on which no message was received.
     int failedConnections = 0;
+    /// Whether this VM has been connected to a relay of its failure domain, or for long to another one.
+    bool isSettled = false;
     /// Since when the relay has reported on the present connection that it is current.
     std::optional<SteadyTime> currentSince;
     /// Since when the relay has reported that it isn't current and another one may be.
--- a/tests/unit/process/relay/relaymovestest.cpp
+++ b/tests/unit/process/relay/relaymovestest.cpp
@@ -428,3 +428,30 @@
     fleet.runUntil(400s);
     CATCH_CHECK(fleet.vmsOnOwnRelays() == vmCount);
 }
+
+// Guards against VMs that stay with a relay of another failure domain after their start, where each byte costs and outcomes arrive late.
+CATCH_TEST_CASE("A VM that has just started goes to the relay of its failure domain at once", "[relay]")
+{
+    SteadyTime now{1h};
+    RelayMoves moves("c", {"a:1"}, [] { return 999; });
+    const RelayMoves::Configuration own{true, 1};
+    RelayMessages::RelayStatus status;
+    status.set_current(true);
+    RelayMessages::RelayAddress home;
+    home.set_address("c:1");
+    home.set_failure_domain("c");
+    home.set_in_touch(true);
+    moves.beginConnection("a:1", now);
+    moves.update(home);
+    CATCH_CHECK(moves.applyStatus(status, own, now) == RelayMoves::Reason::LocalRelay);
+    moves.recordEnd(true, now);
+    moves.beginConnection("c:1", now);
+    CATCH_CHECK_FALSE(moves.applyStatus(status, own, now));
+    // Later, when it has lost that one, it waits.
+    moves.recordEnd(true, now);
+    moves.beginConnection("a:1", now);
+    now += 1s;
+    CATCH_CHECK_FALSE(moves.applyStatus(status, own, now));
+    now += 1s;
+    CATCH_CHECK_FALSE(moves.applyStatus(status, own, now));
+}
