Health: Take a request for poison by rounds of losses that nothing takes back

What callers saw: 422 for innocent requests. Cause: a loss of a connection was sent to all VMs, but a response withdrew it on the one VM that got it, and nothing weighed whether the instance went on responding to others, or whether many connections had ended at one moment. Change: a loss is withdrawn when its instance has responded to anybody since, or when the request got a response anywhere (Update.answered_requests); it isn't counted on an instance that was failing before. Losses are counted by rounds (LostRequest.round): one more than the highest round that the sender knew of when it sent the request, so what ends many connections at one moment is one round. A request is poison after three rounds on three instances, and gets 503, not run, until 2 s after the third. Reports of old builds state no round and count as the first. The table of losses has a maximum size and constant cost; the log line of a refused request names the instances, rounds and ages of the losses.

--- a/libraries/process/health/instancehealth.h
+++ b/libraries/process/health/instancehealth.h
@@ -76,6 +76,19 @@
 
     /// Whether the request is known to crash the instances that run it. Such a request must not be sent.
     virtual bool isPoison(std::uint64_t fingerprint) const = 0;
+
+    /// Time until it is known whether the request crashes the instances that run it; nothing if it isn't suspected to. A suspected request must
+    /// not be sent meanwhile.
+    virtual std::optional<std::chrono::milliseconds> poisonSuspicion(std::uint64_t) const
+    {
+        return std::nullopt;
+    }
+
+    /// The lost connections by which the request is judged, for the log: the instances and the ages of the losses.
+    virtual std::string describePoison(std::uint64_t) const
+    {
+        return {};
+    }
 };
 
 } // namespace Hyssophall
--- a/libraries/process/proxy/admission.cpp
+++ b/libraries/process/proxy/admission.cpp
@@ -116,8 +116,13 @@
     }
     context.fingerprint = requestFingerprint(record.team, record.route, request.http);
     if (this->health.isPoison(context.fingerprint)) {
+        record.poisonDetails = this->health.describePoison(context.fingerprint);
         return refuse(RefusalCode::PoisonRequest);
     }
+    if (const std::optional<std::chrono::milliseconds> remaining = this->health.poisonSuspicion(context.fingerprint)) {
+        record.poisonDetails = this->health.describePoison(context.fingerprint);
+        return refuse(RefusalCode::NoInstance, *remaining);
+    }
     return context;
 }
 
--- a/libraries/process/proxy/upstreamtries.cpp
+++ b/libraries/process/proxy/upstreamtries.cpp
@@ -217,7 +217,8 @@
 bool UpstreamTries::mayBePoison(const RequestContext &context, const State &state) const
 {
     // A request whose connection was lost on two instances may have crashed both. It isn't sent to a third one, even if its route allows more attempts.
-    return state.lostConnections >= poisonConnectionLosses || this->health.isPoison(context.fingerprint);
+    return state.lostConnections >= poisonConnectionLosses || this->health.isPoison(context.fingerprint)
+        || this->health.poisonSuspicion(context.fingerprint).has_value();
 }
 
 UpstreamCall UpstreamTries::createCall(
--- a/libraries/process/relay/entrynode.cpp
+++ b/libraries/process/relay/entrynode.cpp
@@ -5,6 +5,7 @@
 #include <glog/logging.h>
 
 #include <algorithm>
+#include <map>
 #include <utility>
 
 namespace Hyssophall {
@@ -261,14 +262,7 @@
     if (outcome == TryOutcome::ConnectFailed) {
         this->recordConnectFailed(instance);
     }
-    if (outcome == TryOutcome::ConnectionLost) {
-        RelayMessages::LostRequest &lost = *update.add_lost_requests();
-        lost.set_fingerprint(fingerprint);
-        lost.set_instance(counts.instance());
-        this->lostRequests.addLostConnection(fingerprint, counts.instance(), this->clock());
-    } else if (outcome == TryOutcome::Answered) {
-        this->lostRequests.addResponse(fingerprint);
-    }
+    this->judgeRequest(fingerprint, counts.instance(), outcome, latency, update);
     {
         std::lock_guard<std::mutex> lock(this->mutex);
         this->board.applyOwn(counts, this->clock());
@@ -281,6 +275,32 @@
     this->reportConnectFailures();
 }
 
+void EntryNode::judgeRequest(
+    std::uint64_t fingerprint, std::uint32_t instance, TryOutcome outcome, std::chrono::microseconds latency, RelayMessages::Update &update)
+{
+    const SteadyTime now = this->clock();
+    if (outcome == TryOutcome::ConnectionLost) {
+        const std::optional<std::uint32_t> round = this->lostRequests.addOwnLoss(fingerprint, instance, now - latency, now);
+        if (round) {
+            RelayMessages::LostRequest &lost = *update.add_lost_requests();
+            lost.set_fingerprint(fingerprint);
+            lost.set_instance(instance);
+            lost.set_round(*round);
+        }
+        return;
+    }
+    if (!this->lostRequests.holdsLosses()) {
+        return;
+    }
+    const bool hasRun = outcome == TryOutcome::Answered || outcome == TryOutcome::ServerError;
+    if (hasRun && this->lostRequests.addResponse(fingerprint, now)) {
+        update.add_answered_requests(fingerprint);
+    }
+    if (hasRun || outcome == TryOutcome::Shed) {
+        this->lostRequests.addInstanceResponses({instance}, now);
+    }
+}
+
 void EntryNode::reportConnectFailures()
 {
     const std::vector<PendingConnectFailures::Settled> settled
@@ -508,7 +528,34 @@
 
 bool EntryNode::isPoison(std::uint64_t fingerprint) const
 {
-    return this->lostRequests.isPoison(fingerprint, this->clock());
+    return this->lostRequests.judge(fingerprint, this->clock()).state == PoisonRequestDetector::State::Poison;
+}
+
+std::optional<std::chrono::milliseconds> EntryNode::poisonSuspicion(std::uint64_t fingerprint) const
+{
+    const PoisonRequestDetector::Judgement judgement = this->lostRequests.judge(fingerprint, this->clock());
+    return judgement.state == PoisonRequestDetector::State::Suspected ? std::optional<std::chrono::milliseconds>(judgement.remaining) : std::nullopt;
+}
+
+std::string EntryNode::describePoison(std::uint64_t fingerprint) const
+{
+    const SteadyTime now = this->clock();
+    const std::vector<PoisonRequestDetector::Loss> losses = this->lostRequests.standingLosses(fingerprint, now);
+    std::map<std::uint32_t, std::string> names;
+    {
+        std::lock_guard<std::mutex> lock(this->mutex);
+        for (const std::pair<const std::string, RelayMessages::Registration> &entry : this->board.table().all()) {
+            names[InstanceTable::handleOf(entry.second)] = entry.first;
+        }
+    }
+    std::string text;
+    for (const PoisonRequestDetector::Loss &loss : losses) {
+        const auto name = names.find(loss.instance);
+        // An instance that has restarted has another handle.
+        text += (text.empty() ? "" : ", ") + (name == names.end() ? "handle " + std::to_string(loss.instance) : name->second) + " round "
+            + std::to_string(loss.round) + " age_ms=" + std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(now - loss.heardAt).count());
+    }
+    return text;
 }
 
 void EntryNode::requestFinished(const RequestRecord &record)
@@ -586,8 +633,37 @@
     for (const RelayMessages::ServiceUse &use : update.services()) {
         this->retryBudget->addRemoteUse(use.service(), use.requests(), use.retries(), now);
     }
+    this->applyLostRequests(update);
+}
+
+void EntryNode::applyLostRequests(const RelayMessages::Update &update)
+{
+    const SteadyTime now = this->clock();
+    RelayMessages::Update reply;
     for (const RelayMessages::LostRequest &lost : update.lost_requests()) {
-        this->lostRequests.addLostConnection(lost.fingerprint(), lost.instance(), now);
+        if (this->lostRequests.addReportedLoss(lost.fingerprint(), lost.instance(), lost.round(), now)) {
+            reply.add_answered_requests(lost.fingerprint());
+        }
+    }
+    for (const std::uint64_t fingerprint : update.answered_requests()) {
+        this->lostRequests.addReportedResponse(fingerprint, now);
+    }
+    if (this->lostRequests.holdsLosses()) {
+        std::vector<std::uint32_t> responded;
+        for (const RelayMessages::InstanceOutcomes &outcomes : update.outcomes()) {
+            if (outcomes.succeeded() + outcomes.rejected() > 0) {
+                responded.push_back(outcomes.instance());
+            }
+        }
+        this->lostRequests.addInstanceResponses(responded, now);
+        for (const RelayMessages::InstanceSummary &summary : update.summaries()) {
+            if (summary.success_age_milliseconds() > 0) {
+                this->lostRequests.addInstanceResponses({summary.instance()}, now - std::chrono::milliseconds(summary.success_age_milliseconds()));
+            }
+        }
+    }
+    if (!reply.answered_requests().empty()) {
+        this->relayUplink->send(reply);
     }
 }
 
--- a/libraries/process/relay/entrynode.h
+++ b/libraries/process/relay/entrynode.h
@@ -81,6 +81,8 @@
     void noticed(const hyssophall::fleet::v1::Instance &instance, const InstanceNotice &notice) override;
     std::optional<std::chrono::milliseconds> shortestBackoff(const std::string &service) const override;
     bool isPoison(std::uint64_t fingerprint) const override;
+    std::optional<std::chrono::milliseconds> poisonSuspicion(std::uint64_t fingerprint) const override;
+    std::string describePoison(std::uint64_t fingerprint) const override;
     /// Reports the outcome of the request to the other VMs.
     void requestFinished(const RequestRecord &record) override;
     std::string describeInstance(const std::string &instanceId) const override;
@@ -99,6 +101,9 @@
     /// Reports the connection failures whose cause is known by now.
     void reportConnectFailures();
     void applyInstanceUpdates(const RelayMessages::Update &update);
+    /// Adds what the outcome of a try says about the request itself to the detector of poison requests and to the message.
+    void judgeRequest(std::uint64_t fingerprint, std::uint32_t instance, TryOutcome outcome, std::chrono::microseconds latency, RelayMessages::Update &update);
+    void applyLostRequests(const RelayMessages::Update &update);
 
     const Settings settings;
     const SteadyClock clock;
--- a/libraries/process/relay/relayhub.cpp
+++ b/libraries/process/relay/relayhub.cpp
@@ -495,6 +495,7 @@
     this->teamUse.addUnreported(update, 1.0 / std::max<std::uint32_t>(1, this->knownVms(now)), now);
     *changed.mutable_services() = update.services();
     *changed.mutable_lost_requests() = update.lost_requests();
+    *changed.mutable_answered_requests() = update.answered_requests();
     return changed;
 }
 
--- a/libraries/process/relay/updatebuffer.cpp
+++ b/libraries/process/relay/updatebuffer.cpp
@@ -50,6 +50,13 @@
     this->pending.mutable_registrations()->MergeFrom(update.registrations());
     this->pending.mutable_summaries()->MergeFrom(update.summaries());
     this->pending.mutable_lost_requests()->MergeFrom(update.lost_requests());
+    for (const std::uint64_t fingerprint : update.answered_requests()) {
+        // Many VMs may report the same request at once.
+        if (std::find(this->pending.answered_requests().begin(), this->pending.answered_requests().end(), fingerprint)
+            == this->pending.answered_requests().end()) {
+            this->pending.add_answered_requests(fingerprint);
+        }
+    }
     this->pending.mutable_relays()->MergeFrom(update.relays());
     this->pending.mutable_vms()->MergeFrom(update.vms());
     this->pending.set_all_vms(this->pending.all_vms() || update.all_vms());
@@ -101,7 +108,7 @@
     const bool hasFailure = std::any_of(update.outcomes().begin(), update.outcomes().end(), isUrgentOutcome);
     const bool hasScarceTeam = std::any_of(update.teams().begin(), update.teams().end(), [](const RelayMessages::TeamUse &use) { return use.scarce(); });
     return hasFailure || hasScarceTeam || update.has_configuration() || !update.registrations().empty() || !update.lost_requests().empty()
-        || !update.vms().empty() || !update.relays().empty() || !update.unreported().empty();
+        || !update.answered_requests().empty() || !update.vms().empty() || !update.relays().empty() || !update.unreported().empty();
 }
 
 void UpdateBuffer::wake()
@@ -236,8 +243,9 @@
 bool UpdateBuffer::isEmpty() const
 {
     return this->outcomes.empty() && this->teams.empty() && this->services.empty() && !this->pending.has_configuration()
-        && this->pending.registrations().empty() && this->pending.summaries().empty() && this->pending.lost_requests().empty() && this->pending.relays().empty()
-        && this->pending.vms().empty() && !this->pending.has_admissions() && this->pending.unreported().empty();
+        && this->pending.registrations().empty() && this->pending.summaries().empty() && this->pending.lost_requests().empty()
+        && this->pending.answered_requests().empty() && this->pending.relays().empty() && this->pending.vms().empty() && !this->pending.has_admissions()
+        && this->pending.unreported().empty();
 }
 
 } // namespace Hyssophall
--- a/libraries/process/telemetry/requestlog.cpp
+++ b/libraries/process/telemetry/requestlog.cpp
@@ -69,6 +69,9 @@
     if (!record.rateDetails.empty()) {
         line["rate"] = record.rateDetails;
     }
+    if (!record.poisonDetails.empty()) {
+        line["lost_connections"] = record.poisonDetails;
+    }
     if (!record.retryStopReason.empty()) {
         line["ended_for"] = record.retryStopReason;
     }
--- a/libraries/request/requestrecord.h
+++ b/libraries/request/requestrecord.h
@@ -56,6 +56,8 @@
     std::optional<Refusal> refusal;
     /// The figures on which the rate limiter based its refusal; empty if it granted a token.
     std::string rateDetails;
+    /// The lost connections for which the request was refused as poison or as suspected of it.
+    std::string poisonDetails;
     /// Why a failed try wasn't followed by a retry.
     std::string retryStopReason;
     std::vector<TryRecord> tries;
--- a/tests/unit/process/proxy/requesthandlermocks.h
+++ b/tests/unit/process/proxy/requesthandlermocks.h
@@ -186,11 +186,22 @@
         return this->poison;
     }
 
+    std::optional<std::chrono::milliseconds> poisonSuspicion(std::uint64_t) const override
+    {
+        return this->suspicion;
+    }
+
+    std::string describePoison(std::uint64_t) const override
+    {
+        return "i-1 round 1 age_ms=20";
+    }
+
     std::vector<hyssophall::fleet::v1::Instance> instances;
     std::mutex mutex;
     std::vector<Hyssophall::TryOutcome> outcomes;
     std::atomic<int> inFlight{0};
     bool poison = false;
+    std::optional<std::chrono::milliseconds> suspicion;
     std::optional<std::chrono::milliseconds> usualPerTryTimeout;
 };
 
--- a/tests/unit/process/proxy/requesthandlertest.cpp
+++ b/tests/unit/process/proxy/requesthandlertest.cpp
@@ -116,6 +116,11 @@
     mocked.health.poison = true;
     requireRefusedUnsent(mocked, mocked.handle("GET", "/read"), RefusalCode::PoisonRequest);
     mocked.health.poison = false;
+    mocked.health.suspicion = std::chrono::milliseconds(1500);
+    const CallerResponse suspected = mocked.handle("GET", "/read");
+    requireRefusedUnsent(mocked, suspected, RefusalCode::NoInstance);
+    CATCH_CHECK(*findHeader(suspected.http.headers, "Retry-After") == "2");
+    mocked.health.suspicion.reset();
     mocked.limiter.kind = RateDecision::Kind::RateLimited;
     const CallerResponse limited = mocked.handle("GET", "/read");
     requireRefusedUnsent(mocked, limited, RefusalCode::RateLimited);
--- a/tests/unit/process/relay/entrynodetest.cpp
+++ b/tests/unit/process/relay/entrynodetest.cpp
@@ -38,3 +38,41 @@
         thread.join();
     }
 }
+
+// Guards against refusals as poison that nobody can trace to the lost connections behind them.
+CATCH_TEST_CASE("An entry VM names the instances and ages of the losses by which it judges a request", "[relay][poison]")
+{
+    Settings settings;
+    settings.vm.id = "vm-1";
+    settings.vm.failureDomain = "a";
+    settings.fleet.secret = "a secret of the tests";
+    settings.relay.seeds = {"127.0.0.1:1"};
+    settings.listen.fleet.port = 1;
+    settings.bounds.rateWindow = std::chrono::seconds(5);
+    std::atomic<std::int64_t> milliseconds{1'000'000};
+    const SteadyClock clock = [&milliseconds] { return SteadyTime(std::chrono::milliseconds(milliseconds)); };
+    EntryNode node(settings, clock, [] { return std::uint64_t{1}; });
+    for (const std::uint64_t incarnation : {1, 2, 3}) {
+        CATCH_CHECK_FALSE(node.isPoison(7));
+        CATCH_CHECK_FALSE(node.poisonSuspicion(7));
+        milliseconds += 100;
+        hyssophall::fleet::v1::Instance instance;
+        instance.set_id("i-1");
+        instance.set_incarnation(incarnation);
+        node.finish(instance, TryOutcome::ConnectionLost, std::chrono::milliseconds(50), 7);
+    }
+    CATCH_CHECK_FALSE(node.isPoison(7));
+    CATCH_CHECK(node.poisonSuspicion(7) == PoisonRequestDetector::settlingTime);
+    milliseconds += PoisonRequestDetector::settlingTime.count();
+    CATCH_CHECK(node.isPoison(7));
+    CATCH_CHECK_FALSE(node.poisonSuspicion(7));
+    const std::string details = node.describePoison(7);
+    CATCH_CAPTURE(details);
+    CATCH_CHECK(details.find(" round 1 age_ms=2200, ") != std::string::npos);
+    CATCH_CHECK(details.find(" round 3 age_ms=2000") != std::string::npos);
+    hyssophall::fleet::v1::Instance working;
+    working.set_id("i-2");
+    node.finish(working, TryOutcome::Answered, std::chrono::milliseconds(50), 7);
+    CATCH_CHECK_FALSE(node.isPoison(7));
+    CATCH_CHECK(node.describePoison(7).empty());
+}
--- a/tests/unit/process/relay/relayhubtest.cpp
+++ b/tests/unit/process/relay/relayhubtest.cpp
@@ -115,6 +115,27 @@
     CATCH_CHECK(fixture.nextMessage(fixture.peers[1]->buffer).outcomes_size() == 0);
 }
 
+// Guards against an innocent request that other VMs take for poison since they don't hear of its responses.
+CATCH_TEST_CASE("Lost requests and responses to them reach the other VMs and relays", "[relay][poison]")
+{
+    HubFixture fixture;
+    RelayMessages::Update update;
+    update.add_answered_requests(7);
+    update.add_lost_requests()->set_fingerprint(8);
+    update.mutable_lost_requests(0)->set_round(2);
+    // Several VMs may report the same response at once.
+    fixture.hub->receive(*fixture.first, update);
+    update.clear_lost_requests();
+    fixture.hub->receive(*fixture.first, update);
+    for (UpdateBuffer *buffer : {&fixture.second->buffer, &fixture.peers[0]->buffer}) {
+        const RelayMessages::Update message = fixture.nextMessage(*buffer);
+        CATCH_REQUIRE(message.answered_requests_size() == 1);
+        CATCH_CHECK(message.answered_requests(0) == 7);
+        CATCH_REQUIRE(message.lost_requests_size() == 1);
+        CATCH_CHECK(message.lost_requests(0).round() == 2);
+    }
+}
+
 // Guards against a drain that is acknowledged to the instance while VMs of other relays never learn of it and go on sending requests.
 CATCH_TEST_CASE("A leaving instance is acknowledged once a majority of the relays has confirmed it", "[relay][leaving-upstream]")
 {
--- a/tests/unit/process/telemetry/telemetrytest.cpp
+++ b/tests/unit/process/telemetry/telemetrytest.cpp
@@ -135,6 +135,7 @@
     record.catalogueVersion = 7;
     record.refusal = Refusal{RefusalCode::UpstreamFailed, RequestOutcome::Unknown, std::chrono::milliseconds(0)};
     record.retryStopReason = "the request may have run and can't be repeated";
+    record.poisonDetails = "i-1 round 1 age_ms=20";
     TryRecord tried;
     tried.instance = "i-1";
     tried.selectionReason = "gray=0.04 success_age_ms=120";
@@ -148,6 +149,7 @@
     CATCH_CHECK(line["tries"][0]["chosen_for"] == "gray=0.04 success_age_ms=120");
     CATCH_CHECK(line["tries"][0]["outcome"] == "connection_lost");
     CATCH_CHECK(line["ended_for"] == record.retryStopReason);
+    CATCH_CHECK(line["lost_connections"] == record.poisonDetails);
     RequestRecord good;
     good.status = 200;
     log.requestFinished(good);
