Relay: Stay with a relay whose message has the missing configuration

What callers saw: VMs reconnected once a second, or just when their configuration arrived late from a relay under load; each reconnection costs a full state. Cause: the status of a message was judged before the configuration of the same message came into force, and the limit of 1 s didn't grow. Change: the configuration in the message counts, and the limit doubles up to 16 s with each reconnection that didn't help.

--- a/libraries/process/relay/relaymoves.cpp
+++ b/libraries/process/relay/relaymoves.cpp
@@ -37,6 +37,8 @@
 /// version, and a VM applies it within milliseconds. The limit is half of the time that the platform allows for a configuration to come into
 /// force.
 constexpr std::chrono::milliseconds configurationTimeout{1000};
+/// The limit doubles with each connection in a row that is ended for this reason.
+constexpr std::chrono::milliseconds maximumConfigurationTimeout{16000};
 constexpr std::uint64_t randomSteps = 1000;
 
 std::chrono::milliseconds doubled(std::chrono::milliseconds initial, int failures, std::chrono::milliseconds maximum)
@@ -135,12 +137,17 @@
 {
     if (status.configuration_version() <= ownVersion) {
         this->configurationBehindSince.reset();
+        this->reconnectsForConfiguration = 0;
         return false;
     }
     if (!this->configurationBehindSince) {
         this->configurationBehindSince = now;
     }
-    return now - *this->configurationBehindSince >= configurationTimeout;
+    if (now - *this->configurationBehindSince < doubled(configurationTimeout, this->reconnectsForConfiguration, maximumConfigurationTimeout)) {
+        return false;
+    }
+    ++this->reconnectsForConfiguration;
+    return true;
 }
 
 bool RelayMoves::isBetterElsewhere(const Configuration &own, SteadyTime now)
--- a/libraries/process/relay/relaymoves.h
+++ b/libraries/process/relay/relaymoves.h
@@ -87,6 +87,8 @@
     std::optional<Reason> leavingFor;
     /// Since when the relay has reported a later configuration than the one in force on this VM.
     std::optional<SteadyTime> configurationBehindSince;
+    /// Connections in a row that were ended for that reason.
+    int reconnectsForConfiguration = 0;
 };
 
 } // namespace Hyssophall
--- a/libraries/process/relay/relayuplink.cpp
+++ b/libraries/process/relay/relayuplink.cpp
@@ -175,7 +175,7 @@
         }
         this->applyConfirmation(update.confirmed());
         if (update.has_status()) {
-            this->applyStatus(update.status());
+            this->applyStatus(update);
         }
         // The first message contains the full state as of now. Each later one completes the updates up to the time when the message that it confirms
         // was sent.
@@ -203,8 +203,9 @@
     }
 }
 
-void RelayUplink::applyStatus(const RelayMessages::RelayStatus &newStatus)
+void RelayUplink::applyStatus(const RelayMessages::Update &update)
 {
+    const RelayMessages::RelayStatus &newStatus = update.status();
     const SteadyTime now = this->hooks.clock();
     if (newStatus.current() != this->status.current() || !this->statusReceivedAt) {
         LOG(INFO) << "Relay " << this->connectedTo << (newStatus.current() ? " is current" : " isn't current") << "; it receives updates of "
@@ -214,7 +215,8 @@
     this->statusReceivedAt = now;
     RelayMoves::Configuration own;
     own.isLoaded = this->hooks.isConfigured();
-    own.version = this->hooks.configurationVersion();
+    // The configuration of this message comes into force after its status.
+    own.version = std::max(this->hooks.configurationVersion(), update.configuration().version());
     const std::optional<RelayMoves::Reason> reason = this->moves.applyStatus(newStatus, own, now);
     if (!reason) {
         return;
--- a/libraries/process/relay/relayuplink.h
+++ b/libraries/process/relay/relayuplink.h
@@ -88,7 +88,7 @@
     void recordEnd(const std::string &address, bool hasReceived);
     double reportedShare() const;
     void applyConfirmation(std::uint64_t confirmed);
-    void applyStatus(const RelayMessages::RelayStatus &status);
+    void applyStatus(const RelayMessages::Update &update);
 
     const Options options;
     const Hooks hooks;
--- a/tests/unit/process/relay/relaymovestest.cpp
+++ b/tests/unit/process/relay/relaymovestest.cpp
@@ -428,3 +428,28 @@
     fleet.runUntil(400s);
     CATCH_CHECK(fleet.vmsOnOwnRelays() == vmCount);
 }
+
+// Guards against VMs that reconnect each second, and so keep their relays busy, while a configuration doesn't come into force on them.
+CATCH_TEST_CASE("A VM that lacks its relay's configuration after a reconnection waits for longer before the next one", "[relay][large-fleet]")
+{
+    RelayMoves moves("a", {"a:1"}, [] { return std::uint64_t{1}; });
+    RelayMessages::RelayStatus status;
+    status.set_current(true);
+    status.set_configuration_version(2);
+    RelayMoves::Configuration own;
+    own.isLoaded = true;
+    own.version = 1;
+    std::size_t reconnections = 0;
+    moves.beginConnection("a:1", SteadyTime(1h));
+    for (Duration time{0}; time < 30s; time += statusInterval) {
+        const SteadyTime now = SteadyTime(1h) + time;
+        if (moves.applyStatus(status, own, now)) {
+            ++reconnections;
+            moves.recordEnd(true, now);
+            moves.beginConnection("a:1", now);
+        }
+    }
+    // After 1, 2, 4, 8 and, not reached, 16 s.
+    CATCH_CHECK(reconnections >= 1);
+    CATCH_CHECK(reconnections <= 4);
+}
--- a/tests/unit/process/relay/relayuplinktest.cpp
+++ b/tests/unit/process/relay/relayuplinktest.cpp
@@ -5,6 +5,7 @@
 #include <catch2/catch.hpp>
 #include <grpcpp/grpcpp.h>
 
+#include <algorithm>
 #include <atomic>
 #include <chrono>
 #include <functional>
@@ -110,6 +111,28 @@
     std::atomic<int> streams{0};
 };
 
+/// A relay that reports a version, stands still for longer than a VM waits for it, and then sends the configuration. Counts the streams that it gets.
+class LateRelay : public RelayMessages::Relay::Service
+{
+public:
+    grpc::Status Exchange(grpc::ServerContext *context, grpc::ServerReaderWriter<RelayMessages::Update, RelayMessages::Update> *stream) override
+    {
+        ++this->streams;
+        RelayMessages::Update reported;
+        reported.mutable_status()->set_current(true);
+        reported.mutable_status()->set_configuration_version(relaysVersion);
+        stream->Write(reported);
+        std::this_thread::sleep_for(1300ms);
+        reported.mutable_configuration()->set_version(relaysVersion);
+        while (!context->IsCancelled() && stream->Write(reported)) {
+            std::this_thread::sleep_for(20ms);
+        }
+        return grpc::Status::OK;
+    }
+
+    std::atomic<int> streams{0};
+};
+
 /// Starts a server on @p port, or on a free one that it stores there if it is 0.
 std::unique_ptr<grpc::Server> startRelay(grpc::Service &relay, int &port)
 {
@@ -296,6 +319,39 @@
     server->Shutdown(std::chrono::system_clock::now());
 }
 
+// Guards against a VM that ends the connection on which its configuration has just arrived.
+CATCH_TEST_CASE("A VM stays with a relay whose message has the configuration that the VM lacks", "[relay][large-fleet]")
+{
+    LateRelay relay;
+    int port = 0;
+    const std::unique_ptr<grpc::Server> server = startRelay(relay, port);
+    std::atomic<std::uint64_t> version{4};
+    RelayUplink::Options options;
+    options.seeds = {"127.0.0.1:" + std::to_string(port)};
+    options.fleetSecret = "a secret of the tests";
+    options.timing.silenceTimeout = 3s;
+    RelayUplink::Hooks hooks;
+    hooks.clock = std::chrono::steady_clock::now;
+    hooks.random = [] { return std::uint64_t{1}; };
+    hooks.makeGreeting = [](const std::function<void()> &) {
+        RelayMessages::Update first;
+        first.mutable_greeting()->set_vm("vm-1");
+        return first;
+    };
+    hooks.receive = [&version](const RelayMessages::Update &update) { version = std::max<std::uint64_t>(version, update.configuration().version()); };
+    hooks.confirmed = [](std::uint64_t) {};
+    hooks.recordVisibleShare = [](SteadyTime, SteadyTime, double) {};
+    hooks.isConfigured = [] { return true; };
+    hooks.configurationVersion = [&version] { return version.load(); };
+    {
+        const RelayUplink uplink(options, hooks);
+        CATCH_CHECK(isMet([&version] { return version == relaysVersion; }));
+        std::this_thread::sleep_for(500ms);
+        CATCH_CHECK(relay.streams == 1);
+    }
+    server->Shutdown(std::chrono::system_clock::now());
+}
+
 // Guards against an age that is reset by each message that arrives, even when the relay wrote the message long ago.
 CATCH_TEST_CASE("The age of a VM's knowledge is that of its latest message that the relay has confirmed", "[relay][fleet-limit]")
 {
