Relay: Count and log why a VM leaves its relay

What operators saw: "The connection to relay ... has ended" for each end, whether the relay was lost or the VM left it, and no number of moves. Evidence: "Moves are counted by their reason" uses what the change adds, so it can't be built on the former code.

--- a/libraries/process/relay/relaymoves.cpp
+++ b/libraries/process/relay/relaymoves.cpp
@@ -1,7 +1,6 @@
 #include "process/relay/relaymoves.h"
 
 #include <algorithm>
-#include <glog/logging.h>
 #include <utility>
 
 namespace Hyssophall {
@@ -54,6 +53,25 @@
 {
 }
 
+std::string RelayMoves::nameOf(Reason reason)
+{
+    switch (reason) {
+    case Reason::NotCurrent:
+        return "not_current";
+    case Reason::LocalRelay:
+        return "local_relay";
+    case Reason::ConfigurationBehind:
+        return "configuration_behind";
+    case Reason::ConnectionEnded:
+        return "connection_ended";
+    case Reason::NotConnected:
+        return "not_connected";
+    case Reason::Refused:
+        return "refused";
+    }
+    return "unknown";
+}
+
 std::string RelayMoves::next(SteadyTime now) const
 {
     return this->choice.next(now, this->random);
@@ -169,10 +187,11 @@
 
 void RelayMoves::recordRefusal(std::chrono::milliseconds duration, SteadyTime now)
 {
+    this->add(Reason::Refused);
     this->choice.recordRefusal(this->connectedTo, duration, now);
 }
 
-void RelayMoves::recordEnd(bool hasReceived, SteadyTime now)
+RelayMoves::Reason RelayMoves::recordEnd(bool hasReceived, SteadyTime now)
 {
     this->failedConnections = hasReceived ? 0 : this->failedConnections + 1;
     if (this->returnedAt) {
@@ -182,6 +201,19 @@
     if (!this->leavingFor) {
         this->choice.recordFailure(this->connectedTo, now);
     }
+    const Reason reason = this->leavingFor.value_or(hasReceived ? Reason::ConnectionEnded : Reason::NotConnected);
+    this->add(reason);
+    return reason;
+}
+
+std::uint64_t RelayMoves::count(Reason reason) const
+{
+    return this->counts[static_cast<std::size_t>(reason)];
+}
+
+void RelayMoves::add(Reason reason)
+{
+    ++this->counts[static_cast<std::size_t>(reason)];
 }
 
 std::chrono::milliseconds RelayMoves::reconnectDelay() const
--- a/libraries/process/relay/relaymoves.h
+++ b/libraries/process/relay/relaymoves.h
@@ -25,7 +25,10 @@
         NotConnected,
         Refused,
     };
-    static constexpr std::size_t reasonCount = 6;
+    static constexpr std::array reasons{
+        Reason::NotCurrent, Reason::LocalRelay, Reason::ConfigurationBehind, Reason::ConnectionEnded, Reason::NotConnected, Reason::Refused};
+    /// Name of the reason in metrics.
+    static std::string nameOf(Reason reason);
 
     /// What a VM has in force when a status arrives.
     struct Configuration {
@@ -50,7 +53,10 @@
     std::optional<Reason> applyStatus(const RelayMessages::RelayStatus &status, const Configuration &own, SteadyTime now);
     /// Call instead of recordEnd() when the relay has refused the connection for this long.
     void recordRefusal(std::chrono::milliseconds duration, SteadyTime now);
-    void recordEnd(bool hasReceived, SteadyTime now);
+    /// Returns why the connection ended.
+    Reason recordEnd(bool hasReceived, SteadyTime now);
+    /// Number of connections that ended or weren't established for this reason.
+    std::uint64_t count(Reason reason) const;
     /// Pause before the next connection.
     std::chrono::milliseconds reconnectDelay() const;
 
@@ -62,7 +68,10 @@
     /// Whether the relay, which isn't current, is to be left for one that may be.
     bool isBetterElsewhere(const Configuration &own, SteadyTime now);
 
+    void add(Reason reason);
+
     const RandomSource random;
+    std::array<std::uint64_t, reasons.size()> counts{};
     RelayChoice choice;
     std::string connectedTo;
     /// Connections in a row on which no message was received.
--- a/libraries/process/relay/relayuplink.cpp
+++ b/libraries/process/relay/relayuplink.cpp
@@ -87,6 +87,12 @@
         && this->status.configuration_version() <= own;
 }
 
+std::uint64_t RelayUplink::moveCount(RelayMoves::Reason reason) const
+{
+    std::lock_guard<std::mutex> lock(this->mutex);
+    return this->moves.count(reason);
+}
+
 void RelayUplink::keepConnected()
 {
     std::unique_lock<std::mutex> lock(this->mutex);
@@ -144,8 +150,24 @@
         this->moves.recordRefusal(*this->refusal, this->hooks.clock());
         return;
     }
-    LOG(WARNING) << (hasReceived ? "The connection to relay " : "No stream could be established to relay ") << address << (hasReceived ? " has ended" : "");
-    this->moves.recordEnd(hasReceived, this->hooks.clock());
+    switch (this->moves.recordEnd(hasReceived, this->hooks.clock())) {
+    case RelayMoves::Reason::NotCurrent:
+        LOG(WARNING) << "Left relay " << address << ", which isn't current, since another one may be";
+        break;
+    case RelayMoves::Reason::LocalRelay:
+        LOG(INFO) << "Left relay " << address << " for a relay of this failure domain";
+        break;
+    case RelayMoves::Reason::ConfigurationBehind:
+        LOG(WARNING) << "Left relay " << address << " to get its configuration " << this->status.configuration_version();
+        break;
+    case RelayMoves::Reason::NotConnected:
+        LOG(WARNING) << "No stream could be established to relay " << address;
+        break;
+    case RelayMoves::Reason::ConnectionEnded:
+    case RelayMoves::Reason::Refused:
+        LOG(WARNING) << "The connection to relay " << address << " has ended";
+        break;
+    }
     // Until the next status arrives, this VM doesn't receive the admissions of other VMs.
     this->statusReceivedAt.reset();
 }
@@ -218,16 +240,13 @@
     // The configuration of this message comes into force after its status.
     own.version = std::max(this->hooks.configurationVersion(), update.configuration().version());
     const std::optional<RelayMoves::Reason> reason = this->moves.applyStatus(newStatus, own, now);
-    if (!reason) {
-        return;
-    }
-    if (*reason == RelayMoves::Reason::LocalRelay) {
-        LOG(INFO) << "Switching from relay " << this->connectedTo << " to a relay of this failure domain";
-    } else if (*reason == RelayMoves::Reason::ConfigurationBehind) {
+    if (reason == RelayMoves::Reason::ConfigurationBehind) {
         LOG(WARNING) << "Relay " << this->connectedTo << " has configuration " << newStatus.configuration_version() << " and this VM still has " << own.version
                      << "; reconnecting";
     }
-    this->link->cancel();
+    if (reason) {
+        this->link->cancel();
+    }
 }
 
 } // namespace Hyssophall
--- a/libraries/process/relay/relayuplink.h
+++ b/libraries/process/relay/relayuplink.h
@@ -77,6 +77,9 @@
     /// Whether isCurrent() holds and the relay reported no later configuration than the one in force on this VM.
     bool hasLatestConfiguration() const;
 
+    /// Number of connections to relays that ended or weren't established for this reason.
+    std::uint64_t moveCount(RelayMoves::Reason reason) const;
+
 private:
     void keepConnected();
     void receive(const RelayMessages::Update &update);
--- a/services/hyssophalld/relayparts.cpp
+++ b/services/hyssophalld/relayparts.cpp
@@ -178,6 +178,11 @@
         const std::optional<std::chrono::milliseconds> age = this->node->uplink().knowledgeAge();
         return age ? std::chrono::duration<double>(*age).count() : -1.0;
     });
+    for (const RelayMoves::Reason reason : RelayMoves::reasons) {
+        metrics.addGauge("hyssophall_relay_moves_" + RelayMoves::nameOf(reason),
+            "Connections to relays that have ended or failed for this reason since the start.",
+            [this, reason] { return static_cast<double>(this->node->uplink().moveCount(reason)); });
+    }
     metrics.addGauge("hyssophall_catalogue_version", "Version of the catalogue in force.", [this] {
         return static_cast<double>(this->node->catalogue()->configuration().version());
     });
--- a/tests/unit/process/relay/relaymovestest.cpp
+++ b/tests/unit/process/relay/relaymovestest.cpp
@@ -131,6 +131,16 @@
         return largest;
     }
 
+    /// Connections that ended or failed for this reason, since the VMs started.
+    std::uint64_t endsFor(RelayMoves::Reason reason) const
+    {
+        std::uint64_t sum = 0;
+        for (const Vm &vm : this->vms) {
+            sum += vm.rules.count(reason);
+        }
+        return sum;
+    }
+
     std::size_t vmsOnCurrentRelays() const
     {
         return static_cast<std::size_t>(
@@ -453,3 +463,15 @@
     CATCH_CHECK(reconnections >= 1);
     CATCH_CHECK(reconnections <= 4);
 }
+
+// Guards against moves whose reason nobody sees.
+CATCH_TEST_CASE("Moves are counted by their reason", "[relay][large-fleet]")
+{
+    SimulatedMoves fleet(split(), 1);
+    const std::uint64_t homeBefore = fleet.endsFor(RelayMoves::Reason::LocalRelay);
+    CATCH_CHECK(fleet.endsFor(RelayMoves::Reason::NotCurrent) == 0);
+    fleet.runUntil(60s);
+    CATCH_CHECK(fleet.endsFor(RelayMoves::Reason::NotCurrent) == 2 * vmsPerRelay);
+    CATCH_CHECK(fleet.endsFor(RelayMoves::Reason::LocalRelay) - homeBefore == 2 * vmsPerRelay);
+    CATCH_CHECK(fleet.endsFor(RelayMoves::Reason::ConnectionEnded) == 0);
+}
