--- a/libraries/process/relay/relaymoves.cpp
+++ b/libraries/process/relay/relaymoves.cpp
@@ -1,7 +1,6 @@
 #include "process/relay/relaymoves.h"
 
 #include <algorithm>
-#include <glog/logging.h>
 #include <utility>
 
 namespace Hyssophall {
@@ -37,6 +36,8 @@
 /// version, and a VM applies it within milliseconds. The limit is half of the time that the platform allows for a configuration to come into
 /// force.
 constexpr std::chrono::milliseconds configurationTimeout{1000};
+/// The limit doubles with each connection in a row that is ended for this reason.
+constexpr std::chrono::milliseconds maximumConfigurationTimeout{16000};
 constexpr std::uint64_t randomSteps = 1000;
 
 std::chrono::milliseconds doubled(std::chrono::milliseconds initial, int failures, std::chrono::milliseconds maximum)
@@ -52,6 +53,25 @@
 {
 }
 
+std::string RelayMoves::nameOf(Reason reason)
+{
+    switch (reason) {
+    case Reason::NotCurrent:
+        return "not_current";
+    case Reason::LocalRelay:
+        return "local_relay";
+    case Reason::ConfigurationBehind:
+        return "configuration_behind";
+    case Reason::ConnectionEnded:
+        return "connection_ended";
+    case Reason::NotConnected:
+        return "not_connected";
+    case Reason::Refused:
+        return "refused";
+    }
+    return "unknown";
+}
+
 std::string RelayMoves::next(SteadyTime now) const
 {
     return this->choice.next(now, this->random);
@@ -141,12 +161,17 @@
 {
     if (status.configuration_version() <= ownVersion) {
         this->configurationBehindSince.reset();
+        this->reconnectsForConfiguration = 0;
         return false;
     }
     if (!this->configurationBehindSince) {
         this->configurationBehindSince = now;
     }
-    return now - *this->configurationBehindSince >= configurationTimeout;
+    if (now - *this->configurationBehindSince < doubled(configurationTimeout, this->reconnectsForConfiguration, maximumConfigurationTimeout)) {
+        return false;
+    }
+    ++this->reconnectsForConfiguration;
+    return true;
 }
 
 bool RelayMoves::isBetterElsewhere(const Configuration &own, SteadyTime now)
@@ -168,10 +193,11 @@
 
 void RelayMoves::recordRefusal(std::chrono::milliseconds duration, SteadyTime now)
 {
+    this->add(Reason::Refused);
     this->choice.recordRefusal(this->connectedTo, duration, now);
 }
 
-void RelayMoves::recordEnd(bool hasReceived, SteadyTime now)
+RelayMoves::Reason RelayMoves::recordEnd(bool hasReceived, SteadyTime now)
 {
     this->failedConnections = hasReceived ? 0 : this->failedConnections + 1;
     if (this->returnedAt) {
@@ -181,6 +207,19 @@
     if (!this->leavingFor) {
         this->choice.recordFailure(this->connectedTo, now);
     }
+    const Reason reason = this->leavingFor.value_or(hasReceived ? Reason::ConnectionEnded : Reason::NotConnected);
+    this->add(reason);
+    return reason;
+}
+
+std::uint64_t RelayMoves::count(Reason reason) const
+{
+    return this->counts[static_cast<std::size_t>(reason)];
+}
+
+void RelayMoves::add(Reason reason)
+{
+    ++this->counts[static_cast<std::size_t>(reason)];
 }
 
 std::chrono::milliseconds RelayMoves::reconnectDelay() const
--- a/libraries/process/relay/relayuplink.cpp
+++ b/libraries/process/relay/relayuplink.cpp
@@ -87,6 +87,12 @@
         && this->status.configuration_version() <= own;
 }
 
+std::uint64_t RelayUplink::moveCount(RelayMoves::Reason reason) const
+{
+    std::lock_guard<std::mutex> lock(this->mutex);
+    return this->moves.count(reason);
+}
+
 void RelayUplink::keepConnected()
 {
     std::unique_lock<std::mutex> lock(this->mutex);
@@ -144,8 +150,24 @@
         this->moves.recordRefusal(*this->refusal, this->hooks.clock());
         return;
     }
-    LOG(WARNING) << (hasReceived ? "The connection to relay " : "No stream could be established to relay ") << address << (hasReceived ? " has ended" : "");
-    this->moves.recordEnd(hasReceived, this->hooks.clock());
+    switch (this->moves.recordEnd(hasReceived, this->hooks.clock())) {
+    case RelayMoves::Reason::NotCurrent:
+        LOG(WARNING) << "Left relay " << address << ", which isn't current, since another one may be";
+        break;
+    case RelayMoves::Reason::LocalRelay:
+        LOG(INFO) << "Left relay " << address << " for a relay of this failure domain";
+        break;
+    case RelayMoves::Reason::ConfigurationBehind:
+        LOG(WARNING) << "Left relay " << address << " to get its configuration " << this->status.configuration_version();
+        break;
+    case RelayMoves::Reason::NotConnected:
+        LOG(WARNING) << "No stream could be established to relay " << address;
+        break;
+    case RelayMoves::Reason::ConnectionEnded:
+    case RelayMoves::Reason::Refused:
+        LOG(WARNING) << "The connection to relay " << address << " has ended";
+        break;
+    }
     // Until the next status arrives, this VM doesn't receive the admissions of other VMs.
     this->statusReceivedAt.reset();
 }
@@ -175,7 +197,7 @@
         }
         this->applyConfirmation(update.confirmed());
         if (update.has_status()) {
-            this->applyStatus(update.status());
+            this->applyStatus(update);
         }
         // The first message contains the full state as of now. Each later one completes the updates up to the time when the message that it confirms
         // was sent.
@@ -203,8 +225,9 @@
     }
 }
 
-void RelayUplink::applyStatus(const RelayMessages::RelayStatus &newStatus)
+void RelayUplink::applyStatus(const RelayMessages::Update &update)
 {
+    const RelayMessages::RelayStatus &newStatus = update.status();
     const SteadyTime now = this->hooks.clock();
     if (newStatus.current() != this->status.current() || !this->statusReceivedAt) {
         LOG(INFO) << "Relay " << this->connectedTo << (newStatus.current() ? " is current" : " isn't current") << "; it receives updates of "
@@ -214,18 +237,16 @@
     this->statusReceivedAt = now;
     RelayMoves::Configuration own;
     own.isLoaded = this->hooks.isConfigured();
-    own.version = this->hooks.configurationVersion();
+    // The configuration of this message comes into force after its status.
+    own.version = std::max(this->hooks.configurationVersion(), update.configuration().version());
     const std::optional<RelayMoves::Reason> reason = this->moves.applyStatus(newStatus, own, now);
-    if (!reason) {
-        return;
-    }
-    if (*reason == RelayMoves::Reason::LocalRelay) {
-        LOG(INFO) << "Switching from relay " << this->connectedTo << " to a relay of this failure domain";
-    } else if (*reason == RelayMoves::Reason::ConfigurationBehind) {
+    if (reason == RelayMoves::Reason::ConfigurationBehind) {
         LOG(WARNING) << "Relay " << this->connectedTo << " has configuration " << newStatus.configuration_version() << " and this VM still has " << own.version
                      << "; reconnecting";
     }
-    this->link->cancel();
+    if (reason) {
+        this->link->cancel();
+    }
 }
 
 } // namespace Hyssophall
--- a/libraries/process/relay/relayuplink.h
+++ b/libraries/process/relay/relayuplink.h
@@ -77,6 +77,9 @@
     /// Whether isCurrent() holds and the relay reported no later configuration than the one in force on this VM.
     bool hasLatestConfiguration() const;
 
+    /// Number of connections to relays that ended or weren't established for this reason.
+    std::uint64_t moveCount(RelayMoves::Reason reason) const;
+
 private:
     void keepConnected();
     void receive(const RelayMessages::Update &update);
@@ -88,7 +91,7 @@
     void recordEnd(const std::string &address, bool hasReceived);
     double reportedShare() const;
     void applyConfirmation(std::uint64_t confirmed);
-    void applyStatus(const RelayMessages::RelayStatus &status);
+    void applyStatus(const RelayMessages::Update &update);
 
     const Options options;
     const Hooks hooks;
--- a/tests/unit/process/relay/relaymovestest.cpp
+++ b/tests/unit/process/relay/relaymovestest.cpp
@@ -131,6 +131,16 @@
         return largest;
     }
 
+    /// Connections that ended or failed for this reason, since the VMs started.
+    std::uint64_t endsFor(RelayMoves::Reason reason) const
+    {
+        std::uint64_t sum = 0;
+        for (const Vm &vm : this->vms) {
+            sum += vm.rules.count(reason);
+        }
+        return sum;
+    }
+
     std::size_t vmsOnCurrentRelays() const
     {
         return static_cast<std::size_t>(
@@ -455,3 +465,40 @@
     now += 1s;
     CATCH_CHECK_FALSE(moves.applyStatus(status, own, now));
 }
+
+// Guards against VMs that reconnect each second, and so keep their relays busy, while a configuration doesn't come into force on them.
+CATCH_TEST_CASE("A VM that lacks its relay's configuration after a reconnection waits for longer before the next one", "[relay][large-fleet]")
+{
+    RelayMoves moves("a", {"a:1"}, [] { return std::uint64_t{1}; });
+    RelayMessages::RelayStatus status;
+    status.set_current(true);
+    status.set_configuration_version(2);
+    RelayMoves::Configuration own;
+    own.isLoaded = true;
+    own.version = 1;
+    std::size_t reconnections = 0;
+    moves.beginConnection("a:1", SteadyTime(1h));
+    for (Duration time{0}; time < 30s; time += statusInterval) {
+        const SteadyTime now = SteadyTime(1h) + time;
+        if (moves.applyStatus(status, own, now)) {
+            ++reconnections;
+            moves.recordEnd(true, now);
+            moves.beginConnection("a:1", now);
+        }
+    }
+    // After 1, 2, 4, 8 and, not reached, 16 s.
+    CATCH_CHECK(reconnections >= 1);
+    CATCH_CHECK(reconnections <= 4);
+}
+
+// Guards against moves whose reason nobody sees.
+CATCH_TEST_CASE("Moves are counted by their reason", "[relay][large-fleet]")
+{
+    SimulatedMoves fleet(split(), 1);
+    const std::uint64_t homeBefore = fleet.endsFor(RelayMoves::Reason::LocalRelay);
+    CATCH_CHECK(fleet.endsFor(RelayMoves::Reason::NotCurrent) == 0);
+    fleet.runUntil(60s);
+    CATCH_CHECK(fleet.endsFor(RelayMoves::Reason::NotCurrent) == 2 * vmsPerRelay);
+    CATCH_CHECK(fleet.endsFor(RelayMoves::Reason::LocalRelay) - homeBefore == 2 * vmsPerRelay);
+    CATCH_CHECK(fleet.endsFor(RelayMoves::Reason::ConnectionEnded) == 0);
+}
