Relay: Store leaves on a disk without room for a second file

What callers saw: after a write to a relay's file of leaves has failed, leaves are confirmed by this relay only once the whole file fits on the disk a second time. On disks that stay nearly full, a DELETE or drain gets no acknowledgement for good, though its record would fit. Cause: after a failure, DepartureLog only wrote the whole file anew, and what a failed write had stored took the last room. Evidence: "The departure log stores on a disk that has no room for a second file" fails on the former departurelog.cpp (5 assertions). Change: when the file can't be written anew, it is cut to its whole, synced records and appended to. What a failed write has left is removed at once. After a rename whose folder may not be synced, only writing anew counts, as before.

--- a/libraries/process/relay/departurelog.cpp
+++ b/libraries/process/relay/departurelog.cpp
@@ -106,6 +106,9 @@
         [this]() -> boost::leaf::result<bool> {
             BOOST_LEAF_AUTO(bytes, this->disk.read(fileName));
             std::size_t offset = 0;
+            if (bytes) {
+                this->intactLength = 0;
+            }
             while (bytes) {
                 const std::optional<std::string> payload = ChecksummedRecord::decodeNext(*bytes, offset);
                 Record record;
@@ -113,6 +116,7 @@
                     break;
                 }
                 this->records[record.registration.id()] = record;
+                this->intactLength = offset;
             }
             return true;
         },
@@ -139,14 +143,7 @@
     for (const Record &record : batch) {
         this->records[record.registration.id()] = record;
     }
-    const bool hasSurplus = this->recordsInFile > 2 * this->records.size() + surplusRecords;
-    const bool isWritten = this->isLoaded
-        && boost::leaf::try_handle_all(
-            [this, &batch, hasSurplus]() -> boost::leaf::result<bool> {
-                BOOST_LEAF_CHECK(this->needsRewrite || hasSurplus ? this->rewrite() : this->append(batch));
-                return true;
-            },
-            [] { return false; });
+    const bool isWritten = this->isLoaded && this->store(batch);
     if (!isWritten && !this->isFailureLogged) {
         LOG(WARNING) << "Instances that leave can't be stored on this VM's disk; trying again";
     }
@@ -154,20 +151,45 @@
     return isWritten;
 }
 
+bool DepartureLog::store(const std::vector<Record> &batch)
+{
+    const bool hasSurplus = this->recordsInFile > 2 * this->records.size() + surplusRecords;
+    if ((this->needsRewrite || hasSurplus) && this->rewrite()) {
+        return true;
+    }
+    return static_cast<bool>(this->append(batch));
+}
+
 boost::leaf::result<void> DepartureLog::append(const std::vector<Record> &batch)
 {
+    if (!this->intactLength) {
+        return boost::leaf::new_error(StorageError{StorageError::Kind::Failed, fileName});
+    }
     std::string bytes;
     for (const Record &record : batch) {
         bytes += encode(record);
     }
-    this->needsRewrite = true;
-    BOOST_LEAF_CHECK(this->disk.append(fileName, bytes));
-    BOOST_LEAF_CHECK(this->disk.sync(fileName));
+    if (!this->appendInPlace(bytes)) {
+        this->needsRewrite = true;
+        // Otherwise the part that was written might take the last room on the disk.
+        static_cast<void>(this->disk.truncate(fileName, *this->intactLength));
+        return boost::leaf::new_error(StorageError{StorageError::Kind::Failed, fileName});
+    }
     this->needsRewrite = false;
+    this->intactLength = *this->intactLength + bytes.size();
     this->recordsInFile += batch.size();
     return {};
 }
 
+boost::leaf::result<void> DepartureLog::appendInPlace(const std::string &bytes)
+{
+    if (this->needsRewrite) {
+        BOOST_LEAF_CHECK(this->disk.truncate(fileName, *this->intactLength));
+    }
+    BOOST_LEAF_CHECK(this->disk.append(fileName, bytes));
+    return this->disk.sync(fileName);
+}
+
 boost::leaf::result<void> DepartureLog::rewrite()
 {
     this->dropExpired();
@@ -176,12 +198,16 @@
     for (const std::pair<const std::string, Record> &entry : this->records) {
         bytes += encode(entry.second);
     }
+    if (!this->disk.write(newName, bytes) || !this->disk.sync(newName)) {
+        static_cast<void>(this->disk.remove(newName));
+        return boost::leaf::new_error(StorageError{StorageError::Kind::Failed, newName});
+    }
     this->needsRewrite = true;
-    BOOST_LEAF_CHECK(this->disk.write(newName, bytes));
-    BOOST_LEAF_CHECK(this->disk.sync(newName));
+    this->intactLength.reset();
     BOOST_LEAF_CHECK(this->disk.rename(newName, fileName));
     BOOST_LEAF_CHECK(this->disk.syncFolder());
     this->needsRewrite = false;
+    this->intactLength = bytes.size();
     this->recordsInFile = this->records.size();
     return {};
 }
--- a/libraries/process/relay/departurelog.h
+++ b/libraries/process/relay/departurelog.h
@@ -10,6 +10,7 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <thread>
 #include <vector>
@@ -19,8 +20,9 @@
 /**
  * Stores on disk which instances are draining or gone, so that a late registration doesn't bring one back after a restart.
  *
- * One thread writes. Registrations that arrive while it waits for the disk are written together. After a failure it writes the whole file anew until
- * that succeeds, since a failed append may have left a part of a record. Records are dropped after an hour. Thread-safe.
+ * One thread writes. Registrations that arrive while it waits for the disk are written together. After a failure it writes the whole file anew, since a
+ * failed append may have left a part of a record. If that fails, too, it cuts that part off and appends again, which needs no room for a second file. It
+ * goes on until one of them succeeds. Records are dropped after an hour. Thread-safe.
  */
 class DepartureLog : public DepartureStore
 {
@@ -63,7 +65,9 @@
     // These are called by start() and by the writing thread only.
     bool load();
     bool write(const std::vector<Record> &batch);
+    bool store(const std::vector<Record> &batch);
     boost::leaf::result<void> append(const std::vector<Record> &batch);
+    boost::leaf::result<void> appendInPlace(const std::string &bytes);
     boost::leaf::result<void> rewrite();
     void dropExpired();
 
@@ -78,6 +82,8 @@
     bool isLoaded = false;
     /// Whether the file may end in a part of a record, or doesn't exist.
     bool needsRewrite = true;
+    /// Bytes of the file that hold whole records. Unknown while there is no file, and while it isn't known which of two is durable.
+    std::optional<std::uint64_t> intactLength;
     bool isFailureLogged = false;
     std::size_t recordsInFile = 0;
     /// The latest record of each instance, by its id.
--- a/tests/unit/process/relay/departurelogtest.cpp
+++ b/tests/unit/process/relay/departurelogtest.cpp
@@ -113,6 +113,38 @@
     CATCH_CHECK(next.loaded.size() == 2);
 }
 
+// Guards against leaves that are never acknowledged after a failure, since the file has grown and doesn't fit on the disk a second time.
+CATCH_TEST_CASE("The departure log stores on a disk that has no room for a second file", "[relay][leaving-upstream]")
+{
+    constexpr std::size_t roomForOne = 1000;
+    SimulatedDisk disk(1);
+    {
+        Process process(disk, noon);
+        for (std::uint64_t number = 1; number <= 200; ++number) {
+            process.log.add(goneInstance("i-" + std::to_string(number)));
+        }
+        CATCH_REQUIRE(process.awaitStored(200));
+        const std::size_t used = disk.used();
+        CATCH_REQUIRE(used > 2 * roomForOne);
+        disk.limitTo(used + 10);
+        const std::uint64_t added = process.log.add(goneInstance("late"));
+        CATCH_CHECK_FALSE(process.awaitStored(added, std::chrono::milliseconds(100)));
+        disk.limitTo(used + roomForOne);
+        CATCH_CHECK(process.awaitStored(added, std::chrono::seconds(2)));
+        CATCH_CHECK(process.awaitStored(process.log.add(goneInstance("later")), std::chrono::seconds(2)));
+    }
+    disk.crash();
+    {
+        // The file is whole after a start, too, and the first record after it fits.
+        Process process(disk, noon);
+        CATCH_CHECK(process.loaded.size() == 202);
+        CATCH_CHECK(process.awaitStored(process.log.add(goneInstance("after")), std::chrono::seconds(2)));
+    }
+    disk.crash();
+    Process process(disk, noon);
+    CATCH_CHECK(process.loaded.size() == 203);
+}
+
 // Guards against a file that grows without bound, and against records that are dropped while a registration can still be on its way.
 CATCH_TEST_CASE("The departure log drops records after the retention time and keeps its file small", "[relay][leaving-upstream]")
 {
