--- a/tests/unit/process/control/diskfailuretest.cpp
+++ b/tests/unit/process/control/diskfailuretest.cpp
@@ -101,6 +101,13 @@
     }
 }
 
+bool isVoter(const SimulatedGroup &group, std::size_t node)
+{
+    const std::size_t leader = group.leader();
+    return leader < group.nodes.size()
+        && ReplicaGroup::hasVoter(group.nodes[leader].replica->log().configuration(), group.nodes[node].id, group.nodes[node].replica->diskIncarnation());
+}
+
 ControlMessages::Entry entryOf(std::uint64_t index, std::size_t size)
 {
     ControlMessages::Entry entry;
@@ -289,3 +296,58 @@
         CATCH_CHECK(storage->append({entryOf(5, room / 4)}));
     }
 }
+
+// Guards against an accepted change that is lost when as many disks as the group tolerates are lost and all other VMs lose power at the same moment.
+CATCH_TEST_CASE("Accepted changes survive the loss of two disks of five while the others lose power", "[control-log][config-in-force]")
+{
+    for (std::uint64_t seed = 1; seed <= seedCount(40); ++seed) {
+        CATCH_CAPTURE(seed);
+        SimulatedGroup group(5, seed);
+        group.compactEvery = 2 + seed % 10;
+        group.bootstrap();
+        Maintenance maintenance(group);
+        const std::uint64_t count = 1 + group.random() % 12;
+        for (std::uint64_t number = 0; number < count; ++number) {
+            if (group.random() % 3 == 0) {
+                group.nodes[group.random() % 5].disk->failAt(1 + group.random() % 30);
+            }
+            if (group.random() % 4 == 0) {
+                group.restartFailed();
+                group.heal();
+                group.lossPercent = static_cast<unsigned>(group.random() % 30);
+            }
+            group.propose("tried-" + std::to_string(number));
+            group.run(milliseconds(group.random() % 100));
+        }
+        std::vector<std::string> accepted;
+        for (std::uint64_t number = 0; number < count; ++number) {
+            const std::string changeId = "tried-" + std::to_string(number);
+            const std::size_t leader = group.leader();
+            if (leader < 5 && group.decidedAt(leader, changeId)) {
+                accepted.push_back(changeId);
+            }
+        }
+        std::vector<std::size_t> order{0, 1, 2, 3, 4};
+        std::shuffle(order.begin(), order.end(), group.random);
+        group.heal();
+        for (std::size_t position = 0; position < 5; ++position) {
+            position < 2 ? group.loseDisk(order[position]) : group.kill(order[position]);
+        }
+        CATCH_CHECK(maintenance.decide("last", decisionBound));
+        const std::size_t leader = group.leader();
+        CATCH_REQUIRE(leader < 5);
+        for (const std::string &changeId : accepted) {
+            CATCH_CHECK(group.decidedAt(leader, changeId));
+        }
+        for (std::size_t position = 0; position < 2; ++position) {
+            const std::size_t lost = order[position];
+            CATCH_CHECK(group.runUntil([&group, lost] {
+                if (group.leader() < 5 && !isVoter(group, lost)) {
+                    group.nodes[group.leader()].replica->putReplica(group.replicaOf(lost));
+                }
+                return isVoter(group, lost);
+            }));
+        }
+        requireNoViolations(group);
+    }
+}
--- a/tests/unit/process/relay/departurelogtest.cpp
+++ b/tests/unit/process/relay/departurelogtest.cpp
@@ -5,7 +5,9 @@
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
 #include <mutex>
+#include <set>
 
 using namespace Hyssophall;
 using HyssophallTest::registrationOf;
@@ -166,3 +168,51 @@
     Process process(disk, noon + DepartureLog::retention + std::chrono::minutes(1));
     CATCH_CHECK(process.loaded.empty());
 }
+
+// Guards against a leave that a majority of five relays has stored and that is unknown after two of them lose their disks while the others lose power.
+CATCH_TEST_CASE("A leave that a majority has stored survives the loss of two disks of five while the others lose power", "[relay][leaving-upstream]")
+{
+    constexpr std::size_t relays = 5;
+    for (std::uint64_t seed = 1; seed <= 12; ++seed) {
+        CATCH_CAPTURE(seed);
+        std::mt19937_64 random(seed);
+        std::vector<std::unique_ptr<SimulatedDisk>> disks;
+        std::set<std::string> acknowledged;
+        {
+            std::vector<std::unique_ptr<Process>> processes;
+            for (std::size_t relay = 0; relay < relays; ++relay) {
+                disks.push_back(std::make_unique<SimulatedDisk>(random()));
+                processes.push_back(std::make_unique<Process>(*disks.back(), noon));
+            }
+            for (int number = 0; number < 6; ++number) {
+                if (random() % 2 == 0) {
+                    disks[random() % relays]->failAt(1 + random() % 4);
+                }
+                const std::string id = "i-" + std::to_string(number);
+                std::vector<std::uint64_t> added;
+                for (const std::unique_ptr<Process> &process : processes) {
+                    added.push_back(process->log.add(goneInstance(id)));
+                }
+                std::size_t stored = 0;
+                for (std::size_t relay = 0; relay < relays; ++relay) {
+                    stored += processes[relay]->awaitStored(added[relay], std::chrono::milliseconds(disks[relay]->hasFailed() ? 1 : 300)) ? 1 : 0;
+                }
+                if (stored > relays / 2) {
+                    acknowledged.insert(id);
+                }
+            }
+        }
+        CATCH_CHECK_FALSE(acknowledged.empty());
+        std::shuffle(disks.begin(), disks.end(), random);
+        disks.resize(relays - 2);
+        std::set<std::string> known;
+        for (const std::unique_ptr<SimulatedDisk> &disk : disks) {
+            disk->crash();
+            Process process(*disk, noon);
+            for (const std::pair<const std::string, RelayMessages::Registration> &entry : process.loaded) {
+                known.insert(entry.first);
+            }
+        }
+        CATCH_CHECK(std::includes(known.begin(), known.end(), acknowledged.begin(), acknowledged.end()));
+    }
+}
