Relay: Sync the stored leaves when they are loaded

What callers saw: after all processes were killed, a leave that is sent again can be acknowledged and be lost with the power: a relay whose process ended between the write and the sync of a record counted the record as stored after its start. Cause: DepartureLog::load() took what it had read for durable, and a leave that is known already is acknowledged without being written again. Change: load() syncs the file and its folder before what it holds is applied. If that fails, the leaves are applied all the same and a warning is logged: not applying them would bring back instances that have left.

--- a/libraries/process/relay/departurelog.cpp
+++ b/libraries/process/relay/departurelog.cpp
@@ -125,6 +125,10 @@
         LOG(WARNING) << "The file with the instances that have left can't be read; trying again";
         return false;
     }
+    // The process may have ended between a write and its sync, and what has been loaded is acknowledged without being written again.
+    if (this->intactLength && (!this->disk.sync(fileName) || !this->disk.syncFolder())) {
+        LOG(WARNING) << "The file with the instances that have left can't be synced; a loss of power may take back the last ones";
+    }
     this->dropExpired();
     for (const std::pair<const std::string, Record> &entry : this->records) {
         registrations.push_back(entry.second.registration);
--- a/tests/unit/process/relay/departurelogtest.cpp
+++ b/tests/unit/process/relay/departurelogtest.cpp
@@ -115,6 +115,31 @@
     CATCH_CHECK(next.loaded.size() == 2);
 }
 
+// Guards against a leave that was written but not synced before its process ended, and that counts as stored after the restart: it is acknowledged again
+// without being written.
+CATCH_TEST_CASE("What a start of the departure log has loaded survives a loss of power", "[relay][leaving-upstream]")
+{
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+        CATCH_CAPTURE(seed);
+        SimulatedDisk disk(seed);
+        {
+            Process process(disk, noon);
+            CATCH_REQUIRE(process.awaitStored(process.log.add(goneInstance("i-1"))));
+            disk.failAt(2);
+            CATCH_REQUIRE_FALSE(process.awaitStored(process.log.add(goneInstance("i-2")), std::chrono::milliseconds(20)));
+        }
+        disk.recover();
+        std::size_t loaded = 0;
+        {
+            const Process process(disk, noon);
+            loaded = process.loaded.size();
+        }
+        disk.crash();
+        const Process process(disk, noon);
+        CATCH_CHECK(process.loaded.size() >= loaded);
+    }
+}
+
 // Guards against leaves that are never acknowledged after a failure, since the file has grown and doesn't fit on the disk a second time.
 CATCH_TEST_CASE("The departure log stores on a disk that has no room for a second file", "[relay][leaving-upstream]")
 {
