Health: Don't count a VM's own starts as another VM's after it has moved

Cause: a relay holds counts for other relays back for up to 150 ms. A VM that changes its relay meanwhile gets its own starts back through the new one, as another VM's, and their ends not. It subtracted its requests from the new relay's count, but not below zero, so the starts that came back stayed.

Change: the VM subtracts the requests that it had when it began to connect. If the relay knows fewer than these, as many of the starts that arrive within 400 ms aren't counted; after that, they are taken as lost with the former relay.

Tests, without any network: "A VM that has moved between relays counts the requests in flight right" plays all 30 orders of a VM's start, end and move and of the deliveries beside 0, 1 and 3 requests of others. "Starts that a negative count announces aren't counted, and a lost one is expected for a short time only" tests what is new in InFlightRequests and can't be built on the former code.

Counts of requests that start or end between two connections are still dropped; no test plays that.

--- a/libraries/process/health/inflightrequests.cpp
+++ b/libraries/process/health/inflightrequests.cpp
@@ -6,7 +6,17 @@
 
 void InFlightRequests::start(std::uint32_t count, SteadyTime now)
 {
-    this->startTimes.insert(this->startTimes.end(), count, now);
+    const std::size_t expected = now < this->expectedUntil ? std::min<std::size_t>(count, this->expectedStarts) : 0;
+    this->expectedStarts -= expected;
+    this->startTimes.insert(this->startTimes.end(), count - expected, now);
+}
+
+void InFlightRequests::reset(std::int64_t count, std::chrono::milliseconds maximumStartDelay, SteadyTime now)
+{
+    this->clear();
+    this->startTimes.assign(static_cast<std::size_t>(std::max<std::int64_t>(0, count)), now);
+    this->expectedStarts = static_cast<std::size_t>(std::max<std::int64_t>(0, -count));
+    this->expectedUntil = now + maximumStartDelay;
 }
 
 void InFlightRequests::end(std::uint32_t count)
@@ -20,6 +30,7 @@
 {
     this->startTimes.clear();
     this->hangingCount = 0;
+    this->expectedStarts = 0;
 }
 
 void InFlightRequests::removeExpired(std::chrono::milliseconds maximumAge, SteadyTime now)
--- a/libraries/process/health/inflightrequests.h
+++ b/libraries/process/health/inflightrequests.h
@@ -18,6 +18,9 @@
     void end(std::uint32_t count);
     void clear();
 
+    /// Sets how many requests are in flight. If @p count is negative, as many of the starts that are reported within @p maximumStartDelay aren't counted.
+    void reset(std::int64_t count, std::chrono::milliseconds maximumStartDelay, SteadyTime now);
+
     /// Removes requests that are older than @p maximumAge: the VM that sent them was lost before it could report their end.
     void removeExpired(std::chrono::milliseconds maximumAge, SteadyTime now);
 
@@ -31,6 +34,9 @@
     std::deque<SteadyTime> startTimes;
     /// Requests that takeHanging() has returned. They are the oldest in startTimes.
     std::size_t hangingCount = 0;
+    /// Starts that aren't counted when they are reported, and until when. A start that was lost would otherwise be replaced by that of another request.
+    std::size_t expectedStarts = 0;
+    SteadyTime expectedUntil;
 };
 
 } // namespace Hyssophall
--- a/libraries/process/health/instanceselector.cpp
+++ b/libraries/process/health/instanceselector.cpp
@@ -233,6 +233,13 @@
     service.ended += use.served() + use.unserved();
 }
 
+void InstanceSelector::beginConnection()
+{
+    for (std::pair<const std::uint32_t, InstanceState> &entry : this->states) {
+        entry.second.ownAtConnection = entry.second.ownRequests.count();
+    }
+}
+
 void InstanceSelector::apply(const RelayMessages::InstanceSummary &summary, SteadyTime now)
 {
     const auto known = this->states.find(summary.instance());
@@ -244,10 +251,9 @@
     if (summary.limit_thousandths() > 0) {
         state.restrictions.limit().set(limitOf(summary.limit_thousandths()), now);
     }
-    // The relay counts the requests of this VM, too.
-    const std::uint32_t ownInFlight = static_cast<std::uint32_t>(state.ownRequests.count());
-    state.otherRequests.clear();
-    state.otherRequests.start(summary.in_flight() - std::min(ownInFlight, summary.in_flight()), now);
+    // The relay counts the requests of this VM, too. It doesn't send back what this VM reports to it from the connection on.
+    const std::size_t own = state.ownAtConnection.value_or(state.ownRequests.count());
+    state.otherRequests.reset(static_cast<std::int64_t>(summary.in_flight()) - static_cast<std::int64_t>(own), maximumStartDelay, now);
     if (state.gray.hasOutcome()) {
         // The outcomes that this VM received one by one are at least as accurate as a summary.
         return;
--- a/libraries/process/health/instanceselector.h
+++ b/libraries/process/health/instanceselector.h
@@ -88,6 +88,10 @@
     /// Adds how many requests for a service were served and not served, on this VM or another one.
     void apply(const RelayMessages::ServiceUse &use, SteadyTime now);
 
+    /// Must be called when this VM begins to connect to a relay, whose summaries follow. Requests that it started before have been reported to another relay;
+    /// the new one counts them already, or will be told of them and tell this VM.
+    void beginConnection();
+
     /// Applies the state of one instance that a relay sends when this VM connects. Once this VM has outcomes of that instance, only the requests
     /// in flight are taken from it.
     void apply(const RelayMessages::InstanceSummary &summary, SteadyTime now);
@@ -112,12 +116,18 @@
     const InstanceTable &table() const;
 
 private:
+    /// How long after the connection to a relay that one is told of starts that were reported to the former relay, which holds them back for 150 ms; the rest
+    /// allows for a busy relay.
+    static constexpr std::chrono::milliseconds maximumStartDelay{400};
+
     struct InstanceState {
         std::string id;
         GrayEstimate gray;
         /// Requests in flight of this VM, and those that other VMs reported.
         InFlightRequests ownRequests;
         InFlightRequests otherRequests;
+        /// Requests of this VM that were in flight when it began to connect.
+        std::optional<std::size_t> ownAtConnection;
         InstanceRestrictions restrictions;
         bool isAssumedGray = false;
         std::optional<SteadyTime> lastSuccess;
--- a/libraries/process/relay/entrynode.cpp
+++ b/libraries/process/relay/entrynode.cpp
@@ -540,7 +540,7 @@
     return this->board.describeInstance(instanceId, this->clock());
 }
 
-RelayMessages::Update EntryNode::greeting(const std::function<void()> &dropQueuedAdmissions) const
+RelayMessages::Update EntryNode::greeting(const std::function<void()> &dropQueuedAdmissions)
 {
     RelayMessages::Update first;
     *first.mutable_admissions() = encodeAdmissions(this->limiter->record());
@@ -548,6 +548,7 @@
     unreported.vm = this->settings.vm.id;
     *first.add_unreported() = encodeUnreported(unreported);
     std::lock_guard<std::mutex> lock(this->mutex);
+    this->board.beginConnection();
     first.mutable_greeting()->set_vm(this->settings.vm.id);
     first.mutable_greeting()->set_failure_domain(this->settings.vm.failureDomain);
     first.mutable_greeting()->set_forwarding_host(this->forwardingHost);
--- a/libraries/process/relay/entrynode.h
+++ b/libraries/process/relay/entrynode.h
@@ -86,7 +86,7 @@
     std::string describeInstance(const std::string &instanceId) const override;
 
 private:
-    RelayMessages::Update greeting(const std::function<void()> &dropQueuedAdmissions) const;
+    RelayMessages::Update greeting(const std::function<void()> &dropQueuedAdmissions);
     void receive(const RelayMessages::Update &update);
     void applyConfiguration(const CatalogueMessages::Configuration &configuration);
     void recordConnectFailed(const hyssophall::fleet::v1::Instance &instance);
