Limits: Go by what a VM knew of a team after it has lost its stream

Callers of teams far below their limits got 429 from VMs that had just lost their relay: on 442 VMs, 154 of 158 logged refusals, 470 to 935 ms after the last confirmation. Such a VM took itself for alone at once. Its part of a small limit is below one request, and the one request that it may always admit is used up by its part of what it knows of the others (0.98 tokens are left).

What a VM knows now ages for 1.2 s instead of ending. A team that used at most half of its limit gets one request on each VM for each loss, while its known use and what may be unheard of (16 times the rate since the confirmation, one request for each VM at most) fit into the limit and 0.7 of the tolerance. Further requests of a team that used at most three quarters wait for the next connection and are then spread over 0.2 s.

That a VM alone refuses with 0.98 tokens stays as it is: admitting one request on each of 442 VMs whatever they know would break the limit of a small team.

The simulated fleet can now lose streams, and it waits for confirmations as acquire() does. LimitedFleet said that the knowledge of isolated VMs is always new; it now gives its age.

--- a/libraries/process/limits/sharedratelimiter.cpp
+++ b/libraries/process/limits/sharedratelimiter.cpp
@@ -25,6 +25,21 @@
 /// Part of the deployment's tolerance that VMs use while their history doesn't cover a whole window. It is a half, because all processes of the
 /// fleet may be lost twice within one window.
 constexpr double partialHistoryTolerancePart = 0.5;
+/// How long a VM that lost its stream goes by what it knew: moves take up to 0.9 s, and the latest confirmation before is up to 0.3 s old.
+constexpr std::chrono::milliseconds knowledgeLifetime{1200};
+/// Largest use of a team, as a part of its limit, with which it may be admitted by aging knowledge.
+constexpr double maximumAgingUse = 0.5;
+/// Largest use with which requests wait for a connection. Waiting admits nothing, so it may be higher.
+constexpr double maximumWaitingUse = 0.75;
+/// Requests that a team may have sent unheard of since the knowledge's time, as a multiple of its rate. It is twice the worst known flood.
+constexpr double assumedFloodFactor = 16;
+/// Part of the deployment's tolerance on which aging knowledge may draw.
+constexpr double agingTolerancePart = 0.7;
+/// Waiting requests hold threads, so their number is limited.
+constexpr int maximumWaitingForKnowledge = 32;
+/// Requests that waited are spread over this time: several times as long as an admission takes to arrive at the other VMs.
+constexpr std::chrono::milliseconds releaseSpread{200};
+constexpr std::chrono::milliseconds knowledgeCheckInterval{10};
 /// Length of the history where limits aren't counted over windows. It isn't used for decisions there.
 constexpr std::chrono::milliseconds unusedHistoryLength{1000};
 
@@ -44,10 +59,8 @@
         return {RateDecision::Kind::Granted, std::chrono::milliseconds(0)};
     }
     std::unique_lock<std::mutex> lock(this->mutex);
-    const auto canDecide = [this, &name, &fleetRate] {
-        const Allowance allowance = this->allowanceOf(name, fleetRate, this->view());
-        return allowance.tokens < 1 || allowance.remainingUnconfirmed >= 1;
-    };
+    this->waitForKnowledge(lock, name, fleetRate, deadline);
+    const auto canDecide = [this, &name, &fleetRate] { return !this->mustWaitForConfirmation(name, fleetRate); };
     if (!canDecide()) {
         const SteadyTime::duration remaining = std::max(SteadyTime::duration(0), deadline - this->hooks.deadlineClock());
         this->confirmationReceived.wait_for(lock, std::min<SteadyTime::duration>(this->options.confirmationWait, remaining), canDecide);
@@ -65,6 +78,13 @@
     return this->grant(name, fleetRate, allowance, view);
 }
 
+bool SharedRateLimiter::mustWaitForKnowledge(const std::string &name, bool hasWaited)
+{
+    const TeamRate fleetRate = this->hooks.teamRate(name);
+    std::lock_guard<std::mutex> lock(this->mutex);
+    return fleetRate.rate > 0 && this->mustWaitForKnowledge(name, fleetRate, hasWaited);
+}
+
 void SharedRateLimiter::returnToken(const std::string &)
 {
 }
@@ -169,6 +189,88 @@
     return {std::max(ownShare, this->hooks.visibleShare()), ownShare, this->hooks.clock()};
 }
 
+bool SharedRateLimiter::mustWaitForConfirmation(const std::string &name)
+{
+    const TeamRate fleetRate = this->hooks.teamRate(name);
+    std::lock_guard<std::mutex> lock(this->mutex);
+    return fleetRate.rate > 0 && this->mustWaitForConfirmation(name, fleetRate);
+}
+
+bool SharedRateLimiter::mustWaitForConfirmation(const std::string &name, const TeamRate &fleetRate)
+{
+    const Allowance allowance = this->allowanceOf(name, fleetRate, this->view());
+    return allowance.tokens >= 1 && allowance.remainingUnconfirmed < 1;
+}
+
+bool SharedRateLimiter::mustWaitForKnowledge(const std::string &name, const TeamRate &fleetRate, bool hasWaited)
+{
+    const AdmissionHistory::View view = this->view();
+    if (this->ageAfterLoss(view)) {
+        this->releasedAt.reset();
+        if (this->allowanceOf(name, fleetRate, view).tokens >= 1) {
+            return false;
+        }
+        const std::chrono::duration<double> length = this->options.window;
+        const double limit = fleetRate.rate * length.count() + fleetRate.burst;
+        return this->lastKnownUse(name, this->teamOf(name, view.now), fleetRate, view) <= maximumWaitingUse * limit;
+    }
+    if (!hasWaited || view.visibleShare <= view.ownShare) {
+        return false;
+    }
+    if (!this->releasedAt) {
+        const std::uint64_t random = this->hooks.random ? this->hooks.random() : 0;
+        this->releasedAt = view.now + std::chrono::milliseconds(random % static_cast<std::uint64_t>(releaseSpread.count()));
+    }
+    return view.now < *this->releasedAt;
+}
+
+void SharedRateLimiter::waitForKnowledge(std::unique_lock<std::mutex> &lock, const std::string &name, const TeamRate &fleetRate, SteadyTime deadline)
+{
+    if (this->waitingForKnowledge >= maximumWaitingForKnowledge || !this->mustWaitForKnowledge(name, fleetRate, false)) {
+        return;
+    }
+    ++this->waitingForKnowledge;
+    do {
+        const SteadyTime::duration remaining = deadline - this->hooks.deadlineClock();
+        if (remaining <= SteadyTime::duration::zero()) {
+            break;
+        }
+        this->confirmationReceived.wait_for(lock, std::min<SteadyTime::duration>(knowledgeCheckInterval, remaining));
+    } while (this->mustWaitForKnowledge(name, fleetRate, true));
+    --this->waitingForKnowledge;
+}
+
+std::optional<std::chrono::milliseconds> SharedRateLimiter::ageAfterLoss(const AdmissionHistory::View &view) const
+{
+    if (!this->isWindowed() || view.ownShare >= 1 || view.visibleShare > view.ownShare) {
+        return std::nullopt;
+    }
+    const std::optional<std::chrono::milliseconds> age = this->hooks.knowledgeAge();
+    return age && *age < knowledgeLifetime ? age : std::nullopt;
+}
+
+double SharedRateLimiter::lastKnownUse(const std::string &name, const Team &team, const TeamRate &fleetRate, const AdmissionHistory::View &view)
+{
+    const AdmissionHistory::View wholeFleet{1, view.ownShare, view.now};
+    return this->history.chargedAdmissions(name, fleetRate, wholeFleet) + static_cast<double>(team.unconfirmed.size());
+}
+
+bool SharedRateLimiter::isAdmissibleAfterLoss(const std::string &name, const Team &team, const TeamRate &fleetRate, const AdmissionHistory::View &view)
+{
+    const std::optional<std::chrono::milliseconds> age = this->ageAfterLoss(view);
+    if (!age || !team.unconfirmed.empty()) {
+        return false;
+    }
+    const std::chrono::duration<double> length = this->options.window;
+    const std::chrono::duration<double> unheardTime = *age;
+    const double limit = fleetRate.rate * length.count() + fleetRate.burst;
+    const double tolerance = this->options.overage * limit + this->options.slack;
+    const double used = this->lastKnownUse(name, team, fleetRate, view);
+    // No VM admits more than one request after a loss, so the number of VMs bounds what is unheard of.
+    const double unheard = std::min(1 / view.ownShare, assumedFloodFactor * fleetRate.rate * unheardTime.count());
+    return used <= maximumAgingUse * limit && used + unheard + 1 <= limit + agingTolerancePart * tolerance;
+}
+
 SharedRateLimiter::Team &SharedRateLimiter::teamOf(const std::string &name, SteadyTime now)
 {
     Team &team = this->teams[name];
@@ -197,13 +299,17 @@
 SharedRateLimiter::Allowance SharedRateLimiter::allowanceOf(const std::string &name, const TeamRate &fleetRate, const AdmissionHistory::View &view)
 {
     Team &team = this->teamOf(name, view.now);
-    Allowance allowance = this->allowanceInBucket(team.bucket, fleetRate, view);
+    // A bucket isn't used after a loss, and a refill by the VM's own share would take the tokens that it has for the time after the next connection.
+    Allowance allowance = this->ageAfterLoss(view) ? Allowance{} : this->allowanceInBucket(team.bucket, fleetRate, view);
     double remaining = allowance.tokens;
     if (this->isWindowed()) {
         const Allowance windowAllowance = this->allowanceInWindow(name, team, fleetRate, view);
         remaining = windowAllowance.tokens;
         allowance = view.visibleShare < minimumBucketShare || windowAllowance.tokens < allowance.tokens ? windowAllowance : allowance;
     }
+    if (allowance.tokens < 1 && this->isAdmissibleAfterLoss(name, team, fleetRate, view)) {
+        allowance.tokens = 1;
+    }
     if (view.visibleShare > view.ownShare) {
         allowance.remainingUnconfirmed = std::max(1.0, view.ownShare * remaining) - static_cast<double>(team.unconfirmed.size());
     } else {
--- a/libraries/process/limits/sharedratelimiter.h
+++ b/libraries/process/limits/sharedratelimiter.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "process/hooks.h"
 #include "process/limits/admissionhistory.h"
 #include "process/limits/ratelimiter.h"
 #include "process/limits/teamrate.h"
@@ -26,7 +27,10 @@
  *
  * An admission counts in full against the VM that made it until its relay has confirmed the report. The number of unconfirmed admissions of a VM is
  * limited to its own share of what remains, but at least one. However late the VMs notice a partition, they therefore exceed the limit by at most
- * one request each. Thread-safe.
+ * one request each.
+ *
+ * A VM that has just lost its stream goes by what it knew of a team that was far under its limit: it admits at most one request for each loss while the
+ * requests that the team may have sent to the other VMs since then fit into the limit, too. Further requests wait until it is connected again. Thread-safe.
  */
 class SharedRateLimiter : public RateLimiter
 {
@@ -53,18 +57,28 @@
         std::function<double()> visibleShare;
         /// Share of the fleet that this VM is by itself: one divided by the number of VMs.
         std::function<double()> ownShare;
-        /// Age of this VM's knowledge of the others' admissions, or nothing before the first report. Only for the log.
+        /// Age of this VM's knowledge of the others' admissions, or nothing before the first report.
         std::function<std::optional<std::chrono::milliseconds>()> knowledgeAge;
         /// Reports an admission to the other VMs, without delay when the team's tokens are scarce. Returns the number of the message that contains
         /// the report, or nothing when no confirmation is needed. Called with the limiter's lock held.
         std::function<std::optional<std::uint64_t>(const std::string &, bool isScarce)> reportAdmission;
+        /// Spreads requests that waited for a connection, so that VMs that connect at the same time don't admit them all at once. May be empty.
+        RandomSource random;
     };
 
     SharedRateLimiter(Options options, Hooks hooks);
 
-    /// Blocks while too many admissions are unconfirmed, until the deadline and for Options::confirmationWait at most.
+    /// Blocks while too many admissions are unconfirmed, until the deadline and for Options::confirmationWait at most. Before that, it blocks while
+    /// mustWaitForKnowledge() is true, until the deadline at most.
     RateDecision acquire(const std::string &team, SteadyTime deadline) override;
 
+    /// Whether a request of the team must wait because this VM has just lost its stream, the team was far under its limit, and no more of its requests may be
+    /// admitted here without news of the others. @p hasWaited says whether the request has waited for this already.
+    bool mustWaitForKnowledge(const std::string &team, bool hasWaited);
+
+    /// Whether a request of the team must wait because too many admissions of this VM are unconfirmed.
+    bool mustWaitForConfirmation(const std::string &team);
+
     /// Does nothing, because the other VMs have already counted the request.
     void returnToken(const std::string &team) override;
 
@@ -120,6 +134,15 @@
     };
 
     bool isWindowed() const;
+    bool mustWaitForKnowledge(const std::string &name, const TeamRate &fleetRate, bool hasWaited);
+    bool mustWaitForConfirmation(const std::string &name, const TeamRate &fleetRate);
+    void waitForKnowledge(std::unique_lock<std::mutex> &lock, const std::string &name, const TeamRate &fleetRate, SteadyTime deadline);
+    /// Age of this VM's knowledge if it lost its stream a short time ago.
+    std::optional<std::chrono::milliseconds> ageAfterLoss(const AdmissionHistory::View &view) const;
+    /// The team's use of its limit in the whole fleet, as far as it is known here.
+    double lastKnownUse(const std::string &name, const Team &team, const TeamRate &fleetRate, const AdmissionHistory::View &view);
+    /// Whether one request may be admitted by what was known at the loss of the stream.
+    bool isAdmissibleAfterLoss(const std::string &name, const Team &team, const TeamRate &fleetRate, const AdmissionHistory::View &view);
     AdmissionHistory::View view() const;
     Team &teamOf(const std::string &name, SteadyTime now);
     /// The smaller of the bucket's and the window's allowance, or only one of them where the other doesn't apply.
@@ -138,6 +161,10 @@
     std::condition_variable confirmationReceived;
     AdmissionHistory history;
     std::map<std::string, Team> teams;
+    /// Number of requests that wait for a connection.
+    int waitingForKnowledge = 0;
+    /// When requests that waited for the present connection may be decided. Empty until one of them has noticed the connection.
+    std::optional<SteadyTime> releasedAt;
 };
 
 } // namespace Hyssophall
--- a/libraries/process/relay/entrynode.cpp
+++ b/libraries/process/relay/entrynode.cpp
@@ -146,6 +146,7 @@
         use.set_scarce(isScarce);
         return this->relayUplink->send(update);
     };
+    limiterHooks.random = random;
     this->limiter = std::make_unique<SharedRateLimiter>(limiterOptions(settings), std::move(limiterHooks));
     SharedRetryBudget::Hooks retryHooks;
     retryHooks.visibleShare = [this] { return this->relayUplink->visibleShare(); };
--- a/tests/unit/process/limits/delayedfleet.cpp
+++ b/tests/unit/process/limits/delayedfleet.cpp
@@ -1,6 +1,8 @@
 #include "unit/process/limits/delayedfleet.h"
 
 #include <algorithm>
+#include <cstddef>
+#include <numeric>
 
 namespace HyssophallTest {
 
@@ -13,10 +15,14 @@
 /// The same values as in RelayUplink and RelayExchange.
 constexpr std::chrono::milliseconds statusLifetime{500};
 constexpr std::chrono::milliseconds contactTimeout{700};
+/// The same value as in TeamUseMonitor.
+constexpr std::chrono::milliseconds maximumUpdateGap{500};
 /// Longest time until a VM is connected to its relay again after a partition, a suspension or a restart.
 constexpr int longestConnectMilliseconds = 300;
 /// Time after their start at which relays begin to exchange reports. Before that, a VM receives only reports of VMs of the same relay.
 constexpr std::chrono::milliseconds relayExchangeDelay{400};
+/// The default of SharedRateLimiter::Options.
+constexpr std::chrono::milliseconds confirmationWait{250};
 constexpr std::size_t relays = 5;
 constexpr std::chrono::seconds window{5};
 constexpr double overage = 0.1;
@@ -26,7 +32,7 @@
 {
     SharedRateLimiter::Options options;
     options.window = window;
-    // Simulated time doesn't advance while acquire() waits.
+    // Simulated time doesn't advance while acquire() waits. The simulation waits instead.
     options.confirmationWait = std::chrono::milliseconds(0);
     options.overage = overage;
     options.slack = slack;
@@ -82,6 +88,28 @@
     }
 }
 
+void DelayedFleet::loseStreams(std::size_t count, std::chrono::milliseconds shortest, std::chrono::milliseconds longest)
+{
+    std::vector<std::size_t> order(this->vms.size());
+    std::iota(order.begin(), order.end(), 0);
+    std::shuffle(order.begin(), order.end(), this->random);
+    for (std::size_t index = 0; index < count; ++index) {
+        Vm &vm = this->vms[order[index]];
+        if (vm.hasLostStream) {
+            continue;
+        }
+        const std::uint64_t choices = static_cast<std::uint64_t>((longest - shortest).count()) + 1;
+        vm.connectedAt = this->now + shortest + std::chrono::milliseconds(this->random() % choices);
+        vm.isConnected = false;
+        vm.hasLostStream = true;
+        // A relay notices the end of a stream at once.
+        this->lastContact[order[index]] = SteadyTime();
+        vm.statusTime.reset();
+        vm.inbox.clear();
+        vm.confirmations.clear();
+    }
+}
+
 void DelayedFleet::suspend(std::size_t count, std::chrono::milliseconds duration)
 {
     for (std::size_t vm = 0; vm < count; ++vm) {
@@ -96,7 +124,9 @@
     for (std::size_t vm = 0; vm < this->vms.size(); ++vm) {
         this->vms[vm].inbox.clear();
         this->vms[vm].statusTime.reset();
+        this->vms[vm].knownUntil.reset();
         this->vms[vm].waiting = 0;
+        this->vms[vm].waitingRequests.clear();
         this->vms[vm].resumesAt = this->now + downtime;
         this->vms[vm].connectedAt = this->vms[vm].resumesAt + std::chrono::milliseconds(this->random() % longestConnectMilliseconds);
         this->vms[vm].isConnected = false;
@@ -147,7 +177,13 @@
     hooks.teamRate = [this](const std::string &) { return this->rate; };
     hooks.visibleShare = [this, &vm] { return this->visibleShareOf(vm); };
     hooks.ownShare = [this] { return 1 / static_cast<double>(this->vms.size()); };
-    hooks.knowledgeAge = [] { return std::chrono::milliseconds(0); };
+    hooks.knowledgeAge = [this, &vm]() -> std::optional<std::chrono::milliseconds> {
+        if (!vm.knownUntil) {
+            return std::nullopt;
+        }
+        return std::chrono::duration_cast<std::chrono::milliseconds>(this->now - *vm.knownUntil);
+    };
+    hooks.random = [this] { return this->random(); };
     hooks.reportAdmission = [this, number](const std::string &, bool) { return this->report(number); };
     vm.limiter = std::make_unique<SharedRateLimiter>(this->options, std::move(hooks));
 }
@@ -189,12 +225,14 @@
             this->connect(number);
         }
         this->receive(vm);
+        this->decideWaiting(vm);
     }
 }
 
 void DelayedFleet::startRelays()
 {
     this->relayHistories.clear();
+    this->relayVisibleUntil.assign(relays, this->now);
     for (std::size_t relay = 0; relay < relays; ++relay) {
         this->relayHistories.emplace_back(window, this->now);
     }
@@ -204,6 +242,11 @@
 {
     Vm &vm = this->vms[number];
     AdmissionHistory &relay = this->relayHistories[number % relays];
+    if (vm.hasLostStream) {
+        // The relay records up to when it received the reports of others, before it sends its record.
+        this->recordShareAt(number % relays);
+        this->lastContact[number] = this->now;
+    }
     vm.isConnected = true;
     vm.inbox.clear();
     vm.confirmations.clear();
@@ -215,6 +258,13 @@
     vm.limiter->fillGaps(relay.record(this->now));
     this->distributeUnreported(number, unreported);
     vm.confirmations.push_back({this->now + delay, 0});
+    if (vm.hasLostStream) {
+        // The relay's first message contains its status.
+        vm.hasLostStream = false;
+        vm.visibleShare = this->shareAt(number % relays);
+        vm.statusTime = this->now;
+        vm.knownUntil = this->now;
+    }
 }
 
 void DelayedFleet::sendStatus()
@@ -224,27 +274,46 @@
             this->lastContact[vm] = this->now;
         }
     }
+    std::vector<std::optional<double>> shares(relays);
     for (std::size_t vm = 0; vm < this->vms.size(); ++vm) {
         if (!this->isReachable(this->vms[vm])) {
             continue;
         }
-        std::size_t visible = 0;
-        for (std::size_t other = 0; other < this->vms.size(); ++other) {
-            visible += this->receivesFrom(vm, other) && this->now - this->lastContact[other] < contactTimeout ? 1 : 0;
+        std::optional<double> &share = shares[vm % relays];
+        if (!share) {
+            share = this->shareAt(vm % relays);
+            this->recordShareAt(vm % relays);
         }
         Vm &receiver = this->vms[vm];
-        receiver.visibleShare = static_cast<double>(visible) / static_cast<double>(this->vms.size());
-        this->relayHistories[vm % relays].recordVisibleShare(this->now - statusInterval, this->now, receiver.visibleShare);
+        receiver.visibleShare = *share;
         if (!receiver.isConnected) {
             continue;
         }
         receiver.statusTime = this->now - delay;
+        receiver.knownUntil = this->now - delay;
         const SteadyTime until = std::max(receiver.visibleUntil, *receiver.statusTime);
         receiver.limiter->recordVisibleShare(receiver.visibleUntil, until, receiver.visibleShare);
         receiver.visibleUntil = until;
     }
 }
 
+double DelayedFleet::shareAt(std::size_t relay) const
+{
+    std::size_t visible = 0;
+    for (std::size_t vm = 0; vm < this->vms.size(); ++vm) {
+        visible += this->receivesFrom(relay, vm) && this->now - this->lastContact[vm] < contactTimeout ? 1 : 0;
+    }
+    return static_cast<double>(visible) / static_cast<double>(this->vms.size());
+}
+
+void DelayedFleet::recordShareAt(std::size_t relay)
+{
+    SteadyTime &until = this->relayVisibleUntil[relay];
+    const SteadyTime from = this->now - until < maximumUpdateGap ? until : this->now;
+    this->relayHistories[relay].recordVisibleShare(from, this->now, this->shareAt(relay));
+    until = this->now;
+}
+
 void DelayedFleet::receive(Vm &vm)
 {
     for (; !vm.inbox.empty() && vm.inbox.front().due <= this->now; vm.inbox.pop_front()) {
@@ -265,11 +334,43 @@
         ++vm.waiting;
         return;
     }
+    WaitingRequest request;
+    if (!this->tryToDecide(vm, request, false)) {
+        vm.waitingRequests.push_back(request);
+    }
+}
+
+void DelayedFleet::decideWaiting(Vm &vm)
+{
+    if (vm.waitingRequests.empty()) {
+        return;
+    }
+    std::deque<WaitingRequest> waiting;
+    waiting.swap(vm.waitingRequests);
+    for (WaitingRequest &request : waiting) {
+        if (!this->tryToDecide(vm, request, true)) {
+            vm.waitingRequests.push_back(request);
+        }
+    }
+}
+
+bool DelayedFleet::tryToDecide(Vm &vm, WaitingRequest &request, bool hasWaited)
+{
+    if (!request.waitsForConfirmationSince) {
+        if (vm.limiter->mustWaitForKnowledge("red", hasWaited)) {
+            return false;
+        }
+        request.waitsForConfirmationSince = this->now;
+    }
+    if (this->now - *request.waitsForConfirmationSince < confirmationWait && vm.limiter->mustWaitForConfirmation("red")) {
+        return false;
+    }
     if (vm.limiter->acquire("red", this->now).kind == RateDecision::Kind::Granted) {
         this->grants.push_back(this->now);
     } else {
         ++this->refusals;
     }
+    return true;
 }
 
 std::uint64_t DelayedFleet::report(std::size_t from)
--- a/tests/unit/process/limits/delayedfleet.h
+++ b/tests/unit/process/limits/delayedfleet.h
@@ -27,6 +27,10 @@
     void partition(std::size_t count);
     void heal();
 
+    /// Ends the streams of @p count randomly chosen VMs, except of those that are lost already. Each VM connects again after a random time between @p shortest
+    /// and @p longest.
+    void loseStreams(std::size_t count, std::chrono::milliseconds shortest, std::chrono::milliseconds longest);
+
     /// Suspends the first @p count VMs for @p duration. Requests to them wait until they resume.
     void suspend(std::size_t count, std::chrono::milliseconds duration);
 
@@ -52,6 +56,10 @@
         SteadyTime due;
         std::uint64_t number = 0;
     };
+    struct WaitingRequest {
+        /// Since when it has waited for confirmations. Empty while it waits for the connection.
+        std::optional<SteadyTime> waitsForConfirmationSince;
+    };
     struct Vm {
         std::unique_ptr<SharedRateLimiter> limiter;
         bool isPartitioned = false;
@@ -60,6 +68,10 @@
         /// When the VM can connect to its relay again.
         SteadyTime connectedAt;
         std::optional<SteadyTime> statusTime;
+        /// Up to when the VM knows the others' admissions.
+        std::optional<SteadyTime> knownUntil;
+        /// Whether its stream ended, which the VM notices at once, unlike a partition.
+        bool hasLostStream = false;
         double visibleShare = 0;
         bool isConnected = true;
         SteadyTime visibleUntil;
@@ -70,6 +82,8 @@
         std::deque<Confirmation> confirmations;
         /// Requests that arrived during the suspension.
         std::size_t waiting = 0;
+        /// Requests that wait for the connection or for confirmations, in the order of their arrival.
+        std::deque<WaitingRequest> waitingRequests;
     };
 
     void create(std::size_t vm);
@@ -81,8 +95,15 @@
     void startRelays();
     void connect(std::size_t vm);
     void sendStatus();
+    /// Share of the VMs from which the relay receives reports.
+    double shareAt(std::size_t relay) const;
+    /// Records the present share in the relay's history, as TeamUseMonitor does.
+    void recordShareAt(std::size_t relay);
     void receive(Vm &vm);
     void request(Vm &vm);
+    /// Decides the request unless the limiter would wait, which it can't while simulated time stands still.
+    bool tryToDecide(Vm &vm, WaitingRequest &request, bool hasWaited);
+    void decideWaiting(Vm &vm);
     std::uint64_t report(std::size_t from);
     void distribute(std::size_t from, std::uint32_t count);
     void distributeUnreported(std::size_t from, const std::shared_ptr<const UnreportedAdmissions> &unreported);
@@ -95,6 +116,8 @@
     std::vector<Vm> vms;
     /// The history of each relay.
     std::deque<AdmissionHistory> relayHistories;
+    /// Up to when the history of each relay contains the share of VMs that it received reports from.
+    std::vector<SteadyTime> relayVisibleUntil;
     /// When each VM last had contact with its relay.
     std::vector<SteadyTime> lastContact;
     std::vector<SteadyTime> grants;
--- a/tests/unit/process/limits/delayedfleettest.cpp
+++ b/tests/unit/process/limits/delayedfleettest.cpp
@@ -2,6 +2,9 @@
 
 #include <catch2/catch.hpp>
 
+#include <cmath>
+#include <cstdint>
+
 using namespace HyssophallTest;
 using namespace std::chrono_literals;
 
@@ -22,6 +25,66 @@
 const std::vector<Flood> floods{{{2, 2}, 40}, {{15, 15}, 60}, {{52, 52}, 210}, {{20, 100}, 210}};
 const std::vector<std::uint64_t> seeds{1, 2, 3, 4, 5};
 
+constexpr std::size_t largeFleet = 442;
+
+struct MovingFleet {
+    std::size_t vms;
+    std::vector<TeamRate> rates;
+    std::uint64_t seeds;
+};
+
+/// The large fleet has fewer cases, since it takes seconds for each.
+const std::vector<MovingFleet> movingFleets{{vms, {{5, 5}, {20, 20}, {60, 60}, {200, 200}}, 3}, {largeFleet, {{5, 5}, {60, 60}}, 1}};
+
+int requestsPerSecond(const TeamRate &rate, double part)
+{
+    return static_cast<int>(std::lround(part * rate.rate));
+}
+
+/// How VMs lose their streams, each for 50 to 900 ms where nothing else is said.
+enum class Loss : std::uint8_t {
+    /// All at the same moment.
+    AllAtOnce,
+    /// A third of the VMs each second.
+    ThirdEachSecond,
+    /// One after another, each about once in two seconds.
+    OneByOne,
+    /// All at the same moment, for 900 to 930 ms.
+    AllTogether,
+};
+
+const std::vector<Loss> separateReturns{Loss::AllAtOnce, Loss::ThirdEachSecond, Loss::OneByOne};
+const std::vector<Loss> losses{Loss::AllAtOnce, Loss::ThirdEachSecond, Loss::OneByOne, Loss::AllTogether};
+
+/// Runs four seconds, in which VMs lose their streams.
+void runWithLosses(DelayedFleet &fleet, std::size_t count, Loss loss, int perSecond)
+{
+    constexpr std::chrono::milliseconds shortest = 50ms;
+    constexpr std::chrono::milliseconds longest = 900ms;
+    switch (loss) {
+    case Loss::AllAtOnce:
+        fleet.loseStreams(count, shortest, longest);
+        fleet.run(4s, perSecond);
+        return;
+    case Loss::ThirdEachSecond:
+        for (int second = 0; second < 4; ++second) {
+            fleet.loseStreams(count / 3, shortest, longest);
+            fleet.run(1s, perSecond);
+        }
+        return;
+    case Loss::OneByOne:
+        for (int step = 0; step < 80; ++step) {
+            fleet.loseStreams(count / 40 + 1, shortest, longest);
+            fleet.run(50ms, perSecond);
+        }
+        return;
+    case Loss::AllTogether:
+        fleet.loseStreams(count, 900ms, 930ms);
+        fleet.run(4s, perSecond);
+        return;
+    }
+}
+
 } // namespace
 
 // Guards against VMs that keep admitting by the whole limit while their reports don't reach the other VMs.
@@ -133,3 +196,52 @@
         }
     }
 }
+
+// Guards against VMs that refuse teams far below their limits while they move from one relay to another.
+CATCH_TEST_CASE("A team within its limit isn't refused by VMs that have just lost their streams", "[fleet-limit]")
+{
+    for (const MovingFleet &moving : movingFleets) {
+        for (const Loss loss : separateReturns) {
+            std::size_t decided = 0;
+            std::size_t admitted = 0;
+            for (const TeamRate &rate : moving.rates) {
+                for (const double part : {0.4, 0.6}) {
+                    for (std::uint64_t seed = 1; seed <= moving.seeds; ++seed) {
+                        DelayedFleet fleet(moving.vms, rate, seed);
+                        const int perSecond = requestsPerSecond(rate, part);
+                        fleet.run(6s, perSecond);
+                        const std::size_t decidedBefore = fleet.decided();
+                        const std::size_t admittedBefore = fleet.admitted();
+                        runWithLosses(fleet, moving.vms, loss, perSecond);
+                        // Requests that still wait are decided in this time.
+                        fleet.run(1500ms, 0);
+                        decided += fleet.decided() - decidedBefore;
+                        admitted += fleet.admitted() - admittedBefore;
+                    }
+                }
+            }
+            CATCH_CAPTURE(moving.vms, static_cast<int>(loss), decided, admitted);
+            CATCH_CHECK(static_cast<double>(decided - admitted) <= 0.005 * static_cast<double>(decided));
+        }
+    }
+}
+
+// Guards against VMs that lose their streams as a flood begins and go by what they knew of the team before it.
+CATCH_TEST_CASE("A team that begins to flood keeps to its limit while VMs lose their streams", "[fleet-limit]")
+{
+    for (const MovingFleet &moving : movingFleets) {
+        for (const Loss loss : losses) {
+            for (const TeamRate &rate : moving.rates) {
+                for (const double flood : {4.6, 7.5}) {
+                    for (std::uint64_t seed = 1; seed <= moving.seeds; ++seed) {
+                        CATCH_CAPTURE(moving.vms, static_cast<int>(loss), rate.rate, flood, seed);
+                        DelayedFleet fleet(moving.vms, rate, seed);
+                        fleet.run(6s, requestsPerSecond(rate, 0.5));
+                        runWithLosses(fleet, moving.vms, loss, requestsPerSecond(rate, flood));
+                        CATCH_CHECK(static_cast<double>(fleet.maximumInWindow()) <= fleet.allowed());
+                    }
+                }
+            }
+        }
+    }
+}
--- a/tests/unit/process/limits/sharedratelimitertest.cpp
+++ b/tests/unit/process/limits/sharedratelimitertest.cpp
@@ -6,6 +6,7 @@
 #include <atomic>
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
 #include <thread>
 #include <vector>
@@ -21,7 +22,8 @@
 {
 public:
     explicit LimitedFleet(std::size_t vms, const SharedRateLimiter::Options &options = {})
-        : parts(vms, 0)
+        : knownUntil(vms, start)
+        , parts(vms, 0)
         , options(options)
         , limiters(vms)
     {
@@ -38,7 +40,7 @@
         hooks.teamRate = [this](const std::string &) { return this->rate; };
         hooks.deadlineClock = hooks.clock;
         hooks.visibleShare = [this, vm] { return this->visibleShare(vm); };
-        hooks.knowledgeAge = [] { return std::chrono::milliseconds(0); };
+        hooks.knowledgeAge = [this, vm] { return std::chrono::duration_cast<std::chrono::milliseconds>(this->now - this->knownUntil[vm]); };
         hooks.ownShare = [this] { return 1 / static_cast<double>(this->parts.size()); };
         hooks.reportAdmission = [this, vm](const std::string &team, bool) {
             for (std::size_t other = 0; other < this->limiters.size(); ++other) {
@@ -63,6 +65,9 @@
         this->now += duration;
         for (std::size_t vm = 0; vm < this->limiters.size(); ++vm) {
             this->limiters[vm]->recordVisibleShare(from, this->now, this->visibleShare(vm));
+            if (std::count(this->parts.begin(), this->parts.end(), this->parts[vm]) > 1) {
+                this->knownUntil[vm] = this->now;
+            }
         }
     }
 
@@ -98,6 +103,8 @@
     SteadyTime now = start;
     TeamRate rate{40, 20};
     std::vector<SteadyTime> grants;
+    /// Until when each VM was connected to others.
+    std::vector<SteadyTime> knownUntil;
     /// For each VM the number of the part of the partitioned fleet to which it belongs.
     std::vector<int> parts;
     SharedRateLimiter::Options options;
@@ -355,3 +362,28 @@
     relay.join();
     CATCH_CHECK(granted == 15);
 }
+
+// Guards against a VM that refuses a team far below its limit while it connects to another relay.
+CATCH_TEST_CASE("A request waits for the connection of a VM that has just lost its stream", "[fleet-limit]")
+{
+    constexpr double ownShare = 1.0 / 442;
+    const std::chrono::milliseconds connectTime{100};
+    const std::chrono::milliseconds knowledgeAge{800};
+    std::optional<SteadyTime> lostAt;
+    SharedRateLimiter::Hooks hooks;
+    hooks.clock = [] { return std::chrono::steady_clock::now(); };
+    hooks.deadlineClock = hooks.clock;
+    hooks.teamRate = [](const std::string &) { return TeamRate{5, 5}; };
+    hooks.visibleShare = [&lostAt, connectTime] { return lostAt && std::chrono::steady_clock::now() - *lostAt < connectTime ? ownShare : 1; };
+    hooks.ownShare = [] { return ownShare; };
+    hooks.knowledgeAge = [knowledgeAge] { return knowledgeAge; };
+    hooks.reportAdmission = [](const std::string &, bool) { return std::nullopt; };
+    SharedRateLimiter limiter(fiveSecondWindows(), std::move(hooks));
+    const SteadyTime begin = std::chrono::steady_clock::now();
+    limiter.recordVisibleShare(begin - std::chrono::seconds(10), begin, 1);
+    limiter.addRemoteAdmissions("red", 2);
+    lostAt = std::chrono::steady_clock::now();
+    CATCH_CHECK(limiter.acquire("red", *lostAt + connectTime / 2).kind == RateDecision::Kind::RateLimited);
+    CATCH_CHECK(limiter.acquire("red", *lostAt + std::chrono::seconds(10)).kind == RateDecision::Kind::Granted);
+    CATCH_CHECK(std::chrono::steady_clock::now() - *lostAt >= connectTime);
+}
