--- a/tests/unit/process/limits/delayedfleettest.cpp
+++ b/tests/unit/process/limits/delayedfleettest.cpp
@@ -245,3 +245,16 @@
         }
     }
 }
+
+// Guards against a fleet with more VMs than the deployment's tolerance has requests, in which each VM may admit one request of a team that it knows no use of.
+CATCH_TEST_CASE("A team that was idle and floods a large fleet keeps to its limit while no VM receives updates", "[fleet-limit]")
+{
+    for (const TeamRate &rate : std::vector<TeamRate>{{5, 5}, {20, 20}, {60, 60}}) {
+        CATCH_CAPTURE(rate.rate);
+        DelayedFleet fleet(largeFleet, rate, 1);
+        fleet.run(6s, 0);
+        fleet.loseStreams(largeFleet, 10s, 11s);
+        fleet.run(5s, requestsPerSecond(rate, 7.5));
+        CATCH_CHECK(static_cast<double>(fleet.maximumInWindow()) <= fleet.allowed());
+    }
+}
