Control: Count a replica as up to date only once its term has a committed entry

What callers saw: nothing that is shown. Change: isUpToDate() needs a committed entry of the replica's term, as isLeading() does.

--- a/libraries/process/control/raftreplica.cpp
+++ b/libraries/process/control/raftreplica.cpp
@@ -119,8 +119,10 @@
 
 bool RaftReplica::isUpToDate() const
 {
-    // A replica that has just started doesn't know what was committed while it wasn't running.
-    const bool isCaughtUp = this->currentRole == Role::Leader || (this->hasHeardLeader && this->committed >= this->leaderCommittedIndex);
+    // Until an entry of its own term is committed, a leader doesn't know all that earlier leaders have committed, and its followers don't either. A replica
+    // that has just started doesn't know what was committed while it wasn't running.
+    const bool isTermCommitted = this->replicaLog.termAt(this->committed) == std::optional<std::uint64_t>(this->currentTerm);
+    const bool isCaughtUp = isTermCommitted && (this->currentRole == Role::Leader || (this->hasHeardLeader && this->committed >= this->leaderCommittedIndex));
     return !this->halted && this->hasLeaderContact() && isCaughtUp;
 }
 
--- a/tests/unit/process/control/raftreplicatest.cpp
+++ b/tests/unit/process/control/raftreplicatest.cpp
@@ -389,3 +389,32 @@
         [&group] { return std::all_of(group.nodes.begin(), group.nodes.end(), [](const SimulatedGroup::Node &node) { return node.replica->isUpToDate(); }); }));
     requireNoViolations(group);
 }
+
+// Guards against a control VM that calls its configuration the newest right after an election, before it knows what earlier leaders have committed.
+CATCH_TEST_CASE("A replica that is up to date knows all that was committed before a restart of the group", "[control-log][config-in-force]")
+{
+    for (std::uint64_t seed = 1; seed <= 100; ++seed) {
+        CATCH_CAPTURE(seed);
+        SimulatedGroup group(3, seed);
+        group.bootstrap();
+        proposeUntilDecided(group, "change", 3);
+        const std::uint64_t committed = group.nodes[group.leader()].replica->committedIndex();
+        for (std::size_t node = 0; node < 3; ++node) {
+            group.kill(node);
+        }
+        for (std::size_t node = 0; node < 3; ++node) {
+            group.start(node);
+        }
+        std::size_t upToDate = 0;
+        for (int step = 0; step < 200 && upToDate < 3; ++step) {
+            group.run(milliseconds(1));
+            upToDate = 0;
+            for (const SimulatedGroup::Node &node : group.nodes) {
+                upToDate += node.replica->isUpToDate() ? 1 : 0;
+                CATCH_REQUIRE((!node.replica->isUpToDate() || node.replica->committedIndex() >= committed));
+            }
+        }
+        CATCH_CHECK(upToDate == 3);
+        requireNoViolations(group);
+    }
+}
