Limits: Don't take a VM alone on a partitioned relay for one that lost its stream

What callers saw: nothing that is shown. Change: RelayUplink::receivesUpdates() tells a stream that works from one that is lost; the rule applies to the latter alone. By the same hook, a VM without a stream refuses a request that it takes for poison with 503, not 422: it doesn't hear of the responses that withdraw losses. That part has no test of its own.

--- a/libraries/process/limits/sharedratelimiter.cpp
+++ b/libraries/process/limits/sharedratelimiter.cpp
@@ -245,6 +245,10 @@
     if (!this->isWindowed() || view.ownShare >= 1 || view.visibleShare > view.ownShare) {
         return std::nullopt;
     }
+    if (this->hooks.receivesUpdates && this->hooks.receivesUpdates()) {
+        // It is alone on a relay that is partitioned from the others, for as long as that lasts.
+        return std::nullopt;
+    }
     const std::optional<std::chrono::milliseconds> age = this->hooks.knowledgeAge();
     return age && *age < knowledgeLifetime ? age : std::nullopt;
 }
@@ -266,7 +270,7 @@
     const double limit = fleetRate.rate * length.count() + fleetRate.burst;
     const double tolerance = this->options.overage * limit + this->options.slack;
     const double used = this->lastKnownUse(name, team, fleetRate, view);
-    // No VM admits more than one request after a loss, so the number of VMs bounds what is unheard of.
+    // If all VMs have lost their streams, each admits one request at most.
     const double unheard = std::min(1 / view.ownShare, assumedFloodFactor * fleetRate.rate * unheardTime.count());
     return used <= maximumAgingUse * limit && used + unheard + 1 <= limit + agingTolerancePart * tolerance;
 }
--- a/libraries/process/limits/sharedratelimiter.h
+++ b/libraries/process/limits/sharedratelimiter.h
@@ -59,6 +59,9 @@
         std::function<double()> ownShare;
         /// Age of this VM's knowledge of the others' admissions, or nothing before the first report.
         std::function<std::optional<std::chrono::milliseconds>()> knowledgeAge;
+        /// Whether this VM has a relay that delivers what it hears, also if that is nothing of other VMs. If empty, a VM that sees no other VM has lost its
+        /// stream.
+        std::function<bool()> receivesUpdates = nullptr;
         /// Reports an admission to the other VMs, without delay when the team's tokens are scarce. Returns the number of the message that contains
         /// the report, or nothing when no confirmation is needed. Called with the limiter's lock held.
         std::function<std::optional<std::uint64_t>(const std::string &, bool isScarce)> reportAdmission;
--- a/libraries/process/relay/entrynode.cpp
+++ b/libraries/process/relay/entrynode.cpp
@@ -17,6 +17,8 @@
 /// A VM that starts together with the whole fleet gets its first configuration within this time. A VM without one after that is partitioned
 /// from the relays.
 constexpr std::chrono::milliseconds fleetStartTime{3000};
+/// Least Retry-After for a request that is suspected to crash instances. A VM that has lost its relay connects to another one within this time.
+constexpr std::chrono::milliseconds isolatedPoisonRetryAfter{500};
 /// While a VM receives the updates of a smaller share of the fleet's VMs, they are too few to judge the instances by.
 constexpr double minimumVisibleShare = 0.3;
 /// An instance that a VM has had a response of within this time is working.
@@ -135,6 +137,7 @@
     limiterHooks.visibleShare = [this] { return this->relayUplink->visibleShare(); };
     limiterHooks.ownShare = [this] { return this->relayUplink->ownShare(); };
     limiterHooks.knowledgeAge = [this] { return this->relayUplink->knowledgeAge(); };
+    limiterHooks.receivesUpdates = [this] { return this->relayUplink->receivesUpdates(); };
     limiterHooks.teamRate = [this](const std::string &name) {
         const std::shared_ptr<const CatalogueMessages::Team> team = this->catalogue()->findTeam(name);
         return team == nullptr ? TeamRate() : TeamRate{team->rate(), team->burst()};
@@ -528,13 +531,17 @@
 
 bool EntryNode::isPoison(std::uint64_t fingerprint) const
 {
-    return this->lostRequests.judge(fingerprint, this->clock()).state == PoisonRequestDetector::State::Poison;
+    // Without a relay, this VM doesn't hear of the responses that withdraw losses.
+    return this->lostRequests.judge(fingerprint, this->clock()).state == PoisonRequestDetector::State::Poison && this->relayUplink->receivesUpdates();
 }
 
 std::optional<std::chrono::milliseconds> EntryNode::poisonSuspicion(std::uint64_t fingerprint) const
 {
     const PoisonRequestDetector::Judgement judgement = this->lostRequests.judge(fingerprint, this->clock());
-    return judgement.state == PoisonRequestDetector::State::Suspected ? std::optional<std::chrono::milliseconds>(judgement.remaining) : std::nullopt;
+    if (judgement.state == PoisonRequestDetector::State::Unsuspected) {
+        return std::nullopt;
+    }
+    return std::max(judgement.remaining, isolatedPoisonRetryAfter);
 }
 
 std::string EntryNode::describePoison(std::uint64_t fingerprint) const
--- a/libraries/process/relay/relayuplink.cpp
+++ b/libraries/process/relay/relayuplink.cpp
@@ -48,8 +48,18 @@
 double RelayUplink::visibleShare() const
 {
     std::lock_guard<std::mutex> lock(this->mutex);
-    const bool isConfirmedLately = this->statusReceivedAt && this->confirmedSentAt && this->hooks.clock() - *this->confirmedSentAt < confirmationMaximumAge;
-    return isConfirmedLately ? this->reportedShare() : 1.0 / std::max<std::uint32_t>(1, this->status.known_vms());
+    return this->isConfirmedLately() ? this->reportedShare() : 1.0 / std::max<std::uint32_t>(1, this->status.known_vms());
+}
+
+bool RelayUplink::receivesUpdates() const
+{
+    std::lock_guard<std::mutex> lock(this->mutex);
+    return this->isConfirmedLately();
+}
+
+bool RelayUplink::isConfirmedLately() const
+{
+    return this->statusReceivedAt && this->confirmedSentAt && this->hooks.clock() - *this->confirmedSentAt < confirmationMaximumAge;
 }
 
 double RelayUplink::reportedShare() const
--- a/libraries/process/relay/relayuplink.h
+++ b/libraries/process/relay/relayuplink.h
@@ -71,6 +71,9 @@
     /// before the first confirmation.
     std::optional<std::chrono::milliseconds> knowledgeAge() const;
 
+    /// Whether the relay has confirmed a message of this VM that was sent within the last 500 ms, and the stream hasn't ended.
+    bool receivesUpdates() const;
+
     /// Whether the relay sent its status within the last 500 ms and reported that it is current.
     bool isCurrent() const;
 
@@ -90,6 +93,7 @@
     RelayLink::Options linkOptions(const std::string &address) const;
     void recordEnd(const std::string &address, bool hasReceived);
     double reportedShare() const;
+    bool isConfirmedLately() const;
     void applyConfirmation(std::uint64_t confirmed);
     void applyStatus(const RelayMessages::Update &update);
 
--- a/tests/unit/process/limits/sharedratelimitertest.cpp
+++ b/tests/unit/process/limits/sharedratelimitertest.cpp
@@ -387,3 +387,36 @@
     CATCH_CHECK(limiter.acquire("red", *lostAt + std::chrono::seconds(10)).kind == RateDecision::Kind::Granted);
     CATCH_CHECK(std::chrono::steady_clock::now() - *lostAt >= connectTime);
 }
+
+// Guards against a VM that takes itself for one that has just lost its stream, for as long as it is alone on a relay that is partitioned from the others: the
+// relay confirms each admission, so it would admit one after the other.
+CATCH_TEST_CASE("A VM alone on a partitioned relay keeps to its own part", "[fleet-limit]")
+{
+    constexpr double ownShare = 0.2;
+    constexpr double limit = 10 * 5 + 10;
+    SteadyTime now{std::chrono::hours(1)};
+    std::uint64_t reported = 0;
+    SharedRateLimiter::Hooks hooks;
+    hooks.clock = [&now] { return now; };
+    hooks.deadlineClock = hooks.clock;
+    hooks.teamRate = [](const std::string &) { return TeamRate{10, 10}; };
+    hooks.visibleShare = [] { return ownShare; };
+    hooks.ownShare = hooks.visibleShare;
+    hooks.knowledgeAge = [] { return std::chrono::milliseconds(50); };
+    hooks.receivesUpdates = [] { return true; };
+    hooks.reportAdmission = [&reported](const std::string &, bool) { return std::optional<std::uint64_t>(++reported); };
+    const SharedRateLimiter::Options options = fiveSecondWindows();
+    SharedRateLimiter limiter(options, std::move(hooks));
+    limiter.recordVisibleShare(now - std::chrono::seconds(10), now, 1);
+    int granted = 0;
+    for (int request = 0; request < 100; ++request) {
+        now += std::chrono::milliseconds(20);
+        limiter.recordVisibleShare(now - std::chrono::milliseconds(20), now, ownShare);
+        if (limiter.acquire("red", now).kind == RateDecision::Kind::Granted) {
+            ++granted;
+            limiter.confirm(reported);
+        }
+    }
+    CATCH_CHECK(granted <= ownShare * (limit * (1 + options.overage) + options.slack));
+    CATCH_CHECK(granted >= ownShare * limit - 1);
+}
