Relay: Let a VM whose first way home is refused try again at once

Evidence: "A VM that has just started goes to the relay of its failure domain at once", with a refusal added, fails with the former place of the flag (1 of 5 assertions). Change: the first status of that relay settles the VM. Result: the test passes.

--- a/libraries/process/relay/relaymoves.cpp
+++ b/libraries/process/relay/relaymoves.cpp
@@ -90,7 +90,6 @@
 void RelayMoves::beginConnection(const std::string &address, SteadyTime now)
 {
     this->connectedTo = address;
-    this->isSettled = this->isSettled || this->isLocal(address);
     this->returnedAt = this->leavingFor == Reason::LocalRelay && this->isLocal(address) ? std::optional<SteadyTime>(now) : std::nullopt;
     this->leavingFor.reset();
     this->localRelaySince.reset();
@@ -111,6 +110,8 @@
 
 std::optional<RelayMoves::Reason> RelayMoves::applyStatus(const RelayMessages::RelayStatus &status, const Configuration &own, SteadyTime now)
 {
+    // A relay that refuses the connection sends no status.
+    this->isSettled = this->isSettled || this->isLocal(this->connectedTo);
     if (this->isBehind(status, own.version, now)) {
         return this->leave(Reason::ConfigurationBehind);
     }
--- a/tests/unit/process/relay/relaymovestest.cpp
+++ b/tests/unit/process/relay/relaymovestest.cpp
@@ -455,6 +455,13 @@
     moves.update(home);
     CATCH_CHECK(moves.applyStatus(status, own, now) == RelayMoves::Reason::LocalRelay);
     moves.recordEnd(true, now);
+    // A relay that refuses the VM because too many start at once doesn't make it wait for longer.
+    moves.beginConnection("c:1", now);
+    moves.recordRefusal(100ms, now);
+    now += 100ms;
+    moves.beginConnection("a:1", now);
+    CATCH_CHECK(moves.applyStatus(status, own, now) == RelayMoves::Reason::LocalRelay);
+    moves.recordEnd(true, now);
     moves.beginConnection("c:1", now);
     CATCH_CHECK_FALSE(moves.applyStatus(status, own, now));
     // Later, when it has lost that one, it waits.
