Control: Log where the time of the group's requests goes, and what a second costs

At the loss of a leader, the logs named no reason: not which replies were late, nor whether requests waited in a queue, under way or for the replica, nor the processor time of that second.

The line at the loss now has the age of each replica's last reply. A request of the group that takes over 200 ms in all is logged with its parts, as are timed work and requests of other replicas that waited for the replica. Once a second, a control VM logs its processor time, messages, arrivals and the longest wait for the relay's state.

--- a/libraries/process/control/controlgroup.cpp
+++ b/libraries/process/control/controlgroup.cpp
@@ -15,12 +15,25 @@
 constexpr std::chrono::milliseconds bootstrapRetryInterval{1000};
 constexpr std::chrono::milliseconds bootstrapPollInterval{20};
 constexpr std::chrono::seconds applyWakeInterval{1};
+/// Work of the group that takes longer than this is logged. It is a third of the election timeout's default.
+constexpr std::chrono::milliseconds slowWork{200};
 
 SteadyTime steadyNow()
 {
     return std::chrono::steady_clock::now();
 }
 
+/// Logs work that waited for the replica from @p arrivedAt to @p startedAt and has just ended, if it took long.
+void logIfSlow(const char *work, SteadyTime arrivedAt, SteadyTime startedAt)
+{
+    const SteadyTime now = steadyNow();
+    if (now - arrivedAt >= slowWork) {
+        LOG(WARNING) << "control replica was slow: " << work << " waited "
+                     << std::chrono::duration_cast<std::chrono::milliseconds>(startedAt - arrivedAt).count() << " ms for the replica and took "
+                     << std::chrono::duration_cast<std::chrono::milliseconds>(now - startedAt).count() << " ms";
+    }
+}
+
 boost::leaf::error_id bootstrapError(BootstrapError::Reason reason, const std::string &address)
 {
     return boost::leaf::new_error(BootstrapError{reason, address});
@@ -36,9 +49,12 @@
     , disk(std::make_unique<PosixDisk>(settings.vm.dataFolder + "/control"))
     , state(stateMachine)
     , controlService(ControlHandlers{[this](const RaftReplica::Request &request) {
+                                         const SteadyTime arrivedAt = steadyNow();
                                          std::lock_guard<std::mutex> lock(this->mutex);
+                                         const SteadyTime startedAt = steadyNow();
                                          const std::optional<RaftReplica::Reply> reply = this->replica->handleRequest(request);
                                          this->publishReplicaState();
+                                         logIfSlow("handling a request of another replica", arrivedAt, startedAt);
                                          return reply;
                                      },
                          [this](const ControlMessages::ProposeRequest &request, SteadyTime deadline) { return this->proposeLocally(request, deadline); },
@@ -145,6 +161,13 @@
                 this->publishReplicaState();
             }
         };
+        linkHooks.exchanged = [](const RaftReplica::Replica &to, const PeerLink::Durations &durations) {
+            if (durations.total() >= slowWork) {
+                LOG(WARNING) << "control replica was slow: a request to " << to.id() << " was queued for " << durations.queued.count() << " ms, "
+                             << (durations.hasReply ? "replied to after " : "given up after ") << durations.call.count() << " ms, and the reply handled in "
+                             << durations.handling.count() << " ms";
+            }
+        };
         link = std::make_unique<PeerLink>(std::move(linkHooks), this->settings.control.electionTimeout);
     }
     link->send(peer, request);
@@ -153,12 +176,16 @@
 void ControlGroup::tickUntilStopped()
 {
     const std::chrono::milliseconds interval = std::max(std::chrono::milliseconds(1), this->settings.control.heartbeatInterval / 4);
+    SteadyTime due = steadyNow();
     while (!this->stopping) {
         {
             std::lock_guard<std::mutex> lock(this->mutex);
+            const SteadyTime startedAt = steadyNow();
             this->replica->tick();
             this->publishReplicaState();
+            logIfSlow("timed work", due, startedAt);
         }
+        due = steadyNow() + interval;
         std::this_thread::sleep_for(interval);
     }
 }
@@ -169,7 +196,7 @@
     if (this->leadingTerm != this->loggedLeadingTerm) {
         LOG(INFO) << (this->leadingTerm > 0 ? "This VM leads the control group in term " : "This VM no longer leads the control group; last in term ")
                   << (this->leadingTerm > 0 ? this->leadingTerm.load() : this->loggedLeadingTerm) << "; " << this->replica->committedIndex() << " of "
-                  << this->replica->log().lastIndex() << " entries are committed";
+                  << this->replica->log().lastIndex() << " entries are committed" << (this->leadingTerm > 0 ? std::string() : this->replica->describePeers());
         this->loggedLeadingTerm = this->leadingTerm;
     }
     if (this->replica->committedIndex() > this->announcedCommitIndex && this->commitQueue.tryPush(this->replica->committedIndex())) {
--- a/libraries/process/control/peerlink.cpp
+++ b/libraries/process/control/peerlink.cpp
@@ -4,6 +4,15 @@
 
 namespace Hyssophall {
 
+namespace {
+
+std::chrono::milliseconds wholeMilliseconds(SteadyTime::duration duration)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(duration);
+}
+
+} // namespace
+
 PeerLink::PeerLink(Hooks hooks, std::chrono::milliseconds timeout)
     : hooks(std::move(hooks))
     , timeout(timeout)
@@ -39,9 +48,18 @@
     const bool snapshot = std::holds_alternative<ControlMessages::InstallSnapshotRequest>(message.request);
     const SteadyTime sentAt = std::chrono::steady_clock::now();
     const std::optional<RaftReplica::Reply> reply = this->hooks.call(message.request, snapshot ? snapshotTimeout : this->timeout);
+    const SteadyTime repliedAt = std::chrono::steady_clock::now();
     if (reply && !this->stopping) {
         this->hooks.handleReply(message.peer, message.request, sentAt, *reply);
     }
+    if (this->hooks.exchanged) {
+        Durations durations;
+        durations.queued = wholeMilliseconds(sentAt - message.queuedAt);
+        durations.call = wholeMilliseconds(repliedAt - sentAt);
+        durations.handling = wholeMilliseconds(std::chrono::steady_clock::now() - repliedAt);
+        durations.hasReply = reply.has_value();
+        this->hooks.exchanged(message.peer, durations);
+    }
 }
 
 } // namespace Hyssophall
--- a/libraries/process/control/peerlink.h
+++ b/libraries/process/control/peerlink.h
@@ -14,11 +14,27 @@
 class PeerLink
 {
 public:
+    /// Where the time of one request went.
+    struct Durations {
+        std::chrono::milliseconds queued{0};
+        /// From sending the request to the reply, or to the timeout.
+        std::chrono::milliseconds call{0};
+        std::chrono::milliseconds handling{0};
+        bool hasReply = false;
+
+        std::chrono::milliseconds total() const
+        {
+            return this->queued + this->call + this->handling;
+        }
+    };
+
     struct Hooks {
         /// Sends a request. Blocks until the reply arrives, or for the timeout and returns nothing.
         std::function<std::optional<RaftReplica::Reply>(const RaftReplica::Request &, std::chrono::milliseconds)> call;
         /// Called on the link's thread with each reply, and the time at which its request was sent.
         std::function<void(const RaftReplica::Replica &, const RaftReplica::Request &, SteadyTime, const RaftReplica::Reply &)> handleReply;
+        /// Called on the link's thread after each request. May be empty.
+        std::function<void(const RaftReplica::Replica &, const Durations &)> exchanged;
     };
 
     PeerLink(Hooks hooks, std::chrono::milliseconds timeout);
--- a/libraries/process/relay/controlnode.cpp
+++ b/libraries/process/relay/controlnode.cpp
@@ -7,6 +7,7 @@
 #include <xxhash.h>
 
 #include <algorithm>
+#include <ctime>
 #include <utility>
 
 namespace Hyssophall {
@@ -30,6 +31,7 @@
 constexpr std::chrono::seconds reopenInterval{5};
 constexpr std::chrono::milliseconds peerHeartbeat{250};
 constexpr std::chrono::seconds formationReportInterval{1};
+constexpr std::chrono::seconds activityReportInterval{1};
 /// Each message to a VM contains whether the replica is up to date. Asking the replica takes its lock, which it holds while it writes to its disk.
 constexpr std::chrono::milliseconds replicaCheckInterval{20};
 
@@ -38,6 +40,13 @@
     return std::chrono::steady_clock::now();
 }
 
+std::chrono::nanoseconds processorTimeOfProcess()
+{
+    timespec time{};
+    clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &time);
+    return std::chrono::seconds(time.tv_sec) + std::chrono::nanoseconds(time.tv_nsec);
+}
+
 std::string fleetAddress(const std::string &seed, unsigned short fleetPort)
 {
     return seed.substr(0, seed.rfind(':')) + ":" + std::to_string(fleetPort);
@@ -298,6 +307,7 @@
         this->saveCopy();
         const GroupFormation::Observation observation = this->view();
         this->reportFormation(observation);
+        this->reportActivity();
         this->execute(GroupFormation::decide(observation));
         std::unique_lock<std::mutex> lock(this->mutex);
         this->configurationChanged.wait_for(
@@ -412,6 +422,23 @@
               << (observation.isFounder && observation.isFirstStart ? ", and this VM is to form it" : "");
 }
 
+void ControlNode::reportActivity()
+{
+    const SteadyTime now = steadyNow();
+    if (now < this->activityReportDue) {
+        return;
+    }
+    const std::chrono::duration<double> passed = now - std::max(this->startedAt, this->activityReportDue - activityReportInterval);
+    this->activityReportDue = now + activityReportInterval;
+    const std::chrono::nanoseconds processorTime = processorTimeOfProcess();
+    const std::chrono::duration<double> used = processorTime - this->reportedProcessorTime;
+    this->reportedProcessorTime = processorTime;
+    const RelayHub::Activity activity = this->hub->takeActivity();
+    LOG(INFO) << "In the last " << passed.count() << " s, this VM used " << used.count() << " s of processor time, received " << activity.messagesReceived
+              << " messages from VMs and relays, sent " << activity.messagesSent << " and accepted " << activity.vmsConnected << " VMs; a message waited up to "
+              << activity.longestWait.count() << " ms for the relay's state";
+}
+
 void ControlNode::execute(const GroupFormation::Decision &decision)
 {
     switch (decision.step) {
--- a/libraries/process/relay/controlnode.h
+++ b/libraries/process/relay/controlnode.h
@@ -82,6 +82,8 @@
     GroupFormation::Observation view();
     /// Logs once a second why this VM's replica belongs to no control group.
     void reportFormation(const GroupFormation::Observation &observation);
+    /// Logs once a second what the streams of this VM have cost.
+    void reportActivity();
     void execute(const GroupFormation::Decision &decision);
     std::optional<ControlMessages::ChangeOutcome> propose(const CatalogueMessages::Change &change, const std::string &changeId, SteadyTime deadline);
     void applyConfiguration(const std::shared_ptr<const CatalogueMessages::Configuration> &configuration);
@@ -97,6 +99,9 @@
     SteadyTime reopenDue;
     /// Earliest time of the next log message about the group's formation. Used by the maintenance thread only.
     SteadyTime formationReportDue;
+    /// The same for the message about the streams, and the processor time up to the last one.
+    SteadyTime activityReportDue;
+    std::chrono::nanoseconds reportedProcessorTime{0};
     std::mutex mutex;
     std::condition_variable configurationChanged;
     std::shared_ptr<const CatalogueMessages::Configuration> configuration;
--- a/libraries/process/relay/relayhub.cpp
+++ b/libraries/process/relay/relayhub.cpp
@@ -238,6 +238,7 @@
             this->vms.setVisible(subscriber.get(), peer != this->peers.end() && peer->second->isConnected, this->options.clock());
         } else {
             ++this->vmSubscribers;
+            ++this->activity.vmsConnected;
             subscriber->presence = presenceOf(subscriber->greeting);
             this->recordVm(*subscriber);
             this->vmLists.add({subscriber->greeting.vm(), subscriber->greeting.failure_domain(), &subscriber->buffer}, initial, this->options.clock());
@@ -261,8 +262,12 @@
 
 void RelayHub::receive(RelaySubscriber &subscriber, const RelayMessages::Update &update)
 {
+    const SteadyTime arrivedAt = this->options.clock();
     {
         std::lock_guard<std::mutex> lock(this->mutex);
+        ++this->activity.messagesReceived;
+        this->activity.longestWait
+            = std::max(this->activity.longestWait, std::chrono::duration_cast<std::chrono::milliseconds>(this->options.clock() - arrivedAt));
         const RelayMessages::Update &changed = this->merge(update);
         this->sendToVms(changed, &subscriber);
         if (!subscriber.isRelay()) {
@@ -284,8 +289,9 @@
 {
     update.set_confirmed(subscriber.confirmed);
     *update.mutable_status() = this->status();
+    std::lock_guard<std::mutex> lock(this->mutex);
+    ++this->activity.messagesSent;
     if (!subscriber.isRelay()) {
-        std::lock_guard<std::mutex> lock(this->mutex);
         this->vmLists.redrawIfDue(subscriber.buffer, update, this->options.clock());
     }
 }
@@ -520,6 +526,12 @@
     return this->teamUse.largestUse(*this->configuration, this->options.clock());
 }
 
+RelayHub::Activity RelayHub::takeActivity()
+{
+    std::lock_guard<std::mutex> lock(this->mutex);
+    return std::exchange(this->activity, Activity());
+}
+
 void RelayHub::sendToVms(const RelayMessages::Update &update, const RelaySubscriber *excluded)
 {
     if (update.ByteSizeLong() == 0) {
--- a/libraries/process/relay/relayhub.h
+++ b/libraries/process/relay/relayhub.h
@@ -145,6 +145,16 @@
     /// The largest ratio of admissions in the last window to the limit, over all teams; 1 is the whole limit. Counts all VMs that this relay
     /// receives updates from.
     double largestTeamUse();
+
+    /// What the streams have done since the previous call.
+    struct Activity {
+        std::uint64_t messagesReceived = 0;
+        std::uint64_t messagesSent = 0;
+        std::uint64_t vmsConnected = 0;
+        /// Longest time that a received message waited for the hub.
+        std::chrono::milliseconds longestWait{0};
+    };
+    Activity takeActivity();
     std::size_t connectedPeers() const;
     /// Number of VMs that are connected to this relay.
     std::size_t connectedVmCount() const;
@@ -206,6 +216,7 @@
     /// Number of VMs of the fleet before this relay started, as far as it is known.
     std::uint32_t expectedVms = 0;
     TeamUseMonitor teamUse;
+    Activity activity;
 };
 
 } // namespace Hyssophall
--- a/tests/unit/process/relay/relayhubtest.cpp
+++ b/tests/unit/process/relay/relayhubtest.cpp
@@ -416,6 +416,23 @@
     CATCH_CHECK(fixture.nextMessage(fixture.connect("vm-4")->buffer).admissions().teams(0).counts(0) == 4);
 }
 
+// Guards against a busy relay whose logs show no more than a day's mean of its load.
+CATCH_TEST_CASE("A relay counts the messages and arrivals since it was last asked", "[relay]")
+{
+    HubFixture fixture;
+    fixture.hub->takeActivity();
+    fixture.connect("vm-3");
+    fixture.hub->receive(*fixture.first, HubFixture::outcomesOf(registrationOf("i-1", 1, 1)));
+    RelayMessages::Update message = fixture.nextMessage(fixture.second->buffer);
+    fixture.hub->addStatus(*fixture.second, message);
+    const RelayHub::Activity activity = fixture.hub->takeActivity();
+    CATCH_CHECK(activity.vmsConnected == 1);
+    // The greeting is a message, too.
+    CATCH_CHECK(activity.messagesReceived == 2);
+    CATCH_CHECK(activity.messagesSent == 1);
+    CATCH_CHECK(fixture.hub->takeActivity().messagesReceived == 0);
+}
+
 // Guards against VMs that forward to one that has ended or is partitioned, and against one that is forgotten because it moved to another relay.
 CATCH_TEST_CASE("Relays report to VMs which other VMs accept forwarded requests", "[relay][forwarding]")
 {
