--- a/libraries/process/limits/admissionhistory.cpp
+++ b/libraries/process/limits/admissionhistory.cpp
@@ -119,11 +119,48 @@
     return record;
 }
 
-void AdmissionHistory::fillGaps(const AdmissionRecord &record, SteadyTime now)
+void AdmissionHistory::limitVisibleShare(SteadyTime from, double share)
+{
+    std::deque<Period> limited;
+    for (const Period &period : this->visiblePeriods) {
+        if (period.to < from || period.share <= share) {
+            limited.push_back(period);
+            continue;
+        }
+        if (period.from < from) {
+            limited.push_back({period.from, from, period.share});
+        }
+        limited.push_back({std::max(period.from, from), period.to, share});
+    }
+    this->visiblePeriods = std::move(limited);
+}
+
+void AdmissionHistory::adopt(const AdmissionRecord &record, SteadyTime now)
+{
+    for (const AdmissionRecord::VisiblePeriod &other : record.visiblePeriods) {
+        const Period adopted{std::max(now - this->length, now - other.fromAge), now - other.toAge, other.share};
+        if (adopted.from >= adopted.to || adopted.share <= 0) {
+            continue;
+        }
+        for (std::pair<const std::string, Slots> &entry : this->teams) {
+            std::erase_if(entry.second, [&adopted](const Slot &slot) { return slot.start >= adopted.from && slot.start < adopted.to; });
+        }
+        this->importPeriod(record, adopted, now);
+    }
+}
+
+bool AdmissionHistory::covers(const AdmissionRecord &record, SteadyTime::duration age)
+{
+    return std::any_of(record.visiblePeriods.begin(), record.visiblePeriods.end(), [age](const AdmissionRecord::VisiblePeriod &period) {
+        return period.share > 0 && age <= period.fromAge && age > period.toAge;
+    });
+}
+
+void AdmissionHistory::fillGaps(const AdmissionRecord &record, SteadyTime now, SteadyTime until)
 {
     for (const Period &gap : this->gaps(now)) {
         for (const AdmissionRecord::VisiblePeriod &other : record.visiblePeriods) {
-            const Period filled{std::max(gap.from, now - other.fromAge), std::min(gap.to, now - other.toAge), other.share};
+            const Period filled{std::max(gap.from, now - other.fromAge), std::min({gap.to, now - other.toAge, until}), other.share};
             if (filled.from < filled.to && filled.share > 0) {
                 this->importPeriod(record, filled, now);
             }
@@ -131,22 +168,40 @@
     }
 }
 
-void AdmissionHistory::addUnreported(const UnreportedAdmissions &unreported, double share, SteadyTime now)
+UnreportedAdmissions AdmissionHistory::addUnreported(const UnreportedAdmissions &unreported, double share, SteadyTime now)
 {
     SteadyTime from = now - std::min(unreported.fromAge, this->length + this->slotLength);
-    std::erase_if(this->unreportedUntil,
+    std::erase_if(this->reportedUntil,
         [this, now](const std::pair<const std::string, SteadyTime> &entry) { return entry.second <= now - this->length - this->slotLength; });
-    SteadyTime &known = this->unreportedUntil[unreported.vm];
-    from = std::max(from, known);
-    known = now;
+    if (!unreported.vm.empty()) {
+        const auto known = this->reportedUntil.find(unreported.vm);
+        from = known == this->reportedUntil.end() ? from : std::max(from, known->second);
+    }
+    UnreportedAdmissions added{unreported.vm, wholeMilliseconds(now - from), {}, unreported.vms, unreported.hasLeft};
+    SteadyTime latest = from;
     for (const std::pair<const std::string, std::vector<AdmissionRecord::Admissions>> &entry : unreported.admitted) {
         for (const AdmissionRecord::Admissions &admitted : entry.second) {
-            if (now - admitted.age >= from) {
-                this->add(entry.first, admitted.count, now - admitted.age);
+            const SteadyTime at = now - admitted.age;
+            if (at >= from) {
+                this->add(entry.first, admitted.count, at);
+                added.admitted[entry.first].push_back(admitted);
+                latest = std::max(latest, at);
             }
         }
     }
-    this->addVisibleShare(from, std::min(now, this->visibleUntil()), share);
+    if (!unreported.vm.empty()) {
+        this->setReportedUntil(unreported.vm, unreported.hasLeft ? latest : now);
+    }
+    if (!unreported.hasLeft) {
+        this->addVisibleShare(from, std::min(now, this->visibleUntil()), unreported.vms * share);
+    }
+    return added;
+}
+
+void AdmissionHistory::setReportedUntil(const std::string &vm, SteadyTime until)
+{
+    SteadyTime &known = this->reportedUntil[vm];
+    known = std::max(known, until);
 }
 
 SteadyTime AdmissionHistory::visibleUntil() const
@@ -188,18 +243,18 @@
 
 void AdmissionHistory::importPeriod(const AdmissionRecord &record, const Period &period, SteadyTime now)
 {
-    // Cut the new period out of recorded periods with share 0: the other VM's data replaces them.
+    // Cut the new period out of the recorded ones: the other VM's data replaces them.
     std::deque<Period> remaining;
     for (const Period &each : this->visiblePeriods) {
-        if (each.share > 0 || each.to <= period.from || each.from >= period.to) {
+        if (each.to <= period.from || each.from >= period.to) {
             remaining.push_back(each);
             continue;
         }
         if (each.from < period.from) {
-            remaining.push_back({each.from, period.from, 0});
+            remaining.push_back({each.from, period.from, each.share});
         }
         if (each.to > period.to) {
-            remaining.push_back({period.to, each.to, 0});
+            remaining.push_back({period.to, each.to, each.share});
         }
     }
     const auto next = std::find_if(remaining.begin(), remaining.end(), [&period](const Period &each) { return each.from >= period.to; });
--- a/libraries/process/limits/admissionhistory.h
+++ b/libraries/process/limits/admissionhistory.h
@@ -38,13 +38,18 @@
     std::map<std::string, std::vector<Admissions>> admitted;
 };
 
-/// Requests that one VM admitted while no other VM received its reports, up to now.
+/// Requests that VMs admitted and that the receiver may not have heard of, up to now.
 struct UnreportedAdmissions {
+    /// Empty for several VMs whose reports the receiver certainly lacks.
     std::string vm;
-    /// Age of the time since which its reports weren't received.
+    /// Age of the time since which the receiver may lack reports.
     std::chrono::milliseconds fromAge{0};
     /// By name of the team, oldest first.
     std::map<std::string, std::vector<AdmissionRecord::Admissions>> admitted;
+    /// Number of VMs whose reports are complete from then on.
+    std::uint32_t vms = 1;
+    /// The VM has left the sender, which doesn't know what it admitted after that.
+    bool hasLeft = false;
 };
 
 /**
@@ -93,13 +98,26 @@
     /// Copy of the history for another VM.
     AdmissionRecord record(SteadyTime now) const;
 
-    /// Copies from @p record of another VM what it has about times at which no other VM was visible here. Other times stay as they are, so that no
-    /// admission is counted twice when several VMs send their records.
-    void fillGaps(const AdmissionRecord &record, SteadyTime now);
+    /// Limits the recorded share from @p from on to @p share: it was recorded before a loss of VMs was noticed.
+    void limitVisibleShare(SteadyTime from, double share);
 
-    /// Adds admissions that a VM couldn't report before. From then on, the VM counts as visible in that time: @p share, its share of the fleet, is
-    /// added to the visible share. What the same VM has reported for an earlier part of that time isn't counted again.
-    void addUnreported(const UnreportedAdmissions &unreported, double share, SteadyTime now);
+    /// Copies from @p record of another VM what it has about times before @p until at which no other VM was visible here. Other times stay as they are, so
+    /// that no admission is counted twice when several VMs send their records.
+    void fillGaps(const AdmissionRecord &record, SteadyTime now, SteadyTime until = SteadyTime::max());
+
+    /// Replaces the history by @p record of a relay for all times at which the relay received reports.
+    void adopt(const AdmissionRecord &record, SteadyTime now);
+
+    /// Whether the sender of @p record received reports for the time with this age.
+    static bool covers(const AdmissionRecord &record, SteadyTime::duration age);
+
+    /// Adds admissions that weren't reported here before. From then on, the VMs count as visible in that time: @p share, the share of the fleet of one VM,
+    /// is added to the visible share for each of them. What the same VM has reported for an earlier part of that time isn't counted again. Returns what
+    /// was added.
+    UnreportedAdmissions addUnreported(const UnreportedAdmissions &unreported, double share, SteadyTime now);
+
+    /// Records that all reports of @p vm up to @p until have arrived.
+    void setReportedUntil(const std::string &vm, SteadyTime until);
 
     /// End of the latest period in which this VM received updates; the startTime of the constructor if there was none.
     SteadyTime visibleUntil() const;
@@ -126,7 +144,7 @@
     std::vector<Period> gaps(SteadyTime now) const;
     /// Adds @p share to the visible share of the whole slots between @p from and @p to.
     void addVisibleShare(SteadyTime from, SteadyTime to, double share);
-    /// Replaces @p period, which lies in a gap, by the data of @p record.
+    /// Replaces what was recorded for @p period by the data of @p record.
     void importPeriod(const AdmissionRecord &record, const Period &period, SteadyTime now);
 
     const std::chrono::milliseconds length;
@@ -136,8 +154,8 @@
     std::deque<Period> visiblePeriods;
     /// By name of the team, oldest slot first.
     std::map<std::string, Slots> teams;
-    /// Until when each VM's unreported admissions have been added.
-    std::map<std::string, SteadyTime> unreportedUntil;
+    /// Until when all reports of a VM are known to have arrived.
+    std::map<std::string, SteadyTime> reportedUntil;
 };
 
 } // namespace Hyssophall
--- a/libraries/process/limits/sharedratelimiter.cpp
+++ b/libraries/process/limits/sharedratelimiter.cpp
@@ -49,6 +49,7 @@
     : options(options)
     , hooks(std::move(hooks))
     , history(options.window.count() > 0 ? options.window : unusedHistoryLength, this->hooks.clock())
+    , replicatedUntil(this->hooks.clock())
 {
 }
 
@@ -111,6 +112,7 @@
             std::erase_if(entry.second.unconfirmed, [this, &entry, number](const Unconfirmed &admission) {
                 if (admission.number <= number) {
                     this->history.add(entry.first, 1, admission.at);
+                    entry.second.unreplicated.push_back(admission);
                 }
                 return admission.number <= number;
             });
@@ -119,18 +121,29 @@
     this->confirmationReceived.notify_all();
 }
 
+void SharedRateLimiter::confirmReplicated(std::uint64_t number, SteadyTime sentAt)
+{
+    std::lock_guard<std::mutex> lock(this->mutex);
+    this->replicatedUntil = std::max(this->replicatedUntil, sentAt);
+    for (std::pair<const std::string, Team> &entry : this->teams) {
+        std::erase_if(entry.second.unreplicated, [number](const Unconfirmed &admission) { return admission.number <= number; });
+    }
+}
+
 UnreportedAdmissions SharedRateLimiter::collectUnreported(const std::function<void()> &dropQueuedReports)
 {
     std::lock_guard<std::mutex> lock(this->mutex);
     const SteadyTime now = this->hooks.clock();
     dropQueuedReports();
     UnreportedAdmissions unreported;
-    unreported.fromAge = std::chrono::duration_cast<std::chrono::milliseconds>(now - std::min(now, this->history.visibleUntil()));
+    unreported.fromAge = std::chrono::duration_cast<std::chrono::milliseconds>(now - std::min(now, this->replicatedUntil));
     for (std::pair<const std::string, Team> &entry : this->teams) {
         this->teamOf(entry.first, now);
-        for (Unconfirmed &admission : entry.second.unconfirmed) {
-            admission.number = 0;
-            unreported.admitted[entry.first].push_back({std::chrono::duration_cast<std::chrono::milliseconds>(now - admission.at), 1});
+        for (std::deque<Unconfirmed> *admissions : {&entry.second.unreplicated, &entry.second.unconfirmed}) {
+            for (Unconfirmed &admission : *admissions) {
+                admission.number = 0;
+                unreported.admitted[entry.first].push_back({std::chrono::duration_cast<std::chrono::milliseconds>(now - admission.at), 1});
+            }
         }
     }
     return unreported;
@@ -162,10 +175,25 @@
     return this->history.record(this->hooks.clock());
 }
 
-void SharedRateLimiter::fillGaps(const AdmissionRecord &record)
+void SharedRateLimiter::limitVisibleShare(SteadyTime from, double share)
+{
+    std::lock_guard<std::mutex> lock(this->mutex);
+    this->history.limitVisibleShare(from, share);
+}
+
+void SharedRateLimiter::adopt(const AdmissionRecord &record)
 {
     std::lock_guard<std::mutex> lock(this->mutex);
-    this->history.fillGaps(record, this->hooks.clock());
+    const SteadyTime now = this->hooks.clock();
+    this->history.adopt(record, now);
+    for (const std::pair<const std::string, Team> &entry : this->teams) {
+        for (const Unconfirmed &admission : entry.second.unreplicated) {
+            // The relay made its record before it read what this VM reports.
+            if (AdmissionHistory::covers(record, now - admission.at)) {
+                this->history.add(entry.first, 1, admission.at);
+            }
+        }
+    }
 }
 
 std::string SharedRateLimiter::detailsOf(const std::string &name, const Allowance &allowance, const TeamRate &fleetRate) const
@@ -279,8 +307,10 @@
 {
     Team &team = this->teams[name];
     const std::chrono::milliseconds maximumAge = this->isWindowed() ? this->options.window : unusedHistoryLength;
-    while (!team.unconfirmed.empty() && team.unconfirmed.front().at <= now - maximumAge) {
-        team.unconfirmed.pop_front();
+    for (std::deque<Unconfirmed> *admissions : {&team.unconfirmed, &team.unreplicated}) {
+        while (!admissions->empty() && admissions->front().at <= now - maximumAge) {
+            admissions->pop_front();
+        }
     }
     return team;
 }
--- a/libraries/process/limits/sharedratelimiter.h
+++ b/libraries/process/limits/sharedratelimiter.h
@@ -25,6 +25,10 @@
  * the window. A VM that doesn't receive the reports of all others uses only the share of the limit that belongs to the VMs it sees, itself
  * included. This keeps the parts of a partitioned fleet together within the limit.
  *
+ * A VM goes by its relay's picture of the fleet: when it connects, it replaces what it knew of the window by the relay's record, and reports its own
+ * admissions that a majority of the relays may lack. So admissions that only a relay has confirmed that is cut off from the others aren't lost when
+ * the VM leaves it.
+ *
  * An admission counts in full against the VM that made it until its relay has confirmed the report. The number of unconfirmed admissions of a VM is
  * limited to its own share of what remains, but at least one. However late the VMs notice a partition, they therefore exceed the limit by at most
  * one request each.
@@ -91,18 +95,24 @@
     /// Marks the reports in all messages up to @p number as received by the relay.
     void confirm(std::uint64_t number);
 
-    /// Returns this VM's admissions that no relay has confirmed, for the caller to report them when it connects to a relay anew. The next call of
-    /// confirm() confirms them. The name of the VM is left empty. Calls @p dropQueuedReports with the limiter's lock held, so that no admission is
-    /// reported twice; it must drop the reports that haven't been sent.
+    /// Marks the reports in all messages up to @p number as received by a majority of the relays. The last of these messages was sent at @p sentAt.
+    void confirmReplicated(std::uint64_t number, SteadyTime sentAt);
+
+    /// Returns this VM's admissions that a majority of the relays may not have, for the caller to report them when it connects to a relay anew. The
+    /// next call of confirm() confirms them. The name of the VM is left empty. Calls @p dropQueuedReports with the limiter's lock held, so that no
+    /// admission is reported twice; it must drop the reports that haven't been sent.
     UnreportedAdmissions collectUnreported(const std::function<void()> &dropQueuedReports);
 
-    /// Adds the admissions that another VM couldn't report before.
+    /// Adds admissions of other VMs that weren't reported here before.
     void addUnreported(const UnreportedAdmissions &unreported);
 
     /// See the methods of AdmissionHistory with these names.
     void recordVisibleShare(SteadyTime from, SteadyTime to, double share);
+    void limitVisibleShare(SteadyTime from, double share);
     AdmissionRecord record() const;
-    void fillGaps(const AdmissionRecord &record);
+
+    /// Replaces what is known of the window by the record of a relay to which this VM has just connected, except for what collectUnreported() returned.
+    void adopt(const AdmissionRecord &record);
 
 private:
     struct Bucket {
@@ -123,6 +133,8 @@
         Bucket bucket;
         /// Oldest first.
         std::deque<Unconfirmed> unconfirmed;
+        /// Admissions that the relay has confirmed, and a majority of the relays may not have. The history contains them.
+        std::deque<Unconfirmed> unreplicated;
     };
 
     /// What a team may still use of its limits at one moment.
@@ -164,6 +176,8 @@
     std::condition_variable confirmationReceived;
     AdmissionHistory history;
     std::map<std::string, Team> teams;
+    /// When the latest message was sent whose admissions a majority of the relays has.
+    SteadyTime replicatedUntil;
     /// Number of requests that wait for a connection.
     int waitingForKnowledge = 0;
     /// When requests that waited for the present connection may be decided. Empty until one of them has noticed the connection.
--- a/libraries/process/relay/admissionmessages.cpp
+++ b/libraries/process/relay/admissionmessages.cpp
@@ -72,12 +72,18 @@
     message.set_vm(unreported.vm);
     message.set_from_age_milliseconds(static_cast<std::uint32_t>(unreported.fromAge.count()));
     encodeTeams(unreported.admitted, *message.mutable_teams());
+    message.set_vms(unreported.vms);
+    message.set_has_left(unreported.hasLeft);
     return message;
 }
 
 UnreportedAdmissions decodeUnreported(const Messages::UnreportedAdmissions &message)
 {
-    return {message.vm(), std::chrono::milliseconds(message.from_age_milliseconds()), decodeTeams(message.teams())};
+    return {message.vm(),
+        std::chrono::milliseconds(message.from_age_milliseconds()),
+        decodeTeams(message.teams()),
+        std::max<std::uint32_t>(1, message.vms()),
+        message.has_left()};
 }
 
 } // namespace Hyssophall
--- a/libraries/process/relay/entrynode.cpp
+++ b/libraries/process/relay/entrynode.cpp
@@ -173,6 +173,8 @@
     hooks.random = std::move(random);
     hooks.makeGreeting = [this](const std::function<void()> &dropQueuedAdmissions) { return this->greeting(dropQueuedAdmissions); };
     hooks.confirmed = [this](std::uint64_t number) { this->limiter->confirm(number); };
+    hooks.replicated = [this](std::uint64_t number, SteadyTime sentAt) { this->limiter->confirmReplicated(number, sentAt); };
+    hooks.limitVisibleShare = [this](SteadyTime from, double share) { this->limiter->limitVisibleShare(from, share); };
     hooks.recordVisibleShare = [this](SteadyTime from, SteadyTime to, double share) { this->limiter->recordVisibleShare(from, to, share); };
     hooks.receive = [this](const RelayMessages::Update &update) { this->receive(update); };
     hooks.isConfigured = [this] { return this->isServing(); };
@@ -626,7 +628,7 @@
     this->applyInstanceUpdates(update);
     this->directory.apply(update);
     if (update.has_admissions()) {
-        this->limiter->fillGaps(decodeAdmissions(update.admissions()));
+        this->limiter->adopt(decodeAdmissions(update.admissions()));
     }
     for (const RelayMessages::UnreportedAdmissions &unreported : update.unreported()) {
         // A relay may send back what this VM has reported over another one.
--- a/libraries/process/relay/relayhub.cpp
+++ b/libraries/process/relay/relayhub.cpp
@@ -1,6 +1,9 @@
 #include "process/relay/relayhub.h"
 
+#include "process/relay/admissionmessages.h"
+
 #include <algorithm>
+#include <functional>
 #include <glog/logging.h>
 #include <utility>
 
@@ -24,6 +27,8 @@
 /// Updates to another relay are collected for this part of the time for a VM, since that relay collects them again.
 constexpr double peerDelayFactor = 0.4;
 constexpr std::chrono::milliseconds minimumRemoteCountsDelay{150};
+/// A loss of VMs is reported for this long, so that each VM hears of it.
+constexpr std::chrono::milliseconds lossReportTime{1000};
 
 /// The configuration without the document that the operators sent, which contains keys in clear text.
 CatalogueMessages::Configuration withoutDocument(const CatalogueMessages::Configuration &configuration)
@@ -56,6 +61,8 @@
     , vms(vmExpiry)
     , vmLists(this->vms, this->options.board.random)
     , teamUse(this->options.rateWindow, this->startedAt)
+    , reported(this->options.rateWindow)
+    , lastReport{0, this->startedAt}
 {
 }
 
@@ -87,7 +94,7 @@
     const bool isRenewal = previous != nullptr && previous->state() == registration.state()
         && previous->started_at_milliseconds() == registration.started_at_milliseconds() && previous->host() == registration.host()
         && previous->port() == registration.port() && previous->slots() == registration.slots();
-    RelayMessages::Update changed = this->merge(update);
+    RelayMessages::Update changed = this->merge(update, nullptr);
     if (isRenewal) {
         // A renewal changes nothing for the receivers, and each instance sends one every second or two.
         changed.clear_registrations();
@@ -191,6 +198,7 @@
         std::shared_ptr<RelayPeer> &peer = this->peers[address.address()];
         if (peer == nullptr) {
             peer = std::make_shared<RelayPeer>(address.address());
+            peer->known = this->lastReport;
             added = peer;
         } else if (address.failure_domain().empty() || address.failure_domain() == peer->failureDomain) {
             return;
@@ -228,6 +236,7 @@
     subscriber->greeting = first.greeting();
     {
         std::lock_guard<std::mutex> lock(this->mutex);
+        subscriber->receivedAt = this->options.clock();
         this->subscribers.push_back(subscriber);
         this->expectedVms = std::max(this->expectedVms, first.greeting().known_vms());
         this->teamUse.fillGaps(first, this->options.clock());
@@ -268,10 +277,15 @@
         ++this->activity.messagesReceived;
         this->activity.longestWait
             = std::max(this->activity.longestWait, std::chrono::duration_cast<std::chrono::milliseconds>(this->options.clock() - arrivedAt));
-        const RelayMessages::Update &changed = this->merge(update);
+        subscriber.receivedAt = this->options.clock();
+        const RelayMessages::Update &changed = this->merge(update, &subscriber);
         this->sendToVms(changed, &subscriber);
         if (!subscriber.isRelay()) {
-            this->sendToPeers(changed);
+            this->lastReport = {this->lastReport.number + 1, subscriber.receivedAt};
+            this->reported.add(subscriber.greeting.vm(), update, this->lastReport);
+            subscriber.unreplicated.push_back({update.sequence(), this->lastReport.number});
+            this->sendToPeers(changed, this->lastReport);
+            this->updateReplicated();
         }
         this->applyPresence(subscriber, update);
         this->confirm(subscriber, update.sequence());
@@ -285,13 +299,19 @@
     }
 }
 
-void RelayHub::addStatus(const RelaySubscriber &subscriber, RelayMessages::Update &update)
+void RelayHub::addStatus(RelaySubscriber &subscriber, RelayMessages::Update &update)
 {
     update.set_confirmed(subscriber.confirmed);
     *update.mutable_status() = this->status();
     std::lock_guard<std::mutex> lock(this->mutex);
     ++this->activity.messagesSent;
     if (!subscriber.isRelay()) {
+        update.mutable_status()->set_reports_replicated(!subscriber.isToldOfReplication);
+        subscriber.isToldOfReplication = true;
+        while (!subscriber.unreplicated.empty() && subscriber.unreplicated.front().mark <= this->replicatedReport) {
+            update.set_replicated(subscriber.unreplicated.front().sequence + 1);
+            subscriber.unreplicated.pop_front();
+        }
         this->vmLists.redrawIfDue(subscriber.buffer, update, this->options.clock());
     }
 }
@@ -333,6 +353,7 @@
 {
     {
         std::lock_guard<std::mutex> lock(this->mutex);
+        const std::uint32_t visibleBefore = this->vms.visibleCount();
         std::erase(this->subscribers, subscriber);
         this->vmLists.remove(subscriber->buffer);
         // A VM that lost this connection may have opened another one already.
@@ -348,7 +369,9 @@
                 subscriber->presence.set_present(false);
                 this->recordVm(*subscriber);
             }
+            this->teamUse.setReportedUntil(subscriber->greeting.vm(), subscriber->receivedAt);
         }
+        this->recordLoss(visibleBefore, subscriber->receivedAt);
     }
     LOG(INFO) << (subscriber->isRelay() ? "Relay " : "VM ") << subscriber->greeting.vm() << " disconnected";
 }
@@ -370,6 +393,16 @@
             *first.add_vms() = subscriber->presence;
         }
     }
+    const SteadyTime now = this->options.clock();
+    // Shows the receiver from when on it is told what it lacks, even if this relay has no VMs.
+    UnreportedAdmissions own;
+    own.vm = this->options.own.address();
+    own.fromAge = std::chrono::duration_cast<std::chrono::milliseconds>(now - peer.known.at);
+    own.hasLeft = true;
+    *first.add_unreported() = encodeUnreported(own);
+    for (const UnreportedAdmissions &unreported : this->reported.after(peer.known, this->connectedVms(), now)) {
+        *first.add_unreported() = encodeUnreported(unreported);
+    }
     return first;
 }
 
@@ -393,10 +426,12 @@
         if (update.confirmed() > peer.confirmed) {
             peer.confirmed = update.confirmed();
             this->wakeConfirmedWaiters();
+            peer.known = peer.buffer.reportedUpTo(peer.confirmed);
+            this->updateReplicated();
         }
         RelayMessages::Update registrations;
         *registrations.mutable_registrations() = update.registrations();
-        this->sendToVms(this->merge(registrations), nullptr);
+        this->sendToVms(this->merge(registrations, nullptr), nullptr);
     }
     if (isNew) {
         LOG(INFO) << "Relay " << peer.address << " is connected";
@@ -438,6 +473,9 @@
     status.set_visible_vms(this->vms.visibleCount());
     status.set_known_vms(this->knownVms(now));
     status.set_configuration_version(this->configuration->version());
+    if (this->lostAt && now - *this->lostAt < lossReportTime) {
+        status.set_lost_age_milliseconds(static_cast<std::uint32_t>(std::chrono::duration_cast<std::chrono::milliseconds>(now - this->lostSince).count()));
+    }
     return status;
 }
 
@@ -459,11 +497,53 @@
 {
     for (const std::shared_ptr<RelaySubscriber> &subscriber : this->subscribers) {
         if (subscriber->isRelay() && subscriber->greeting.relay_address() == peer.address) {
+            const std::uint32_t visibleBefore = this->vms.visibleCount();
             this->vms.setVisible(subscriber.get(), peer.isConnected, this->options.clock());
+            this->recordLoss(visibleBefore, subscriber->receivedAt);
         }
     }
 }
 
+void RelayHub::recordLoss(std::uint32_t before, SteadyTime since)
+{
+    if (this->vms.visibleCount() >= before) {
+        return;
+    }
+    const SteadyTime now = this->options.clock();
+    const bool isFurtherLoss = this->lostAt && now - *this->lostAt < lossReportTime;
+    this->lostSince = isFurtherLoss ? std::min(this->lostSince, since) : since;
+    this->lostAt = now;
+    this->teamUse.limitVisibleShare(this->lostSince, this->vms.visibleCount() / static_cast<double>(std::max<std::uint32_t>(1, this->knownVms(now))));
+}
+
+std::set<std::string> RelayHub::connectedVms() const
+{
+    std::set<std::string> names;
+    for (const std::shared_ptr<RelaySubscriber> &subscriber : this->subscribers) {
+        if (!subscriber->isRelay()) {
+            names.insert(subscriber->greeting.vm());
+        }
+    }
+    return names;
+}
+
+void RelayHub::updateReplicated()
+{
+    if (this->options.majority <= 1) {
+        this->replicatedReport = this->lastReport.number;
+        return;
+    }
+    std::vector<std::uint64_t> known;
+    for (const std::pair<const std::string, std::shared_ptr<RelayPeer>> &entry : this->peers) {
+        known.push_back(entry.second->known.number);
+    }
+    const std::size_t others = this->options.majority - 1;
+    if (known.size() >= others) {
+        std::nth_element(known.begin(), known.begin() + static_cast<std::ptrdiff_t>(others - 1), known.end(), std::greater<>());
+        this->replicatedReport = known[others - 1];
+    }
+}
+
 std::size_t RelayHub::connectedVmCount() const
 {
     return this->vmSubscribers;
@@ -484,7 +564,7 @@
     return found == nullptr ? std::nullopt : std::optional<RelayMessages::Registration>(*found);
 }
 
-const RelayMessages::Update &RelayHub::merge(const RelayMessages::Update &update)
+const RelayMessages::Update &RelayHub::merge(const RelayMessages::Update &update, const RelaySubscriber *sender)
 {
     const SteadyTime now = this->options.clock();
     RelayMessages::Update &changed = this->merged;
@@ -498,14 +578,49 @@
     *changed.mutable_outcomes() = update.outcomes();
     *changed.mutable_teams() = update.teams();
     this->teamUse.add(update, *this->configuration, now);
-    *changed.mutable_unreported() = update.unreported();
-    this->teamUse.addUnreported(update, 1.0 / std::max<std::uint32_t>(1, this->knownVms(now)), now);
+    this->mergeUnreported(update, sender, changed);
     *changed.mutable_services() = update.services();
     *changed.mutable_lost_requests() = update.lost_requests();
     *changed.mutable_answered_requests() = update.answered_requests();
     return changed;
 }
 
+void RelayHub::mergeUnreported(const RelayMessages::Update &update, const RelaySubscriber *sender, RelayMessages::Update &changed)
+{
+    if (update.unreported().empty()) {
+        return;
+    }
+    const SteadyTime now = this->options.clock();
+    const double vmShare = 1.0 / std::max<std::uint32_t>(1, this->knownVms(now));
+    // What a relay tells of its VMs when it is back is passed on in sum: the VMs of this relay lack what it lacked itself.
+    const bool isSummed = sender != nullptr && sender->isRelay() && update.has_greeting();
+    const std::set<std::string> connected = isSummed ? this->connectedVms() : std::set<std::string>();
+    UnreportedAdmissions sum;
+    sum.vms = 0;
+    for (const RelayMessages::UnreportedAdmissions &message : update.unreported()) {
+        const UnreportedAdmissions unreported = decodeUnreported(message);
+        if (connected.contains(unreported.vm)) {
+            // It is connected here, so nothing of it is missing.
+            continue;
+        }
+        const UnreportedAdmissions added = this->teamUse.addUnreported(unreported, vmShare, now);
+        if (!isSummed) {
+            *changed.add_unreported() = message;
+            continue;
+        }
+        sum.vms += added.hasLeft ? 0 : 1;
+        sum.fromAge = std::max(sum.fromAge, added.fromAge);
+        for (const std::pair<const std::string, std::vector<AdmissionRecord::Admissions>> &entry : added.admitted) {
+            std::vector<AdmissionRecord::Admissions> &all = sum.admitted[entry.first];
+            all.insert(all.end(), entry.second.begin(), entry.second.end());
+        }
+    }
+    if (sum.vms > 0 || !sum.admitted.empty()) {
+        sum.hasLeft = sum.vms == 0;
+        *changed.add_unreported() = encodeUnreported(sum);
+    }
+}
+
 void RelayHub::applyRegistration(const RelayMessages::Registration &registration, RelayMessages::Update &changed)
 {
     const RelayMessages::Registration *known = this->board.table().find(registration.id());
@@ -544,10 +659,14 @@
     }
 }
 
-void RelayHub::sendToPeers(const RelayMessages::Update &update)
+void RelayHub::sendToPeers(const RelayMessages::Update &update, const std::optional<ReportMark> &mark)
 {
     for (const std::pair<const std::string, std::shared_ptr<RelayPeer>> &entry : this->peers) {
-        entry.second->buffer.add(update);
+        if (mark) {
+            entry.second->buffer.add(update, *mark);
+        } else {
+            entry.second->buffer.add(update);
+        }
     }
 }
 
--- a/libraries/process/relay/relayhub.h
+++ b/libraries/process/relay/relayhub.h
@@ -3,6 +3,7 @@
 #include "process/health/instanceselector.h"
 #include "process/hooks.h"
 #include "process/relay/departurestore.h"
+#include "process/relay/reportedadmissions.h"
 #include "process/relay/teamusemonitor.h"
 #include "process/relay/updatebuffer.h"
 #include "process/relay/vmlists.h"
@@ -37,6 +38,16 @@
         std::uint64_t departure = 0;
     };
     std::deque<Unconfirmed> unconfirmed;
+    /// For a VM: its messages whose admissions a majority of the relays may not have received.
+    struct Unreplicated {
+        std::uint64_t sequence = 0;
+        std::uint64_t mark = 0;
+    };
+    std::deque<Unreplicated> unreplicated;
+    /// Whether RelayStatus.reports_replicated has been sent.
+    bool isToldOfReplication = false;
+    /// When the subscriber's latest message arrived.
+    SteadyTime receivedAt;
     /// For a VM: what it reports of itself.
     RelayMessages::VmPresence presence;
 
@@ -68,6 +79,8 @@
     std::string failureDomain;
     UpdateBuffer buffer{UpdateBuffer::Counts::HeldBack};
     std::uint64_t confirmed = 0;
+    /// Up to which of the messages of this relay's VMs the other relay has received their admissions.
+    ReportMark known;
     bool isConnected = false;
     /// Whether the relay's last status said that it isn't current.
     bool isNotCurrent = false;
@@ -126,7 +139,7 @@
     /// Called by RelayService for each stream that it accepts: when it starts, when a message arrives, before one is sent, and when it ends.
     std::shared_ptr<RelaySubscriber> connect(const RelayMessages::Update &first);
     void receive(RelaySubscriber &subscriber, const RelayMessages::Update &update);
-    void addStatus(const RelaySubscriber &subscriber, RelayMessages::Update &update);
+    void addStatus(RelaySubscriber &subscriber, RelayMessages::Update &update);
     /// Whether the stream of the VM or relay with this greeting crosses failure domains, where each byte costs.
     bool isOtherFailureDomain(const RelayMessages::Greeting &greeting) const;
     /// How long messages to the subscriber are held back.
@@ -177,15 +190,23 @@
     bool hasMajority(const DepartureWaiter &waiter) const;
     /// Wakes the waiters whose registration has been stored by enough relays, and no others: a large release has hundreds of them.
     void wakeConfirmedWaiters();
-    /// Applies an update and returns what it changed for the receivers, valid until the next call.
-    const RelayMessages::Update &merge(const RelayMessages::Update &update);
+    /// Applies an update and returns what it changed for the receivers, valid until the next call. @p sender is null if it came from no subscriber.
+    const RelayMessages::Update &merge(const RelayMessages::Update &update, const RelaySubscriber *sender);
+    /// Applies admissions that weren't reported before, and adds those that are new to @p changed.
+    void mergeUnreported(const RelayMessages::Update &update, const RelaySubscriber *sender, RelayMessages::Update &changed);
+    /// Names of the VMs that are connected to this relay.
+    std::set<std::string> connectedVms() const;
+    /// Computes anew up to which of the messages of this relay's VMs a majority of the relays has received their admissions.
+    void updateReplicated();
+    /// Records that VMs were lost of which nothing has arrived since @p since, if fewer are visible than the @p before.
+    void recordLoss(std::uint32_t before, SteadyTime since);
     /// Applies one registration, stores those that it makes leave, and adds the changed ones to @p changed.
     void applyRegistration(const RelayMessages::Registration &registration, RelayMessages::Update &changed);
     /// Whether all departures up to this number are stored.
     bool isStored(std::uint64_t departure) const;
     void confirm(RelaySubscriber &subscriber, std::uint64_t sequence);
     void sendToVms(const RelayMessages::Update &update, const RelaySubscriber *excluded);
-    void sendToPeers(const RelayMessages::Update &update);
+    void sendToPeers(const RelayMessages::Update &update, const std::optional<ReportMark> &mark = std::nullopt);
     void sendRelayState(const RelayPeer &peer);
     void recordVm(const RelaySubscriber &subscriber);
     void applyPresence(RelaySubscriber &subscriber, const RelayMessages::Update &update);
@@ -216,6 +237,13 @@
     /// Number of VMs of the fleet before this relay started, as far as it is known.
     std::uint32_t expectedVms = 0;
     TeamUseMonitor teamUse;
+    ReportedAdmissions reported;
+    /// The latest message of this relay's VMs, and the latest one whose admissions a majority of the relays has received.
+    ReportMark lastReport;
+    std::uint64_t replicatedReport = 0;
+    /// When VMs were last lost, and since when nothing had arrived of those that were lost shortly before that.
+    std::optional<SteadyTime> lostAt;
+    SteadyTime lostSince;
     Activity activity;
 };
 
--- a/libraries/process/relay/relayuplink.cpp
+++ b/libraries/process/relay/relayuplink.cpp
@@ -124,6 +124,8 @@
             this->moves.beginConnection(address, this->hooks.clock());
             // The greeting has sequence 0, so the relay's first message confirms it.
             this->sent = {{0, this->hooks.clock()}};
+            this->unreplicated = this->sent;
+            this->reportsReplicated = false;
             this->visibleUntil.reset();
             lock.unlock();
             const bool hasReceived = this->link->run(this->greeting(), this->outgoing);
@@ -196,6 +198,7 @@
     SteadyTime visibleFrom;
     SteadyTime visibleTo;
     double share = 0;
+    std::optional<SentMessage> replicated;
     {
         std::lock_guard<std::mutex> lock(this->mutex);
         if (update.retry_after_milliseconds() > 0) {
@@ -215,9 +218,17 @@
         visibleTo = std::max(visibleFrom, this->confirmedSentAt.value_or(visibleFrom));
         this->visibleUntil = visibleTo;
         share = this->reportedShare();
+        replicated = this->applyReplicated(update);
     }
     this->hooks.recordVisibleShare(visibleFrom, visibleTo, share);
+    if (update.status().lost_age_milliseconds() > 0 && this->hooks.limitVisibleShare) {
+        // The age refers to the time when the relay sent the message, which is no earlier than that of the message it confirms.
+        this->hooks.limitVisibleShare(visibleTo - std::chrono::milliseconds(update.status().lost_age_milliseconds()), share);
+    }
     this->hooks.confirmed(update.confirmed());
+    if (replicated && this->hooks.replicated) {
+        this->hooks.replicated(replicated->sequence, replicated->at);
+    }
     this->hooks.receive(update);
 }
 
@@ -225,6 +236,7 @@
 {
     std::lock_guard<std::mutex> lock(this->mutex);
     this->sent.push_back({sequence, this->hooks.clock()});
+    this->unreplicated.push_back(this->sent.back());
 }
 
 void RelayUplink::applyConfirmation(std::uint64_t confirmed)
@@ -235,6 +247,19 @@
     }
 }
 
+std::optional<RelayUplink::SentMessage> RelayUplink::applyReplicated(const RelayMessages::Update &update)
+{
+    this->reportsReplicated = this->reportsReplicated || this->status.reports_replicated();
+    // An older relay doesn't report it, so its confirmation must do.
+    const std::uint64_t end = this->reportsReplicated ? update.replicated() : update.confirmed() + 1;
+    std::optional<SentMessage> latest;
+    while (!this->unreplicated.empty() && this->unreplicated.front().sequence < end) {
+        latest = this->unreplicated.front();
+        this->unreplicated.pop_front();
+    }
+    return latest;
+}
+
 void RelayUplink::applyStatus(const RelayMessages::Update &update)
 {
     const RelayMessages::RelayStatus &newStatus = update.status();
--- a/libraries/process/relay/relayuplink.h
+++ b/libraries/process/relay/relayuplink.h
@@ -43,6 +43,11 @@
         std::function<RelayMessages::Update(const std::function<void()> &dropQueuedAdmissions)> makeGreeting;
         /// The relay has applied all messages up to this sequence.
         std::function<void(std::uint64_t)> confirmed;
+        /// A majority of the relays has received the admissions in all messages up to this sequence, the last of which was sent at the given time. May
+        /// be empty.
+        std::function<void(std::uint64_t, SteadyTime)> replicated;
+        /// The relay counted VMs as visible since the given time that it had lost; the share of the others is given. May be empty.
+        std::function<void(SteadyTime, double)> limitVisibleShare;
         /// The updates of a share of the fleet's VMs (0 to 1) have been received for this period. Called before receive() with the same message.
         std::function<void(SteadyTime from, SteadyTime to, double share)> recordVisibleShare;
         std::function<void(const RelayMessages::Update &)> receive;
@@ -84,6 +89,11 @@
     std::uint64_t moveCount(RelayMoves::Reason reason) const;
 
 private:
+    struct SentMessage {
+        std::uint64_t sequence = 0;
+        SteadyTime at;
+    };
+
     void keepConnected();
     void receive(const RelayMessages::Update &update);
     void recordSent(std::uint64_t sequence);
@@ -95,6 +105,8 @@
     double reportedShare() const;
     bool isConfirmedLately() const;
     void applyConfirmation(std::uint64_t confirmed);
+    /// Returns the latest message that a majority of the relays has, if it is one that wasn't reported before.
+    std::optional<SentMessage> applyReplicated(const RelayMessages::Update &update);
     void applyStatus(const RelayMessages::Update &update);
 
     const Options options;
@@ -110,12 +122,12 @@
     std::unique_ptr<RelayLink> link;
     RelayMessages::RelayStatus status;
     std::optional<SteadyTime> statusReceivedAt;
-    struct SentMessage {
-        std::uint64_t sequence = 0;
-        SteadyTime at;
-    };
     /// Messages on the present connection that the relay hasn't confirmed yet, oldest first.
     std::deque<SentMessage> sent;
+    /// The same for messages that a majority of the relays may not have.
+    std::deque<SentMessage> unreplicated;
+    /// Whether the relay of the present connection reports which messages these are.
+    bool reportsReplicated = false;
     /// When the latest message that a relay has confirmed was sent.
     std::optional<SteadyTime> confirmedSentAt;
     /// End of the visible period of the present connection, for which it has delivered the updates of the other VMs. Empty before its first message.
--- a/libraries/process/relay/teamusemonitor.cpp
+++ b/libraries/process/relay/teamusemonitor.cpp
@@ -88,19 +88,30 @@
     }
 }
 
-void TeamUseMonitor::addUnreported(const Update &update, double vmShare, SteadyTime now)
+UnreportedAdmissions TeamUseMonitor::addUnreported(const UnreportedAdmissions &unreported, double vmShare, SteadyTime now)
 {
-    if (this->window.count() == 0) {
-        return;
-    }
-    for (const hyssophall::relay::v1::UnreportedAdmissions &unreported : update.unreported()) {
-        this->history.addUnreported(decodeUnreported(unreported), vmShare, now);
-    }
+    return this->window.count() == 0 ? unreported : this->history.addUnreported(unreported, vmShare, now);
+}
+
+void TeamUseMonitor::setReportedUntil(const std::string &vm, SteadyTime until)
+{
+    this->history.setReportedUntil(vm, until);
+}
+
+void TeamUseMonitor::limitVisibleShare(SteadyTime from, double share)
+{
+    this->history.limitVisibleShare(from, share);
 }
 
 void TeamUseMonitor::fillGaps(const Update &update, SteadyTime now)
 {
-    this->history.fillGaps(decodeAdmissions(update.admissions()), now);
+    SteadyTime until = SteadyTime::max();
+    if (!update.greeting().relay_address().empty()) {
+        for (const hyssophall::relay::v1::UnreportedAdmissions &unreported : update.unreported()) {
+            until = std::min(until, now - std::chrono::milliseconds(unreported.from_age_milliseconds()));
+        }
+    }
+    this->history.fillGaps(decodeAdmissions(update.admissions()), now, until);
 }
 
 double TeamUseMonitor::limitOf(const hyssophall::catalogue::v1::Team &team) const
--- a/libraries/process/relay/teamusemonitor.h
+++ b/libraries/process/relay/teamusemonitor.h
@@ -33,10 +33,17 @@
     /// Adds the record of admissions in the window to @p update.
     void addRecord(Update &update, SteadyTime now) const;
 
-    /// Adds the admissions in @p update that VMs couldn't report before. @p vmShare is the share of the fleet of one VM.
-    void addUnreported(const Update &update, double vmShare, SteadyTime now);
+    /// Adds admissions that weren't reported here before, and returns what was added. @p vmShare is the share of the fleet of one VM.
+    UnreportedAdmissions addUnreported(const UnreportedAdmissions &unreported, double vmShare, SteadyTime now);
 
-    /// Adds the admissions that another VM recorded during times for which this relay received no updates.
+    /// Records that all reports of @p vm up to @p until have arrived.
+    void setReportedUntil(const std::string &vm, SteadyTime until);
+
+    /// Limits the share that was recorded from @p from on, before a loss of VMs was noticed.
+    void limitVisibleShare(SteadyTime from, double share);
+
+    /// Adds the admissions that another VM or relay recorded during times for which this relay received no updates. A relay reports those since it lost
+    /// this one as unreported, so they aren't taken from its record.
     void fillGaps(const Update &update, SteadyTime now);
 
 private:
--- a/libraries/process/relay/updatebuffer.cpp
+++ b/libraries/process/relay/updatebuffer.cpp
@@ -78,6 +78,23 @@
     return this->sequence + 1;
 }
 
+void UpdateBuffer::add(const RelayMessages::Update &update, const ReportMark &mark)
+{
+    this->add(update);
+    std::lock_guard<std::mutex> lock(this->mutex);
+    this->latestMark = mark;
+}
+
+ReportMark UpdateBuffer::reportedUpTo(std::uint64_t confirmed)
+{
+    std::lock_guard<std::mutex> lock(this->mutex);
+    while (!this->completed.empty() && this->completed.front().sequence <= confirmed) {
+        this->confirmedMark = this->completed.front().mark;
+        this->completed.pop_front();
+    }
+    return this->confirmedMark;
+}
+
 void UpdateBuffer::addCounts(const RelayMessages::Update &update, SteadyTime now)
 {
     for (const RelayMessages::InstanceOutcomes &added : update.outcomes()) {
@@ -182,6 +199,10 @@
     this->takeUses(message, !sendsOther);
     this->urgentSince.reset();
     message.set_sequence(++this->sequence);
+    const std::uint64_t completedMark = this->completed.empty() ? this->confirmedMark.number : this->completed.back().mark.number;
+    if (this->teams.empty() && this->latestMark.number > completedMark) {
+        this->completed.push_back({this->sequence, this->latestMark});
+    }
     return true;
 }
 
--- a/libraries/process/relay/updatebuffer.h
+++ b/libraries/process/relay/updatebuffer.h
@@ -6,6 +6,7 @@
 
 #include <condition_variable>
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <mutex>
 #include <optional>
@@ -15,6 +16,13 @@
 
 namespace RelayMessages = hyssophall::relay::v1;
 
+/// A position in the sequence of the messages that a relay has received from its own VMs.
+struct ReportMark {
+    std::uint64_t number = 0;
+    /// When the message arrived.
+    SteadyTime at;
+};
+
 /**
  * Queues updates to one receiver and merges them into one message. Counts of the same instance, team or service are summed, so a slow receiver
  * doesn't make them grow beyond one entry for each instance, team and service. Thread-safe.
@@ -35,6 +43,12 @@
     /// with Counts::HeldBack, a later message may contain its counts.
     std::uint64_t add(const RelayMessages::Update &update);
 
+    /// The same for an update that results from the message at @p mark.
+    void add(const RelayMessages::Update &update, const ReportMark &mark);
+
+    /// Latest mark up to which all admissions are in messages with a sequence of @p confirmed or less. @p confirmed must not decrease.
+    ReportMark reportedUpTo(std::uint64_t confirmed);
+
     /// Whether an update should be sent soon, since it changes which instances, relays or configuration the receiver uses or how it limits a
     /// team. Other updates only increase counts.
     static bool isUrgent(const RelayMessages::Update &update);
@@ -108,6 +122,15 @@
     std::optional<SteadyTime> otherSince;
     std::optional<SteadyTime> outcomesSince;
     std::uint64_t sequence = 0;
+    ReportMark latestMark;
+    /// A message with which all admissions up to a mark have been sent.
+    struct Completed {
+        std::uint64_t sequence = 0;
+        ReportMark mark;
+    };
+    /// Messages that aren't known to be confirmed, oldest first.
+    std::deque<Completed> completed;
+    ReportMark confirmedMark;
     RelayMessages::Update pending;
     CountTable<Outcomes> outcomes;
     CountTable<TeamUse> teams;
--- a/tests/unit/process/limits/delayedfleet.cpp
+++ b/tests/unit/process/limits/delayedfleet.cpp
@@ -12,6 +12,8 @@
 /// Time of a report from a VM through its relay to the other VMs.
 constexpr std::chrono::milliseconds delay{25};
 constexpr std::chrono::milliseconds statusInterval{150};
+/// Time from a relay's confirmation until it knows that a majority of the relays has a message: they confirm it with their heartbeats.
+constexpr std::chrono::milliseconds replicationDelay{250};
 /// The same values as in RelayUplink and RelayExchange.
 constexpr std::chrono::milliseconds statusLifetime{500};
 constexpr std::chrono::milliseconds contactTimeout{700};
@@ -75,6 +77,7 @@
         this->vms[vm].isConnected = false;
         this->vms[vm].inbox.clear();
         this->vms[vm].confirmations.clear();
+        this->vms[vm].replications.clear();
     }
 }
 
@@ -107,6 +110,7 @@
         vm.statusTime.reset();
         vm.inbox.clear();
         vm.confirmations.clear();
+        vm.replications.clear();
     }
 }
 
@@ -131,6 +135,7 @@
         this->vms[vm].connectedAt = this->vms[vm].resumesAt + std::chrono::milliseconds(this->random() % longestConnectMilliseconds);
         this->vms[vm].isConnected = false;
         this->vms[vm].confirmations.clear();
+        this->vms[vm].replications.clear();
         this->lastContact[vm] = SteadyTime();
     }
     this->run(downtime, 0);
@@ -250,14 +255,15 @@
     vm.isConnected = true;
     vm.inbox.clear();
     vm.confirmations.clear();
+    vm.replications.clear();
     relay.fillGaps(vm.limiter->record(), this->now);
     const std::shared_ptr<UnreportedAdmissions> unreported = std::make_shared<UnreportedAdmissions>(vm.limiter->collectUnreported([] {}));
     unreported->vm = std::to_string(number);
     vm.visibleUntil = this->now;
     vm.limiter->recordVisibleShare(this->now, this->now, vm.visibleShare);
-    vm.limiter->fillGaps(relay.record(this->now));
+    vm.limiter->adopt(relay.record(this->now));
     this->distributeUnreported(number, unreported);
-    vm.confirmations.push_back({this->now + delay, 0});
+    this->scheduleConfirmation(vm, 0);
     if (vm.hasLostStream) {
         // The relay's first message contains its status.
         vm.hasLostStream = false;
@@ -326,6 +332,9 @@
     for (; !vm.confirmations.empty() && vm.confirmations.front().due <= this->now; vm.confirmations.pop_front()) {
         vm.limiter->confirm(vm.confirmations.front().number);
     }
+    for (; !vm.replications.empty() && vm.replications.front().due <= this->now; vm.replications.pop_front()) {
+        vm.limiter->confirmReplicated(vm.replications.front().number, vm.replications.front().sentAt);
+    }
 }
 
 void DelayedFleet::request(Vm &vm)
@@ -379,11 +388,17 @@
     ++vm.number;
     if (vm.isConnected) {
         this->distribute(from, 1);
-        vm.confirmations.push_back({this->now + delay, vm.number});
+        this->scheduleConfirmation(vm, vm.number);
     }
     return vm.number;
 }
 
+void DelayedFleet::scheduleConfirmation(Vm &vm, std::uint64_t number)
+{
+    vm.confirmations.push_back({this->now + delay, number, this->now});
+    vm.replications.push_back({this->now + delay + replicationDelay, number, this->now});
+}
+
 void DelayedFleet::distribute(std::size_t from, std::uint32_t count)
 {
     for (std::size_t relay = 0; relay < relays; ++relay) {
--- a/tests/unit/process/limits/delayedfleet.h
+++ b/tests/unit/process/limits/delayedfleet.h
@@ -55,6 +55,7 @@
     struct Confirmation {
         SteadyTime due;
         std::uint64_t number = 0;
+        SteadyTime sentAt;
     };
     struct WaitingRequest {
         /// Since when it has waited for confirmations. Empty while it waits for the connection.
@@ -80,6 +81,8 @@
         std::uint64_t number = 0;
         /// When the relay's confirmations arrive.
         std::deque<Confirmation> confirmations;
+        /// When the relay reports that a majority of the relays has the messages.
+        std::deque<Confirmation> replications;
         /// Requests that arrived during the suspension.
         std::size_t waiting = 0;
         /// Requests that wait for the connection or for confirmations, in the order of their arrival.
@@ -105,6 +108,8 @@
     bool tryToDecide(Vm &vm, WaitingRequest &request, bool hasWaited);
     void decideWaiting(Vm &vm);
     std::uint64_t report(std::size_t from);
+    /// Makes the relay confirm a message that it will have received.
+    void scheduleConfirmation(Vm &vm, std::uint64_t number);
     void distribute(std::size_t from, std::uint32_t count);
     void distributeUnreported(std::size_t from, const std::shared_ptr<const UnreportedAdmissions> &unreported);
 
--- a/tests/unit/process/limits/sharedratelimitertest.cpp
+++ b/tests/unit/process/limits/sharedratelimitertest.cpp
@@ -330,6 +330,7 @@
     CATCH_REQUIRE(vm.isGranted());
     CATCH_REQUIRE(vm.isGranted());
     vm.limiter->confirm(1);
+    vm.limiter->confirmReplicated(1, vm.now);
     vm.now += std::chrono::milliseconds(300);
     int drops = 0;
     const UnreportedAdmissions unreported = vm.limiter->collectUnreported([&drops] { ++drops; });
@@ -340,6 +341,30 @@
     CATCH_CHECK(unreported.admitted.at("red").front().age == std::chrono::milliseconds(300));
     CATCH_CHECK(unreported.fromAge == std::chrono::milliseconds(300));
     vm.limiter->confirm(0);
+    vm.limiter->confirmReplicated(0, vm.now);
+    CATCH_CHECK(vm.limiter->collectUnreported([] {}).admitted.empty());
+}
+
+// Guards against admissions that are lost with a relay that was cut off from the others after it had confirmed them.
+CATCH_TEST_CASE("Admissions that only one relay confirmed are reported again", "[fleet-limit]")
+{
+    UnconfirmedVm vm(std::chrono::milliseconds(0));
+    CATCH_REQUIRE(vm.isGranted());
+    CATCH_REQUIRE(vm.isGranted());
+    vm.limiter->confirm(2);
+    vm.limiter->confirmReplicated(1, vm.now);
+    vm.now += std::chrono::milliseconds(300);
+    const UnreportedAdmissions unreported = vm.limiter->collectUnreported([] {});
+    CATCH_REQUIRE(unreported.admitted.size() == 1);
+    CATCH_CHECK(unreported.admitted.at("red").size() == 1);
+    CATCH_CHECK(unreported.fromAge == std::chrono::milliseconds(300));
+    // The next relay's record was made without the admission, which must count all the same.
+    vm.limiter->confirm(0);
+    AdmissionRecord record;
+    record.visiblePeriods.push_back({std::chrono::milliseconds(1000), std::chrono::milliseconds(0), 1});
+    vm.limiter->adopt(record);
+    CATCH_CHECK(vm.limiter->record().admitted.at("red").size() == 1);
+    vm.limiter->confirmReplicated(0, vm.now);
     CATCH_CHECK(vm.limiter->collectUnreported([] {}).admitted.empty());
 }
 
--- a/tests/unit/process/relay/splitfleet.cpp
+++ b/tests/unit/process/relay/splitfleet.cpp
@@ -100,6 +100,8 @@
     SteadyTime relaySentAt;
     /// When each message was sent, until it is confirmed.
     std::deque<std::pair<std::uint64_t, SteadyTime>> sent;
+    /// The same until a majority of the relays has it.
+    std::deque<std::pair<std::uint64_t, SteadyTime>> unreplicated;
     RelayMessages::RelayStatus status;
     bool hasStatus = false;
     std::optional<SteadyTime> confirmedSentAt;
@@ -344,6 +346,7 @@
         vm.hasUpdates = false;
         RelayMessages::Update update = nextMessage(vm.outgoing);
         vm.sent.push_back({update.sequence(), this->now});
+        vm.unreplicated.push_back(vm.sent.back());
         vm.toRelay.push_back({this->now + delay, std::move(update)});
     }
     for (; !vm.toRelay.empty() && vm.toRelay.front().due <= this->now; vm.toRelay.pop_front()) {
@@ -373,6 +376,7 @@
     greeting.mutable_greeting()->set_failure_domain("d" + std::to_string(vm.number % relayCount));
     greeting.mutable_greeting()->set_known_vms(vm.status.known_vms());
     vm.sent = {{0, this->now}};
+    vm.unreplicated = vm.sent;
     vm.visibleUntil.reset();
     vm.sentAt = vm.relaySentAt = this->now;
     vm.subscriber = this->relays[vm.relay]->hub->connect(greeting);
@@ -406,9 +410,16 @@
     const SteadyTime to = std::max(from, vm.confirmedSentAt.value_or(from));
     vm.visibleUntil = to;
     vm.limiter->recordVisibleShare(from, to, this->reportedShare(vm));
+    if (update.status().lost_age_milliseconds() > 0) {
+        vm.limiter->limitVisibleShare(to - Milliseconds(update.status().lost_age_milliseconds()), this->reportedShare(vm));
+    }
     vm.limiter->confirm(update.confirmed());
+    while (!vm.unreplicated.empty() && vm.unreplicated.front().first < update.replicated()) {
+        vm.limiter->confirmReplicated(vm.unreplicated.front().first, vm.unreplicated.front().second);
+        vm.unreplicated.pop_front();
+    }
     if (update.has_admissions()) {
-        vm.limiter->fillGaps(decodeAdmissions(update.admissions()));
+        vm.limiter->adopt(decodeAdmissions(update.admissions()));
     }
     for (const RelayMessages::UnreportedAdmissions &unreported : update.unreported()) {
         if (unreported.vm() != "vm-" + std::to_string(vm.number)) {
