Control: Don't hold up heartbeats behind a late reply

Cause: a link sent one request at a time and the next one only after the reply or the timeout, first in, first out. At 9 to 14 s requests were queued for up to 598 ms. Each queued request had all entries that the peer lacked, again.

Change: of each kind of request only the newest waits, since a replica repeats what isn't confirmed. A request waits for the end of the call before it for one heartbeat interval at most, and up to four are under way. The replica allows for lost, repeated and reordered messages.

--- a/libraries/process/control/controlgroup.cpp
+++ b/libraries/process/control/controlgroup.cpp
@@ -168,7 +168,10 @@
                              << durations.handling.count() << " ms";
             }
         };
-        link = std::make_unique<PeerLink>(std::move(linkHooks), this->settings.control.electionTimeout);
+        PeerLink::Options linkOptions;
+        linkOptions.timeout = this->settings.control.electionTimeout;
+        linkOptions.longestHold = this->settings.control.heartbeatInterval;
+        link = std::make_unique<PeerLink>(linkOptions, std::move(linkHooks));
     }
     link->send(peer, request);
 }
--- a/libraries/process/control/peerlink.cpp
+++ b/libraries/process/control/peerlink.cpp
@@ -1,5 +1,6 @@
 #include "process/control/peerlink.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace Hyssophall {
@@ -13,43 +14,89 @@
 
 } // namespace
 
-PeerLink::PeerLink(Hooks hooks, std::chrono::milliseconds timeout)
-    : hooks(std::move(hooks))
-    , timeout(timeout)
-    , thread([this] { this->run(); })
+PeerLink::PeerLink(Options options, Hooks hooks)
+    : options(options)
+    , hooks(std::move(hooks))
 {
+    for (std::size_t number = 0; number < maximumCalls; ++number) {
+        this->threads.emplace_back([this] { this->run(); });
+    }
 }
 
 PeerLink::~PeerLink()
 {
-    this->stopping = true;
-    this->queue.close();
-    this->thread.join();
+    {
+        std::lock_guard<std::mutex> lock(this->mutex);
+        this->stopping = true;
+    }
+    this->changed.notify_all();
+    for (std::thread &thread : this->threads) {
+        thread.join();
+    }
 }
 
 void PeerLink::send(const RaftReplica::Replica &peer, const RaftReplica::Request &request)
 {
-    this->queue.tryPush(Message{peer, request, std::chrono::steady_clock::now()});
+    {
+        std::lock_guard<std::mutex> lock(this->mutex);
+        this->waiting.at(request.index()) = Message{peer, request, std::chrono::steady_clock::now()};
+    }
+    this->changed.notify_one();
 }
 
 void PeerLink::run()
 {
+    while (const std::optional<Message> message = this->take()) {
+        this->transmit(*message);
+        {
+            std::lock_guard<std::mutex> lock(this->mutex);
+            --this->calls;
+        }
+        this->changed.notify_one();
+    }
+}
+
+std::optional<PeerLink::Message> PeerLink::take()
+{
+    std::unique_lock<std::mutex> lock(this->mutex);
     while (!this->stopping) {
-        const std::optional<Message> message = this->queue.popUntil(std::chrono::steady_clock::now() + std::chrono::seconds(1));
-        // A message that was queued for longer than the timeout behind a call that hung is out of date; the replica has queued newer ones since.
-        if (message && std::chrono::steady_clock::now() - message->queuedAt < this->timeout) {
-            this->transmit(*message);
+        const auto oldest = std::min_element(this->waiting.begin(),
+            this->waiting.end(),
+            [](const std::optional<Message> &left, const std::optional<Message> &right) { return left && (!right || left->queuedAt < right->queuedAt); });
+        const SteadyTime now = std::chrono::steady_clock::now();
+        const SteadyTime due = this->lastCallAt + this->options.longestHold;
+        if (!*oldest) {
+            this->changed.wait(lock);
+        } else if (this->calls > 0 && now < due) {
+            this->changed.wait_until(lock, due);
+        } else {
+            std::optional<Message> message;
+            message.swap(*oldest);
+            ++this->calls;
+            this->lastCallAt = now;
+            return message;
         }
     }
+    return std::nullopt;
+}
+
+bool PeerLink::isStopping()
+{
+    std::lock_guard<std::mutex> lock(this->mutex);
+    return this->stopping;
 }
 
 void PeerLink::transmit(const Message &message)
 {
     const bool snapshot = std::holds_alternative<ControlMessages::InstallSnapshotRequest>(message.request);
     const SteadyTime sentAt = std::chrono::steady_clock::now();
-    const std::optional<RaftReplica::Reply> reply = this->hooks.call(message.request, snapshot ? snapshotTimeout : this->timeout);
+    if (sentAt - message.queuedAt >= this->options.timeout) {
+        // The replica has given up waiting for it.
+        return;
+    }
+    const std::optional<RaftReplica::Reply> reply = this->hooks.call(message.request, snapshot ? snapshotTimeout : this->options.timeout);
     const SteadyTime repliedAt = std::chrono::steady_clock::now();
-    if (reply && !this->stopping) {
+    if (reply && !this->isStopping()) {
         this->hooks.handleReply(message.peer, message.request, sentAt, *reply);
     }
     if (this->hooks.exchanged) {
