Relay: Count what a VM admitted just before its stream ended

A VM that connects again to the same relay reports one that it made while that message was under way, and the relay dropped it. Found by reading.

Change: the time ends 200 ms before the last message arrived. What relays and VMs remember of messages that a majority may lack is bounded, since a majority may be missing for hours.

Evidence: "What a VM admitted just before its stream ended counts when it connects to the same relay again" fails without the margin (no admission in the record). New beside it: "A relay tells a VM up to which message a majority of the relays has its admissions".

--- a/libraries/process/relay/relayhub.cpp
+++ b/libraries/process/relay/relayhub.cpp
@@ -27,6 +27,10 @@
 /// Updates to another relay are collected for this part of the time for a VM, since that relay collects them again.
 constexpr double peerDelayFactor = 0.4;
 constexpr std::chrono::milliseconds minimumRemoteCountsDelay{150};
+/// From an admission until the message that reports it arrives, at most.
+constexpr std::chrono::milliseconds longestReportDelay{200};
+/// Messages of one VM for which the relay remembers whether a majority has them: those of a window, about.
+constexpr std::size_t maximumUnreplicated = 256;
 /// A loss of VMs is reported for this long, so that each VM hears of it.
 constexpr std::chrono::milliseconds lossReportTime{1000};
 
@@ -284,8 +288,14 @@
             this->lastReport = {this->lastReport.number + 1, subscriber.receivedAt};
             this->reported.add(subscriber.greeting.vm(), update, this->lastReport);
             subscriber.unreplicated.push_back({update.sequence(), this->lastReport.number});
+            if (subscriber.unreplicated.size() > maximumUnreplicated) {
+                // A later message that a majority has says the same of this one.
+                subscriber.unreplicated.pop_front();
+            }
             this->sendToPeers(changed, this->lastReport);
-            this->updateReplicated();
+            if (this->options.majority <= 1) {
+                this->replicatedReport = this->lastReport.number;
+            }
         }
         this->applyPresence(subscriber, update);
         this->confirm(subscriber, update.sequence());
@@ -369,7 +379,7 @@
                 subscriber->presence.set_present(false);
                 this->recordVm(*subscriber);
             }
-            this->teamUse.setReportedUntil(subscriber->greeting.vm(), subscriber->receivedAt);
+            this->teamUse.setReportedUntil(subscriber->greeting.vm(), subscriber->receivedAt - longestReportDelay);
         }
         this->recordLoss(visibleBefore, subscriber->receivedAt);
     }
@@ -530,7 +540,6 @@
 void RelayHub::updateReplicated()
 {
     if (this->options.majority <= 1) {
-        this->replicatedReport = this->lastReport.number;
         return;
     }
     std::vector<std::uint64_t> known;
--- a/libraries/process/relay/relayuplink.cpp
+++ b/libraries/process/relay/relayuplink.cpp
@@ -16,6 +16,8 @@
 constexpr std::chrono::milliseconds statusMaximumAge{500};
 /// Both sides send a message at least every 150 ms, so on a working connection the last confirmed message was sent at most 300 ms ago.
 constexpr std::chrono::milliseconds confirmationMaximumAge{500};
+/// Messages that a majority of the relays may lack and that are remembered: those of a window, about. While no majority is reached, there may be many.
+constexpr std::size_t maximumUnreplicated = 256;
 
 } // namespace
 
@@ -237,6 +239,9 @@
     std::lock_guard<std::mutex> lock(this->mutex);
     this->sent.push_back({sequence, this->hooks.clock()});
     this->unreplicated.push_back(this->sent.back());
+    if (this->unreplicated.size() > maximumUnreplicated) {
+        this->unreplicated.pop_front();
+    }
 }
 
 void RelayUplink::applyConfirmation(std::uint64_t confirmed)
--- a/tests/unit/process/relay/relayhubtest.cpp
+++ b/tests/unit/process/relay/relayhubtest.cpp
@@ -416,6 +416,52 @@
     CATCH_CHECK(fixture.nextMessage(fixture.connect("vm-4")->buffer).admissions().teams(0).counts(0) == 4);
 }
 
+// Guards against admissions that are taken for reported because the VM's last message arrived after they were made.
+CATCH_TEST_CASE("What a VM admitted just before its stream ended counts when it connects to the same relay again", "[relay][fleet-limit]")
+{
+    HubFixture fixture;
+    fixture.hub->receive(*fixture.first, RelayMessages::Update());
+    fixture.hub->disconnect(fixture.first);
+    RelayMessages::Update greeting;
+    greeting.mutable_greeting()->set_vm("vm-1");
+    RelayMessages::UnreportedAdmissions &unreported = *greeting.add_unreported();
+    unreported.set_vm("vm-1");
+    unreported.set_from_age_milliseconds(400);
+    RelayMessages::TeamAdmissions &admissions = *unreported.add_teams();
+    admissions.set_team("red");
+    admissions.add_ages_milliseconds(50);
+    admissions.add_counts(1);
+    fixture.hub->connect(greeting);
+    const std::shared_ptr<RelaySubscriber> next = fixture.connect("vm-3");
+    const RelayMessages::Update message = fixture.nextMessage(next->buffer);
+    CATCH_REQUIRE(message.admissions().teams_size() == 1);
+    CATCH_CHECK(message.admissions().teams(0).counts(0) == 1);
+}
+
+// Guards against VMs that forget admissions which only a cut-off relay has, or keep all of them as unreported.
+CATCH_TEST_CASE("A relay tells a VM up to which message a majority of the relays has its admissions", "[relay][fleet-limit]")
+{
+    HubFixture fixture;
+    RelayMessages::Update first;
+    first.set_sequence(7);
+    first.add_teams()->set_team("red");
+    first.mutable_teams(0)->set_admitted(1);
+    fixture.hub->receive(*fixture.first, first);
+    const auto replicated = [&fixture] {
+        RelayMessages::Update message = fixture.nextMessage(fixture.first->buffer);
+        fixture.hub->addStatus(*fixture.first, message);
+        return message.replicated();
+    };
+    CATCH_CHECK(replicated() == 0);
+    const std::uint64_t sequence = fixture.nextMessage(fixture.peers[0]->buffer).sequence();
+    CATCH_CHECK(replicated() == 0);
+    RelayMessages::Update confirmation;
+    confirmation.set_confirmed(sequence);
+    fixture.hub->receiveFromPeer(*fixture.peers[0], confirmation);
+    CATCH_CHECK(replicated() == 8);
+    CATCH_CHECK(replicated() == 0);
+}
+
 // Guards against a busy relay whose logs show no more than a day's mean of its load.
 CATCH_TEST_CASE("A relay counts the messages and arrivals since it was last asked", "[relay]")
 {
