Relay: Pass on the end of a try that was started at another relay after its start

Cause: a VM reports a start to a relay that holds counts back for up to 150 ms, moves, and reports the end to its new relay. The others heard of the end first, dropped it, and counted the start for as long as a request may take.

Change: a relay counts the starts that each VM has reported on its stream.

--- a/libraries/process/health/instanceselector.cpp
+++ b/libraries/process/health/instanceselector.cpp
@@ -135,7 +135,8 @@
     if (outcomes.limit_thousandths() > 0 || outcomes.limit_ended()) {
         state.restrictions.limit().set(limitOf(outcomes.limit_thousandths()), now);
     }
-    requests.end(outcomes.succeeded() + outcomes.failed() + outcomes.rejected() + outcomes.unreachable() + outcomes.neutral());
+    const std::uint32_t ended = endedCount(outcomes);
+    requests.end(ended - std::min(ended, outcomes.ended_late()));
     for (std::uint32_t count = 0; count < outcomes.failed(); ++count) {
         state.gray.addFailure(now, this->options.model);
         state.lastFailure = now;
@@ -163,6 +164,11 @@
     }
 }
 
+std::uint32_t InstanceSelector::endedCount(const RelayMessages::InstanceOutcomes &outcomes)
+{
+    return outcomes.succeeded() + outcomes.failed() + outcomes.rejected() + outcomes.unreachable() + outcomes.neutral();
+}
+
 std::uint32_t InstanceSelector::limitThousandths(std::optional<double> requestsPerSecond)
 {
     return requestsPerSecond ? static_cast<std::uint32_t>(std::max(1.0, std::round(*requestsPerSecond * thousandths))) : 0;
--- a/libraries/process/health/instanceselector.h
+++ b/libraries/process/health/instanceselector.h
@@ -62,6 +62,9 @@
     /// Adds the outcomes of this VM's own tries.
     void applyOwn(const RelayMessages::InstanceOutcomes &outcomes, SteadyTime now);
 
+    /// Number of tries that ended.
+    static std::uint32_t endedCount(const RelayMessages::InstanceOutcomes &outcomes);
+
     /// A limit in requests per second in the unit of InstanceOutcomes: at least 1, and 0 for none.
     static std::uint32_t limitThousandths(std::optional<double> requestsPerSecond);
 
--- a/libraries/process/relay/relayhub.cpp
+++ b/libraries/process/relay/relayhub.cpp
@@ -282,6 +282,7 @@
         this->activity.longestWait
             = std::max(this->activity.longestWait, std::chrono::duration_cast<std::chrono::milliseconds>(this->options.clock() - arrivedAt));
         subscriber.receivedAt = this->options.clock();
+        this->sendLateEnds();
         const RelayMessages::Update &changed = this->merge(update, &subscriber);
         this->sendToVms(changed, &subscriber);
         if (!subscriber.isRelay()) {
@@ -379,6 +380,7 @@
                 subscriber->presence.set_present(false);
                 this->recordVm(*subscriber);
             }
+            this->lateEnds.endStream(subscriber.get());
             this->teamUse.setReportedUntil(subscriber->greeting.vm(), subscriber->receivedAt - longestReportDelay);
         }
         this->recordLoss(visibleBefore, subscriber->receivedAt);
@@ -581,10 +583,13 @@
     for (const RelayMessages::Registration &registration : update.registrations()) {
         this->applyRegistration(registration, changed);
     }
-    for (const RelayMessages::InstanceOutcomes &outcomes : update.outcomes()) {
+    *changed.mutable_outcomes() = update.outcomes();
+    if (sender != nullptr && !sender->isRelay()) {
+        this->lateEnds.mark(sender, *changed.mutable_outcomes(), now);
+    }
+    for (const RelayMessages::InstanceOutcomes &outcomes : changed.outcomes()) {
         this->board.apply(outcomes, now);
     }
-    *changed.mutable_outcomes() = update.outcomes();
     *changed.mutable_teams() = update.teams();
     this->teamUse.add(update, *this->configuration, now);
     this->mergeUnreported(update, sender, changed);
@@ -594,6 +599,18 @@
     return changed;
 }
 
+void RelayHub::sendLateEnds()
+{
+    const SteadyTime now = this->options.clock();
+    for (const LateEnds::Due &due : this->lateEnds.takeDue(now)) {
+        for (const RelayMessages::InstanceOutcomes &outcomes : due.update.outcomes()) {
+            this->board.apply(outcomes, now);
+        }
+        this->sendToVms(due.update, static_cast<const RelaySubscriber *>(due.stream));
+        this->sendToPeers(due.update);
+    }
+}
+
 void RelayHub::mergeUnreported(const RelayMessages::Update &update, const RelaySubscriber *sender, RelayMessages::Update &changed)
 {
     if (update.unreported().empty()) {
--- a/libraries/process/relay/relayhub.h
+++ b/libraries/process/relay/relayhub.h
@@ -3,6 +3,7 @@
 #include "process/health/instanceselector.h"
 #include "process/hooks.h"
 #include "process/relay/departurestore.h"
+#include "process/relay/lateends.h"
 #include "process/relay/reportedadmissions.h"
 #include "process/relay/teamusemonitor.h"
 #include "process/relay/updatebuffer.h"
@@ -194,6 +195,8 @@
     const RelayMessages::Update &merge(const RelayMessages::Update &update, const RelaySubscriber *sender);
     /// Applies admissions that weren't reported before, and adds those that are new to @p changed.
     void mergeUnreported(const RelayMessages::Update &update, const RelaySubscriber *sender, RelayMessages::Update &changed);
+    /// Applies and forwards the ends of tries that were held back.
+    void sendLateEnds();
     /// Names of the VMs that are connected to this relay.
     std::set<std::string> connectedVms() const;
     /// Computes anew up to which of the messages of this relay's VMs a majority of the relays has received their admissions.
@@ -238,6 +241,7 @@
     std::uint32_t expectedVms = 0;
     TeamUseMonitor teamUse;
     ReportedAdmissions reported;
+    LateEnds lateEnds;
     /// The latest message of this relay's VMs, and the latest one whose admissions a majority of the relays has received.
     ReportMark lastReport;
     std::uint64_t replicatedReport = 0;
--- a/libraries/process/relay/updatebuffer.cpp
+++ b/libraries/process/relay/updatebuffer.cpp
@@ -20,6 +20,7 @@
     sum.set_unreachable(sum.unreachable() + added.unreachable());
     sum.set_misaddressed(sum.misaddressed() + added.misaddressed());
     sum.set_neutral(sum.neutral() + added.neutral());
+    sum.set_ended_late(sum.ended_late() + added.ended_late());
     sum.set_latency_milliseconds(sum.latency_milliseconds() + added.latency_milliseconds());
     if (added.limit_thousandths() > 0 || added.limit_ended()) {
         sum.set_limit_thousandths(added.limit_thousandths());
