Control: Let a late leader go on for two election timeouts before it steps down

Cause: a leader stepped down as soon as it wasn't up to date. Both used one election timeout, though only the second needs it: a leader without a majority decides nothing, and followers that don't hear it elect another one by themselves.

Change: it steps down after two election timeouts. After one, it isn't up to date, takes no proposals and refuses no votes, as before.

--- a/libraries/process/control/raftelection.cpp
+++ b/libraries/process/control/raftelection.cpp
@@ -67,7 +67,7 @@
 bool RaftReplica::hasLeaderContact() const
 {
     if (this->currentRole == Role::Leader) {
-        return this->hasMajorityContact();
+        return this->hasMajorityContact(this->options.electionTimeout);
     }
     return this->lastLeaderContact && this->hooks.now() - *this->lastLeaderContact < this->options.electionTimeout;
 }
--- a/libraries/process/control/raftleader.cpp
+++ b/libraries/process/control/raftleader.cpp
@@ -7,6 +7,14 @@
 
 namespace Hyssophall {
 
+namespace {
+
+/// A leader without replies goes on for this many election timeouts. It decides nothing and isn't up to date meanwhile, and its followers elect another
+/// leader earlier if its messages don't reach them. If control VMs are only late, there is no election, which would move VMs and make them later.
+constexpr int stepDownTimeouts = 2;
+
+} // namespace
+
 void RaftReplica::becomeLeader()
 {
     this->currentRole = Role::Leader;
@@ -54,7 +62,7 @@
 
 void RaftReplica::tickLeader()
 {
-    if (!this->hasMajorityContact()) {
+    if (!this->hasMajorityContact(stepDownTimeouts * this->options.electionTimeout)) {
         this->becomeFollower(this->currentTerm);
         return;
     }
@@ -190,12 +198,12 @@
     }
 }
 
-bool RaftReplica::hasMajorityContact() const
+bool RaftReplica::hasMajorityContact(std::chrono::milliseconds maximumAge) const
 {
     const SteadyTime now = this->hooks.now();
-    return ReplicaGroup::hasMajority(this->replicaLog.configuration(), [this, now](const Replica &replica) {
+    return ReplicaGroup::hasMajority(this->replicaLog.configuration(), [this, now, maximumAge](const Replica &replica) {
         const auto peer = this->peers.find(replica.id());
-        return replica.id() == this->options.id || (peer != this->peers.end() && now - peer->second.lastContact < this->options.electionTimeout);
+        return replica.id() == this->options.id || (peer != this->peers.end() && now - peer->second.lastContact < maximumAge);
     });
 }
 
--- a/libraries/process/control/raftreplica.cpp
+++ b/libraries/process/control/raftreplica.cpp
@@ -103,7 +103,7 @@
 
 bool RaftReplica::isLeading() const
 {
-    return !this->halted && this->currentRole == Role::Leader && this->hasMajorityContact()
+    return !this->halted && this->currentRole == Role::Leader && this->hasMajorityContact(this->options.electionTimeout)
         && this->replicaLog.termAt(this->committed) == std::optional<std::uint64_t>(this->currentTerm);
 }
 
--- a/libraries/process/control/raftreplica.h
+++ b/libraries/process/control/raftreplica.h
@@ -19,9 +19,9 @@
  * One replica of the control group: the Raft state machine. Clock, network and disk are injected.
  *
  * Pre-vote prevents a replica that was partitioned from raising the term. A leader steps down when a majority of the voters hasn't replied
- * within an election timeout. A follower refuses votes until an election timeout has passed since the leader's last message.
- * This leader lease alone never justifies a reply to a client: each decision is an entry of the log. After a failed storage
- * operation, the replica halts: it sends nothing and answers no request.
+ * within two election timeouts; after one, it isn't up to date and takes no proposals. A follower refuses votes until an election timeout has passed since the
+ * leader's last message. This leader lease alone never justifies a reply to a client: each decision is an entry of the log. After a failed storage operation,
+ * the replica halts: it sends nothing and answers no request.
  *
  * Sources: Ongaro, "Consensus: Bridging Theory and Practice" (2014), chapters 3, 4, 6.2 and 9.6. Not thread-safe.
  */
@@ -167,7 +167,8 @@
     Progress *currentProgressOf(const Replica &peer, std::uint64_t diskIncarnation, std::uint64_t requestTerm);
     void advanceCommit();
     void promoteLearner();
-    bool hasMajorityContact() const;
+    /// Whether a majority, this replica included, has replied to a request that was sent less than @p maximumAge ago.
+    bool hasMajorityContact(std::chrono::milliseconds maximumAge) const;
     GroupChangeResult changeGroup(const std::optional<ControlMessages::GroupConfiguration> &next);
     bool isGroupChangePending() const;
     bool appendAsLeader(ControlMessages::Entry entry);
--- a/tests/unit/process/control/raftreplicatest.cpp
+++ b/tests/unit/process/control/raftreplicatest.cpp
@@ -156,6 +156,32 @@
     }
 }
 
+CATCH_TEST_CASE("A leader whose followers are late for less than two election timeouts keeps leading in its term", "[control-log]")
+{
+    // Guards against an election, after which the VMs of all relays must be told of a new leader, for each moment in which control VMs lack processor time.
+    for (const std::uint64_t seed : {1, 2, 3, 4, 5}) {
+        CATCH_CAPTURE(seed);
+        SimulatedGroup group(5, seed);
+        group.bootstrap();
+        proposeUntilDecided(group, "a", 5);
+        const std::size_t leader = group.leader();
+        const std::uint64_t term = group.nodes[leader].replica->term();
+        for (std::size_t node = 0; node < 5; ++node) {
+            if (node != leader) {
+                group.pause(node, milliseconds(900));
+            }
+        }
+        group.run(milliseconds(800));
+        // Without the replies of a majority, it doesn't know whether another replica leads.
+        CATCH_CHECK_FALSE(group.nodes[leader].replica->isLeading());
+        CATCH_CHECK_FALSE(group.nodes[leader].replica->isUpToDate());
+        group.run(milliseconds(1200));
+        CATCH_CHECK(group.leader() == leader);
+        CATCH_CHECK(group.nodes[leader].replica->term() == term);
+        requireNoViolations(group);
+    }
+}
+
 CATCH_TEST_CASE("A leader that was paused past its lease decides nothing when it resumes", "[control-log]")
 {
     // Guards against a replica that still considers itself the leader after a pause in which another one was elected, and commits its own entry.
--- a/tests/unit/process/relay/relayuplinktest.cpp
+++ b/tests/unit/process/relay/relayuplinktest.cpp
@@ -312,6 +312,27 @@
     otherServer->Shutdown(std::chrono::system_clock::now());
 }
 
+// Guards against VMs that report all of a window again at each move, since relays of an earlier build don't say what a majority of the relays has.
+CATCH_TEST_CASE("What a relay of an earlier build confirms counts as known to a majority", "[relay][fleet-limit]")
+{
+    UnconfirmingRelay relay;
+    int port = 0;
+    const std::unique_ptr<grpc::Server> server = startRelay(relay, port);
+    RelayUplink::Hooks hooks = uplinkHooks();
+    std::atomic<std::uint64_t> replicated{0};
+    hooks.replicated = [&replicated](std::uint64_t number, SteadyTime) { replicated = number; };
+    {
+        RelayUplink uplink(uplinkOptions({port}), hooks);
+        CATCH_CHECK(isMet([&replicated] { return replicated > 1; }));
+        relay.isConfirming = false;
+        std::this_thread::sleep_for(100ms);
+        const std::uint64_t last = replicated;
+        std::this_thread::sleep_for(400ms);
+        CATCH_CHECK(replicated == last);
+    }
+    server->Shutdown(std::chrono::system_clock::now());
+}
+
 // Guards against a VM that keeps an old configuration until its stream ends, because it missed the one message with the new one.
 CATCH_TEST_CASE("A VM that lacks its relay's configuration reconnects and gets it", "[relay][config-in-force]")
 {
