Relay: Bound the time for which another relay is told what it lacks

Cause: a relay that had confirmed messages before any VM reported was taken to know nothing since the clock's zero, and the age in its greeting overflows after 49 days of uptime. Found by reading the change as a newcomer.

Change: what another relay knows only grows, and the age is at most the window.

Evidence: "A relay tells another one no more than a window, whatever that has confirmed"; it wasn't run on the former code.

--- a/libraries/process/relay/relayhub.cpp
+++ b/libraries/process/relay/relayhub.cpp
@@ -409,7 +409,7 @@
     // Shows the receiver from when on it is told what it lacks, even if this relay has no VMs.
     UnreportedAdmissions own;
     own.vm = this->options.own.address();
-    own.fromAge = std::chrono::duration_cast<std::chrono::milliseconds>(now - peer.known.at);
+    own.fromAge = std::chrono::duration_cast<std::chrono::milliseconds>(std::min<SteadyTime::duration>(now - peer.known.at, this->options.rateWindow));
     own.hasLeft = true;
     *first.add_unreported() = encodeUnreported(own);
     for (const UnreportedAdmissions &unreported : this->reported.after(peer.known, this->connectedVms(), now)) {
@@ -438,8 +438,11 @@
         if (update.confirmed() > peer.confirmed) {
             peer.confirmed = update.confirmed();
             this->wakeConfirmedWaiters();
-            peer.known = peer.buffer.reportedUpTo(peer.confirmed);
-            this->updateReplicated();
+            const ReportMark known = peer.buffer.reportedUpTo(peer.confirmed);
+            if (known.number > peer.known.number) {
+                peer.known = known;
+                this->updateReplicated();
+            }
         }
         RelayMessages::Update registrations;
         *registrations.mutable_registrations() = update.registrations();
--- a/tests/unit/process/relay/relayhubtest.cpp
+++ b/tests/unit/process/relay/relayhubtest.cpp
@@ -462,6 +462,21 @@
     CATCH_CHECK(replicated() == 0);
 }
 
+// Guards against a time without a value, since another relay has confirmed messages before any VM has reported.
+CATCH_TEST_CASE("A relay tells another one no more than a window, whatever that has confirmed", "[relay][fleet-limit]")
+{
+    HubFixture fixture;
+    RelayMessages::Update confirmation;
+    confirmation.set_confirmed(fixture.nextMessage(fixture.peers[0]->buffer).sequence() + 1);
+    fixture.hub->receiveFromPeer(*fixture.peers[0], confirmation);
+    const RelayMessages::Update greeting = fixture.hub->peerGreeting(*fixture.peers[0]);
+    // One entry for the relay itself, and one for each of its VMs.
+    CATCH_REQUIRE(greeting.unreported_size() == 3);
+    for (const RelayMessages::UnreportedAdmissions &unreported : greeting.unreported()) {
+        CATCH_CHECK(unreported.from_age_milliseconds() <= 5000);
+    }
+}
+
 // Guards against a busy relay whose logs show no more than a day's mean of its load.
 CATCH_TEST_CASE("A relay counts the messages and arrivals since it was last asked", "[relay]")
 {
