Health: Log which instances of a failing service get no requests, and why

While over a tenth of a service's requests aren't served, each VM now logs these counts once a second for that service, with the instance that is idle longest.

No logic has changed.

--- a/libraries/process/health/instanceselector.cpp
+++ b/libraries/process/health/instanceselector.cpp
@@ -61,6 +61,9 @@
 constexpr std::chrono::milliseconds recentFailureWindow{2000};
 /// Relative fall of the visible share from which the requests in flight of other VMs are dropped. A smaller one leaves few that never end.
 constexpr double notableShareFall = 0.1;
+/// Share of unserved requests from which instances without requests are reported, and the time between two reports.
+constexpr double unservedShareForReport = 0.1;
+constexpr std::chrono::milliseconds idleReportInterval{1000};
 /// Time after which the counts of a service have decayed to 1/e.
 constexpr std::chrono::milliseconds unservedDecayTime{1000};
 
@@ -460,6 +463,61 @@
         + " failure_age_ms=" + std::to_string(ageMilliseconds(state->second.lastFailure, now)) + (limit ? " limit=" + std::to_string(*limit) : "");
 }
 
+std::optional<IdleInstances> InstanceSelector::takeIdleInstances(const std::string &service, SteadyTime now)
+{
+    Service &counts = this->services[service];
+    if (now - counts.idleReportedAt < idleReportInterval) {
+        return std::nullopt;
+    }
+    decay(counts, now);
+    if (counts.ended < 1 || counts.unserved < unservedShareForReport * counts.ended) {
+        return std::nullopt;
+    }
+    counts.idleReportedAt = now;
+    IdleInstances result;
+    result.service = service;
+    result.unservedShare = counts.unserved / counts.ended;
+    bool isLongestEligible = false;
+    for (const std::pair<const std::string, RelayMessages::Registration> &entry : this->instances.all()) {
+        const auto state = this->states.find(InstanceTable::handleOf(entry.second));
+        if (entry.second.service() != service || entry.second.state() != RelayMessages::REGISTRATION_STATE_READY || state == this->states.end()) {
+            continue;
+        }
+        ++result.ready;
+        if (wasUsedRecently(state->second, now)) {
+            continue;
+        }
+        const bool isEligible = this->countIdle(entry.second, state->second, result, now);
+        const std::chrono::milliseconds idleTime(ageMilliseconds(state->second.lastStart, now));
+        if (result.longestIdle.empty() || std::pair(isEligible, idleTime) > std::pair(isLongestEligible, result.longestIdleTime)) {
+            isLongestEligible = isEligible;
+            result.longestIdle = entry.first;
+            result.longestIdleTime = idleTime;
+        }
+    }
+    return result.idle > 0 ? std::optional<IdleInstances>(result) : std::nullopt;
+}
+
+bool InstanceSelector::countIdle(
+    const RelayMessages::Registration &registration, const InstanceState &state, IdleInstances &counts, SteadyTime now) const
+{
+    ++counts.idle;
+    const double slots = std::max<std::uint32_t>(1, registration.slots());
+    if (!state.restrictions.takesRequests(now)) {
+        ++counts.restricted;
+    } else if (static_cast<double>(state.inFlight()) >= maximumOccupancy * slots) {
+        ++counts.full;
+    } else if (now < state.unreachableUntil) {
+        ++counts.unreachable;
+    } else if (state.lastFailure && now - *state.lastFailure < recentFailureWindow) {
+        ++counts.failed;
+    } else {
+        ++counts.costly;
+        return true;
+    }
+    return false;
+}
+
 void InstanceSelector::forgetUnreachable(std::uint32_t handle)
 {
     InstanceState *state = this->findState(handle);
--- a/libraries/process/health/instanceselector.h
+++ b/libraries/process/health/instanceselector.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "process/health/grayestimate.h"
+#include "process/health/idleinstances.h"
 #include "process/health/inflightrequests.h"
 #include "process/health/instancequery.h"
 #include "process/health/instancerestrictions.h"
@@ -110,6 +111,10 @@
     /// in_flight. A limit that the instance names follows as "limit=3.600000". An age of -1 means never; an unknown instance gives "gone".
     std::string describeInstance(const std::string &instanceId, SteadyTime now) const;
 
+    /// Instances of a service that are left without requests while over a tenth of its requests aren't served, at most once a second for each service;
+    /// nothing otherwise.
+    std::optional<IdleInstances> takeIdleInstances(const std::string &service, SteadyTime now);
+
     /// Makes an instance that counted as unreachable eligible again, since the path of this VM was the cause.
     void forgetUnreachable(std::uint32_t handle);
 
@@ -154,6 +159,7 @@
         double unserved = 0;
         double ended = 0;
         SteadyTime decayedAt;
+        SteadyTime idleReportedAt;
     };
 
     struct Candidate {
@@ -185,6 +191,8 @@
     Candidate cheapestUnused(std::vector<Candidate> &candidates, SteadyTime now);
     bool needsSpreading(const std::vector<Candidate> &candidates, const Service &service, SteadyTime now) const;
     static bool wasUsedRecently(const InstanceState &state, SteadyTime now);
+    /// Counts an idle instance for the reason that excludes it, and returns whether nothing does.
+    bool countIdle(const RelayMessages::Registration &registration, const InstanceState &state, IdleInstances &counts, SteadyTime now) const;
     static void decay(Service &service, SteadyTime now);
 
     const Options options;
--- a/libraries/process/relay/entrynode.cpp
+++ b/libraries/process/relay/entrynode.cpp
@@ -111,6 +111,14 @@
     return instance;
 }
 
+void logIdleInstances(const IdleInstances &idle, double visibleShare)
+{
+    LOG(INFO) << idle.idle << " of " << idle.ready << " instances of service " << idle.service << " got no request lately while a share of "
+              << idle.unservedShare << " isn't served, at a visible share of " << visibleShare << ": failed " << idle.failed << ", unreachable "
+              << idle.unreachable << ", full " << idle.full << ", restricted " << idle.restricted << ", costly " << idle.costly << "; " << idle.longestIdle
+              << " for " << idle.longestIdleTime.count() << " ms";
+}
+
 RelayMessages::Registration incarnationOf(const hyssophall::fleet::v1::Instance &instance)
 {
     RelayMessages::Registration registration;
@@ -237,9 +245,11 @@
     RelayMessages::InstanceOutcomes &counts = *update.add_outcomes();
     counts.set_started(1);
     hyssophall::fleet::v1::Instance instance;
+    std::optional<IdleInstances> idle;
     {
         std::lock_guard<std::mutex> lock(this->mutex);
         this->board.setVisibleShare(visibleShare);
+        idle = this->board.takeIdleInstances(query.service, this->clock());
         const std::optional<RelayMessages::Registration> chosen
             = this->board.choose(completeQuery, this->routeStatistics.responseBytes(query.route), this->clock());
         if (!chosen) {
@@ -249,6 +259,9 @@
         this->board.applyOwn(counts, this->clock());
         instance = instanceOf(*chosen);
     }
+    if (idle) {
+        logIdleInstances(*idle, visibleShare);
+    }
     this->relayUplink->send(update);
     return instance;
 }
--- a/tests/unit/process/health/instanceselectortest.cpp
+++ b/tests/unit/process/health/instanceselectortest.cpp
@@ -584,6 +584,55 @@
     CATCH_CHECK_FALSE(changes[1].isGray);
 }
 
+// Guards against logs that don't show which instances of a failing service were left without requests, and why.
+CATCH_TEST_CASE("Instances without requests are reported once a second with what excludes them, while their service fails", "[health][ejection-floor]")
+{
+    std::mt19937_64 random(18);
+    InstanceSelector selector(optionsWith(random));
+    std::vector<RelayMessages::Registration> instances;
+    for (int number = 0; number < 6; ++number) {
+        instances.push_back(registrationOf("i-" + std::to_string(number), 1, 1, static_cast<std::uint32_t>(1000 + number)));
+        selector.apply(instances.back());
+    }
+    std::array<RelayMessages::InstanceOutcomes, 5> outcomes;
+    for (std::size_t number = 0; number < outcomes.size(); ++number) {
+        outcomes[number] = outcomesOf(instances[number]);
+    }
+    outcomes[0].set_started(9);
+    selector.apply(outcomes[0], start);
+    const SteadyTime now = start + Milliseconds(1700);
+    outcomes[1].set_failed(1);
+    outcomes[2].set_unreachable(1);
+    outcomes[3].set_started(1);
+    for (std::size_t number = 1; number < 4; ++number) {
+        selector.apply(outcomes[number], now);
+    }
+    selector.addBackoff(outcomes[4].instance(), std::chrono::seconds(1), now);
+    RelayMessages::ServiceUse use;
+    use.set_service("orders");
+    use.set_served(91);
+    use.set_unserved(9);
+    selector.apply(use, now);
+    CATCH_CHECK(!selector.takeIdleInstances("orders", now));
+    selector.apply(use, now);
+    use.set_unserved(30);
+    selector.apply(use, now);
+    const std::optional<IdleInstances> idle = selector.takeIdleInstances("orders", now);
+    CATCH_REQUIRE(idle);
+    CATCH_CHECK(idle->unservedShare == Approx(48.0 / 321));
+    CATCH_CHECK(idle->ready == 6);
+    CATCH_CHECK(idle->idle == 5);
+    CATCH_CHECK(idle->full == 1);
+    CATCH_CHECK(idle->failed == 1);
+    CATCH_CHECK(idle->unreachable == 1);
+    CATCH_CHECK(idle->restricted == 1);
+    CATCH_CHECK(idle->costly == 1);
+    CATCH_CHECK(idle->longestIdle == "i-5");
+    CATCH_CHECK(idle->longestIdleTime < Milliseconds(0));
+    CATCH_CHECK(!selector.takeIdleInstances("orders", now + Milliseconds(900)));
+    CATCH_CHECK(selector.takeIdleInstances("orders", now + Milliseconds(1000)));
+}
+
 // Guards against a forwarded request that is counted against an instance's limit twice: by the VM that chose the instance, and by the one that sends it.
 CATCH_TEST_CASE("An instance whose limit is used up takes a request that another VM has counted, unless it sent Retry-After", "[health][load-shedding]")
 {
