Health: Try each idle instance of a failing service soon, whatever its cost

Cause: after a failure, the cost alone decided when an instance gets a request again. Its estimate returns to the prior of 0.3 and stays above that of any instance with a fresh success, so it's never the cheapest one. Spreading should have taken it, but stopped at three quarters of all instances without a failure within 2 s; those that fail a part of their requests are in use and among them. Besides, all VMs took the cheapest idle instance at once.

Change: while 2 % of a service's requests or more aren't served, each instance that was idle for 1.2 s, hasn't failed for 2 s and is reachable is chosen at random 0.2 s later on average. The VMs share these choices by the rate of the service's requests. Retries still go to the cheapest instance. A request that hung and then succeeded doesn't exclude its instance.

--- a/libraries/process/health/instanceselector.cpp
+++ b/libraries/process/health/instanceselector.cpp
@@ -50,14 +50,14 @@
 constexpr std::uint64_t randomSteps = 1024;
 /// An instance at or above this probability is assumed to be gray. Used only for the log.
 constexpr double assumedGrayProbability = 0.5;
-/// Share of requests that aren't served, refusals included, from which a service's requests are spread over more instances. Low, since
-/// unserved requests of other VMs enter the count with a delay.
+/// Share of requests that aren't served, refusals included, from which a service's requests also go to idle instances. Low, since unserved
+/// requests of other VMs enter the count with a delay.
 constexpr double unservedShareForSpreading = 0.02;
-/// Share of the instances in service that must receive requests while many requests aren't served. The platform requires 0.7 within 2 s.
-constexpr double spreadingTargetShare = 0.75;
-/// An instance counts as receiving requests if one was started there within this time.
-constexpr std::chrono::milliseconds recentUseWindow{1600};
-/// An instance that failed within this time doesn't count as healthy. Equals the 2 s within which the platform requires the spread.
+/// An instance is idle if no request of any VM was started there for this long, and gets one this much later on average. The platform requires
+/// that 0.7 of the sound instances get a request within 2 s.
+constexpr std::chrono::milliseconds idleTime{1200};
+constexpr std::chrono::milliseconds idleChoiceTime{200};
+/// An instance that failed within this time isn't tried only since it is idle. The platform counts it as sound again after this time.
 constexpr std::chrono::milliseconds recentFailureWindow{2000};
 /// Relative fall of the visible share from which the requests in flight of other VMs are dropped. A smaller one leaves few that never end.
 constexpr double notableShareFall = 0.1;
@@ -322,8 +322,8 @@
     if (!query.receivesFleetOutcomes) {
         return *this->chooseWithoutFleetOutcomes(candidates, costs, now).registration;
     }
-    const Candidate chosen = this->needsSpreading(candidates, service, now) ? this->cheapestUnused(candidates, now) : this->cheapest(candidates);
-    return *chosen.registration;
+    const std::optional<Candidate> idle = query.tried.empty() ? this->chooseIdle(candidates, service, now) : std::nullopt;
+    return *(idle ? *idle : this->cheapest(candidates)).registration;
 }
 
 void InstanceSelector::updateGrayState(InstanceState &state, const std::string &service, SteadyTime now) const
@@ -360,6 +360,7 @@
         service.ended += 1;
         state.gray.addFailure(now, this->options.model);
         state.lastFailure = now;
+        state.lastHang = now;
     }
 }
 
@@ -390,33 +391,41 @@
     return *std::min_element(candidates.begin(), candidates.end(), [](const Candidate &left, const Candidate &right) { return left.cost < right.cost; });
 }
 
-bool InstanceSelector::needsSpreading(const std::vector<Candidate> &candidates, const Service &service, SteadyTime now) const
+std::optional<InstanceSelector::Candidate> InstanceSelector::chooseIdle(const std::vector<Candidate> &candidates, const Service &service, SteadyTime now)
 {
     if (service.ended < 1 || service.unserved < unservedShareForSpreading * service.ended) {
-        return false;
+        return std::nullopt;
     }
-    std::ptrdiff_t healthy = 0;
-    std::ptrdiff_t used = 0;
-    for (const Candidate &candidate : candidates) {
-        // An instance without a recent failure may be healthy, even if it received no requests.
-        const bool maybeHealthy
-            = !(candidate.state->lastFailure && now - *candidate.state->lastFailure < recentFailureWindow) && now >= candidate.state->unreachableUntil;
-        healthy += maybeHealthy ? 1 : 0;
-        used += maybeHealthy && wasUsedRecently(*candidate.state, now) ? 1 : 0;
+    std::vector<Candidate> idle;
+    std::copy_if(candidates.begin(), candidates.end(), std::back_inserter(idle), [now](const Candidate &candidate) {
+        return isIdle(*candidate.state, now) && !hasFailedRecently(*candidate.state, now) && now >= candidate.state->unreachableUntil;
+    });
+    // All VMs see the same idle instances, and hear of each other's choices late. So each takes its part of the choices, and any of the instances.
+    const std::chrono::duration<double> choiceTime = idleChoiceTime;
+    const std::chrono::duration<double> countedTime = unservedDecayTime;
+    const double requestsInChoiceTime = service.ended * (choiceTime / countedTime);
+    const double randomFraction = static_cast<double>(this->options.random() % randomSteps) / randomSteps;
+    if (randomFraction * requestsInChoiceTime >= static_cast<double>(idle.size())) {
+        return std::nullopt;
     }
-    return static_cast<double>(used) < spreadingTargetShare * static_cast<double>(healthy);
+    return idle[this->options.random() % idle.size()];
 }
 
-bool InstanceSelector::wasUsedRecently(const InstanceState &state, SteadyTime now)
+bool InstanceSelector::isIdle(const InstanceState &state, SteadyTime now)
 {
-    return state.lastStart && now - *state.lastStart < recentUseWindow;
+    return !state.lastStart || now - *state.lastStart >= idleTime;
+}
+
+bool InstanceSelector::hasFailedRecently(const InstanceState &state, SteadyTime now)
+{
+    // A request that hung and then succeeded was slow.
+    const bool wasSlow = state.lastHang == state.lastFailure && state.lastSuccess > state.lastHang;
+    return state.lastFailure && now - *state.lastFailure < recentFailureWindow && !wasSlow;
 }
 
 InstanceSelector::Candidate InstanceSelector::chooseWithoutFleetOutcomes(std::vector<Candidate> &candidates, const RequestCosts &costs, SteadyTime now)
 {
-    const auto isUnhealthy = [now](const Candidate &candidate) {
-        return now < candidate.state->unreachableUntil || (candidate.state->lastFailure && now - *candidate.state->lastFailure < recentFailureWindow);
-    };
+    const auto isUnhealthy = [now](const Candidate &candidate) { return now < candidate.state->unreachableUntil || hasFailedRecently(*candidate.state, now); };
     if (!std::all_of(candidates.begin(), candidates.end(), isUnhealthy)) {
         std::erase_if(candidates, isUnhealthy);
     }
@@ -429,16 +438,6 @@
     return this->cheapest(candidates);
 }
 
-InstanceSelector::Candidate InstanceSelector::cheapestUnused(std::vector<Candidate> &candidates, SteadyTime now)
-{
-    std::vector<Candidate> unused;
-    std::copy_if(candidates.begin(), candidates.end(), std::back_inserter(unused), [now](const Candidate &candidate) {
-        const bool failedRecently = candidate.state->lastFailure && now - *candidate.state->lastFailure < recentFailureWindow;
-        return !failedRecently && now >= candidate.state->unreachableUntil && !wasUsedRecently(*candidate.state, now);
-    });
-    return unused.empty() ? this->cheapest(candidates) : this->cheapest(unused);
-}
-
 void InstanceSelector::decay(Service &service, SteadyTime now)
 {
     const std::chrono::duration<double> age = now - service.decayedAt;
@@ -484,7 +483,7 @@
             continue;
         }
         ++result.ready;
-        if (wasUsedRecently(state->second, now)) {
+        if (!isIdle(state->second, now)) {
             continue;
         }
         const bool isEligible = this->countIdle(entry.second, state->second, result, now);
@@ -508,7 +507,7 @@
         ++counts.full;
     } else if (now < state.unreachableUntil) {
         ++counts.unreachable;
-    } else if (state.lastFailure && now - *state.lastFailure < recentFailureWindow) {
+    } else if (hasFailedRecently(state, now)) {
         ++counts.failed;
     } else {
         ++counts.costly;
--- a/libraries/process/health/instanceselector.h
+++ b/libraries/process/health/instanceselector.h
@@ -25,7 +25,8 @@
  * The choice takes the instance with the lowest expected cost, where 1 is the cost of a failed request. The cost consists of the probability
  * that the instance is gray, the wait behind the requests in flight there, and the transfer to another failure domain. A failed try costs
  * little while the request may be retried, so first tries also probe instances whose state is uncertain. While many requests for a service
- * aren't served, its requests are spread over more instances, since the state of an instance without requests is unknown. Not thread-safe.
+ * aren't served, each of its instances that hasn't just failed gets a request from time to time, whatever its cost, since an instance without requests
+ * is never found to work again. Not thread-safe.
  */
 class InstanceSelector
 {
@@ -139,7 +140,9 @@
         InstanceRestrictions restrictions;
         bool isAssumedGray = false;
         std::optional<SteadyTime> lastSuccess;
+        /// Last failure that was reported or that a hanging request counts as, and the last one of a hanging request.
         std::optional<SteadyTime> lastFailure;
+        std::optional<SteadyTime> lastHang;
         std::optional<SteadyTime> lastStart;
         SteadyTime unreachableUntil;
         std::chrono::milliseconds unreachableBackoff{0};
@@ -188,9 +191,10 @@
     /// Choice of a VM that receives no outcomes of other VMs. It is mostly random: VMs that were disconnected together share the same last
     /// outcomes, so they would all choose the same instances by cost.
     Candidate chooseWithoutFleetOutcomes(std::vector<Candidate> &candidates, const RequestCosts &costs, SteadyTime now);
-    Candidate cheapestUnused(std::vector<Candidate> &candidates, SteadyTime now);
-    bool needsSpreading(const std::vector<Candidate> &candidates, const Service &service, SteadyTime now) const;
-    static bool wasUsedRecently(const InstanceState &state, SteadyTime now);
+    /// While many requests for the service aren't served, chooses for some of its requests an instance that got none for a while. Nothing otherwise.
+    std::optional<Candidate> chooseIdle(const std::vector<Candidate> &candidates, const Service &service, SteadyTime now);
+    static bool isIdle(const InstanceState &state, SteadyTime now);
+    static bool hasFailedRecently(const InstanceState &state, SteadyTime now);
     /// Counts an idle instance for the reason that excludes it, and returns whether nothing does.
     bool countIdle(const RelayMessages::Registration &registration, const InstanceState &state, IdleInstances &counts, SteadyTime now) const;
     static void decay(Service &service, SteadyTime now);
