Health: Try an idle instance of a failing service that counts as full

An instance with nine requests in flight per three slots was left out of every choice.

Change: while a service fails, an instance that got no request for 1.2 s is chosen as any other idle one, whatever is counted there. What really is in flight for so long counts as hanging and excludes the instance for 2 s first.

Evidence: "An instance that counts as full gets a request ..." chose it 0 times in 5 s before, at least once after.

--- a/libraries/process/health/instanceselector.cpp
+++ b/libraries/process/health/instanceselector.cpp
@@ -311,19 +311,21 @@
             state.otherRequests.clear();
         }
         this->countHangingRequests(state, service, now);
-        const double slots = std::max<std::uint32_t>(1, registration.slots());
-        if (static_cast<double>(state.inFlight()) < maximumOccupancy * slots && state.restrictions.allowsRequest(this->visibleShare, now)) {
+        if (state.restrictions.allowsRequest(this->visibleShare, now)) {
             candidates.push_back({&registration, &state, this->costOf(registration, state, service, costs, now)});
         }
     }
+    if (query.receivesFleetOutcomes && query.tried.empty()) {
+        const std::optional<Candidate> idle = this->chooseIdle(candidates, service, now);
+        if (idle) {
+            return *idle->registration;
+        }
+    }
+    std::erase_if(candidates, [](const Candidate &candidate) { return isFull(*candidate.registration, *candidate.state); });
     if (candidates.empty()) {
         return std::nullopt;
     }
-    if (!query.receivesFleetOutcomes) {
-        return *this->chooseWithoutFleetOutcomes(candidates, costs, now).registration;
-    }
-    const std::optional<Candidate> idle = query.tried.empty() ? this->chooseIdle(candidates, service, now) : std::nullopt;
-    return *(idle ? *idle : this->cheapest(candidates)).registration;
+    return *(query.receivesFleetOutcomes ? this->cheapest(candidates) : this->chooseWithoutFleetOutcomes(candidates, costs, now)).registration;
 }
 
 void InstanceSelector::updateGrayState(InstanceState &state, const std::string &service, SteadyTime now) const
@@ -396,6 +398,7 @@
     if (service.ended < 1 || service.unserved < unservedShareForSpreading * service.ended) {
         return std::nullopt;
     }
+    // An instance that is full is in use. If none of the requests there was started lately, the ends of some were lost.
     std::vector<Candidate> idle;
     std::copy_if(candidates.begin(), candidates.end(), std::back_inserter(idle), [now](const Candidate &candidate) {
         return isIdle(*candidate.state, now) && !hasFailedRecently(*candidate.state, now) && now >= candidate.state->unreachableUntil;
@@ -411,6 +414,12 @@
     return idle[this->options.random() % idle.size()];
 }
 
+bool InstanceSelector::isFull(const RelayMessages::Registration &registration, const InstanceState &state)
+{
+    const double slots = std::max<std::uint32_t>(1, registration.slots());
+    return static_cast<double>(state.inFlight()) >= maximumOccupancy * slots;
+}
+
 bool InstanceSelector::isIdle(const InstanceState &state, SteadyTime now)
 {
     return !state.lastStart || now - *state.lastStart >= idleTime;
@@ -500,10 +509,9 @@
 bool InstanceSelector::countIdle(const RelayMessages::Registration &registration, const InstanceState &state, IdleInstances &counts, SteadyTime now) const
 {
     ++counts.idle;
-    const double slots = std::max<std::uint32_t>(1, registration.slots());
     if (!state.restrictions.takesRequests(now)) {
         ++counts.restricted;
-    } else if (static_cast<double>(state.inFlight()) >= maximumOccupancy * slots) {
+    } else if (isFull(registration, state)) {
         ++counts.full;
     } else if (now < state.unreachableUntil) {
         ++counts.unreachable;
--- a/libraries/process/health/instanceselector.h
+++ b/libraries/process/health/instanceselector.h
@@ -193,6 +193,7 @@
     Candidate chooseWithoutFleetOutcomes(std::vector<Candidate> &candidates, const RequestCosts &costs, SteadyTime now);
     /// While many requests for the service aren't served, chooses for some of its requests an instance that got none for a while. Nothing otherwise.
     std::optional<Candidate> chooseIdle(const std::vector<Candidate> &candidates, const Service &service, SteadyTime now);
+    static bool isFull(const RelayMessages::Registration &registration, const InstanceState &state);
     static bool isIdle(const InstanceState &state, SteadyTime now);
     static bool hasFailedRecently(const InstanceState &state, SteadyTime now);
     /// Counts an idle instance for the reason that excludes it, and returns whether nothing does.
--- a/tests/unit/process/health/instanceselectortest.cpp
+++ b/tests/unit/process/health/instanceselectortest.cpp
@@ -584,6 +584,46 @@
     CATCH_CHECK_FALSE(changes[1].isGray);
 }
 
+// Guards against an instance that is left without requests for seconds since the ends of requests there were lost.
+CATCH_TEST_CASE("An instance that counts as full gets a request after a while without any, while its service fails", "[health][ejection-floor]")
+{
+    std::mt19937_64 random(19);
+    InstanceSelector selector(optionsWith(random));
+    const RelayMessages::Registration full = registrationOf("full", 1, 1, 1000);
+    const RelayMessages::Registration failing = registrationOf("failing", 1, 1, 1001);
+    selector.apply(full);
+    selector.apply(failing);
+    RelayMessages::InstanceOutcomes lost = outcomesOf(full);
+    lost.set_started(9);
+    selector.apply(lost, start);
+    std::size_t chosen = 0;
+    RelayMessages::ServiceUse use;
+    use.set_service("orders");
+    use.set_unserved(1);
+    use.set_served(4);
+    for (Milliseconds at(100); at < Milliseconds(5000); at += Milliseconds(100)) {
+        selector.apply(use, start + at);
+        const std::optional<RelayMessages::Registration> instance = selector.choose(queryOf(), 0, start + at);
+        CATCH_REQUIRE(instance);
+        RelayMessages::InstanceOutcomes started = outcomesOf(*instance);
+        started.set_started(1);
+        if (instance->id() == "full") {
+            // Until then, the requests that were started may be in flight.
+            CATCH_CHECK(at >= Milliseconds(1200));
+            ++chosen;
+        } else {
+            started.set_succeeded(1);
+        }
+        selector.applyOwn(started, start + at);
+    }
+    CATCH_CHECK(chosen >= 1);
+    // Each instance is full and idle, but none of the requests for the service fails.
+    RelayMessages::InstanceOutcomes started = outcomesOf(failing);
+    started.set_started(9);
+    selector.apply(started, start + Milliseconds(5000));
+    CATCH_CHECK(!selector.choose(queryOf(), 0, start + Milliseconds(9900)));
+}
+
 // Guards against logs that don't show which instances of a failing service were left without requests, and why.
 CATCH_TEST_CASE("Instances without requests are reported once a second with what excludes them, while their service fails", "[health][ejection-floor]")
 {
