Health: Try idle instances from their own failure domain first

Each VM chose among all idle instances of a failing service, so most of these requests crossed failure domains, where bytes cost. Now the VMs of the instance's own domain choose it once it was idle for 1.2 s, as often as before all together, and those of other domains from 1.6 s on.

--- a/libraries/process/health/instanceselector.cpp
+++ b/libraries/process/health/instanceselector.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <set>
 #include <utility>
 
 namespace Hyssophall {
@@ -47,7 +48,7 @@
 /// Largest random cost on a VM that receives no outcomes of other VMs. It equals the cost of most requests to another failure domain, so some
 /// requests leave the VM's own domain, whose instances may be busier than the VM knows.
 constexpr double maximumRandomCost = 0.25;
-constexpr std::uint64_t randomSteps = 1024;
+constexpr std::uint64_t randomSteps = 65536;
 /// An instance at or above this probability is assumed to be gray. Used only for the log.
 constexpr double assumedGrayProbability = 0.5;
 /// Share of requests that aren't served, refusals included, from which a service's requests also go to idle instances. Low, since unserved
@@ -56,6 +57,8 @@
 /// An instance is idle if no request of any VM was started there for this long, and gets one this much later on average. The platform requires
 /// that 0.7 of the sound instances get a request within 2 s.
 constexpr std::chrono::milliseconds idleTime{1200};
+/// The same for an instance of another failure domain than the VM's, if no VM of its own domain has chosen it by then.
+constexpr std::chrono::milliseconds idleTimeOfOtherDomain{1600};
 constexpr std::chrono::milliseconds idleChoiceTime{200};
 /// An instance that failed within this time isn't tried only since it is idle. The platform counts it as sound again after this time.
 constexpr std::chrono::milliseconds recentFailureWindow{2000};
@@ -316,7 +319,7 @@
         }
     }
     if (query.receivesFleetOutcomes && query.tried.empty()) {
-        const std::optional<Candidate> idle = this->chooseIdle(candidates, service, now);
+        const std::optional<Candidate> idle = this->chooseIdle(candidates, service, costs, now);
         if (idle) {
             return *idle->registration;
         }
@@ -393,25 +396,37 @@
     return *std::min_element(candidates.begin(), candidates.end(), [](const Candidate &left, const Candidate &right) { return left.cost < right.cost; });
 }
 
-std::optional<InstanceSelector::Candidate> InstanceSelector::chooseIdle(const std::vector<Candidate> &candidates, const Service &service, SteadyTime now)
+std::optional<InstanceSelector::Candidate> InstanceSelector::chooseIdle(
+    const std::vector<Candidate> &candidates, const Service &service, const RequestCosts &costs, SteadyTime now)
 {
     if (service.ended < 1 || service.unserved < unservedShareForSpreading * service.ended) {
         return std::nullopt;
     }
-    // An instance that is full is in use. If none of the requests there was started lately, the ends of some were lost.
-    std::vector<Candidate> idle;
-    std::copy_if(candidates.begin(), candidates.end(), std::back_inserter(idle), [now](const Candidate &candidate) {
-        return isIdle(*candidate.state, now) && !hasFailedRecently(*candidate.state, now) && now >= candidate.state->unreachableUntil;
-    });
-    // All VMs see the same idle instances, and hear of each other's choices late. So each takes its part of the choices, and any of the instances.
+    std::set<std::string> failureDomains;
+    for (const Candidate &candidate : candidates) {
+        failureDomains.insert(candidate.registration->failure_domain());
+    }
+    // Only the VMs of an instance's own failure domain choose it at first, so each of them has to do so more often.
+    const double ownWeight = static_cast<double>(failureDomains.size());
+    std::vector<std::pair<double, Candidate>> idle;
+    double totalWeight = 0;
+    for (const Candidate &candidate : candidates) {
+        // An instance that is full is in use. If none of the requests there was started lately, the ends of some were lost.
+        const bool isOwnDomain = candidate.registration->failure_domain() == costs.failureDomain;
+        if (isIdle(*candidate.state, isOwnDomain ? idleTime : idleTimeOfOtherDomain, now) && !hasFailedRecently(*candidate.state, now)
+            && now >= candidate.state->unreachableUntil) {
+            totalWeight += isOwnDomain ? ownWeight : 1;
+            idle.emplace_back(totalWeight, candidate);
+        }
+    }
+    // All VMs see the same idle instances and hear of each other's choices late. So each chooses by chance, and as often as its requests are a part of all.
     const std::chrono::duration<double> choiceTime = idleChoiceTime;
     const std::chrono::duration<double> countedTime = unservedDecayTime;
     const double requestsInChoiceTime = service.ended * (choiceTime / countedTime);
     const double randomFraction = static_cast<double>(this->options.random() % randomSteps) / randomSteps;
-    if (randomFraction * requestsInChoiceTime >= static_cast<double>(idle.size())) {
-        return std::nullopt;
-    }
-    return idle[this->options.random() % idle.size()];
+    const double drawn = randomFraction * std::max(totalWeight, requestsInChoiceTime);
+    const auto chosen = std::find_if(idle.begin(), idle.end(), [drawn](const std::pair<double, Candidate> &candidate) { return drawn < candidate.first; });
+    return chosen == idle.end() ? std::nullopt : std::optional<Candidate>(chosen->second);
 }
 
 bool InstanceSelector::isFull(const RelayMessages::Registration &registration, const InstanceState &state)
@@ -420,9 +435,9 @@
     return static_cast<double>(state.inFlight()) >= maximumOccupancy * slots;
 }
 
-bool InstanceSelector::isIdle(const InstanceState &state, SteadyTime now)
+bool InstanceSelector::isIdle(const InstanceState &state, std::chrono::milliseconds time, SteadyTime now)
 {
-    return !state.lastStart || now - *state.lastStart >= idleTime;
+    return !state.lastStart || now - *state.lastStart >= time;
 }
 
 bool InstanceSelector::hasFailedRecently(const InstanceState &state, SteadyTime now)
@@ -492,7 +507,7 @@
             continue;
         }
         ++result.ready;
-        if (!isIdle(state->second, now)) {
+        if (!isIdle(state->second, idleTime, now)) {
             continue;
         }
         const bool isEligible = this->countIdle(entry.second, state->second, result, now);
