Relay: Tell VMs at once that their relay has become current

Callers with an unknown key or route got 503 in place of 401 or 404 for up to a heartbeat interval (150 ms) after their VM had its first configuration.

Cause: a relay sends a configuration while the entry with it is being applied, so its replica doesn't count as up to date yet, by a check that may be 20 ms old besides. The VM heard of it with the next heartbeat and denied nothing until then.

Change: once entries are applied, the check is made anew, and a relay that has become current wakes the streams of its VMs.

--- a/libraries/process/control/controlgroup.cpp
+++ b/libraries/process/control/controlgroup.cpp
@@ -216,6 +216,9 @@
     while (!this->stopping) {
         if (this->commitQueue.popUntil(steadyNow() + applyWakeInterval)) {
             this->applyCommitted();
+            if (this->hooks.applied) {
+                this->hooks.applied();
+            }
             this->compactIfDue();
         }
     }
--- a/libraries/process/control/controlgroup.h
+++ b/libraries/process/control/controlgroup.h
@@ -45,6 +45,8 @@
         /// Whether the last change of the roster, the list of the fleet's members, is in force on all serving VMs. Must be thread-safe and not call the group.
         std::function<bool()> isRosterApplied;
         RandomSource random;
+        /// Called by the thread that applies entries whenever it has applied some, without a lock held; may be empty.
+        std::function<void()> applied = nullptr;
     };
 
     /// Number of applied entries after which a snapshot replaces them in the log. A restart applies up to this many entries again, and each copies a
--- a/libraries/process/relay/controlnode.cpp
+++ b/libraries/process/relay/controlnode.cpp
@@ -124,6 +124,11 @@
     // A fleet with relays has no roster.
     groupHooks.isRosterApplied = [] { return true; };
     groupHooks.random = this->hooks.random;
+    groupHooks.applied = [this] {
+        // The result of the last check may be older than what was applied.
+        this->replicaCheckedAt = 0;
+        this->hub->announceCurrent();
+    };
     BOOST_LEAF_ASSIGN(this->ownedGroup, ControlGroup::create(this->settings, *this->machine, groupHooks));
     this->group = this->ownedGroup.get();
     this->proposer = std::make_unique<RemoteChangeProposer>(this->proposerHooks());
--- a/libraries/process/relay/relayhub.cpp
+++ b/libraries/process/relay/relayhub.cpp
@@ -494,6 +494,20 @@
     return status;
 }
 
+void RelayHub::announceCurrent()
+{
+    const bool isCurrent = this->status().current();
+    std::lock_guard<std::mutex> lock(this->mutex);
+    if (isCurrent && !this->isAnnouncedCurrent) {
+        for (const std::shared_ptr<RelaySubscriber> &subscriber : this->subscribers) {
+            if (!subscriber->isRelay()) {
+                subscriber->buffer.wake();
+            }
+        }
+    }
+    this->isAnnouncedCurrent = isCurrent;
+}
+
 std::uint32_t RelayHub::knownVms(SteadyTime now)
 {
     const std::uint32_t seen = this->vms.knownCount(now);
--- a/libraries/process/relay/relayhub.h
+++ b/libraries/process/relay/relayhub.h
@@ -156,6 +156,10 @@
 
     RelayMessages::RelayStatus status();
 
+    /// Tells this relay's VMs at once that it has become current since the previous call, instead of with the next heartbeat. Until they know, VMs answer
+    /// requests that they would deny with 503.
+    void announceCurrent();
+
     /// The largest ratio of admissions in the last window to the limit, over all teams; 1 is the whole limit. Counts all VMs that this relay
     /// receives updates from.
     double largestTeamUse();
@@ -248,6 +252,8 @@
     /// When VMs were last lost, and since when nothing had arrived of those that were lost shortly before that.
     std::optional<SteadyTime> lostAt;
     SteadyTime lostSince;
+    /// Whether the relay was current at the latest call of announceCurrent().
+    bool isAnnouncedCurrent = false;
     Activity activity;
 };
 
--- a/tests/unit/process/relay/relayhubtest.cpp
+++ b/tests/unit/process/relay/relayhubtest.cpp
@@ -93,6 +93,30 @@
 
 } // namespace
 
+// Guards against VMs that answer 503 in place of 401 or 404 for a heartbeat interval after their relay has become current.
+CATCH_TEST_CASE("A relay tells its VMs at once that it has become current", "[relay][config-in-force]")
+{
+    HubFixture fixture;
+    const auto isTold = [&fixture] {
+        const SteadyTime begin = std::chrono::steady_clock::now();
+        const UpdateBuffer::BatchDelay none{Milliseconds(0), Milliseconds(0)};
+        fixture.first->buffer.nextMessage(begin + Milliseconds(1000), none);
+        return std::chrono::steady_clock::now() - begin < Milliseconds(900);
+    };
+    fixture.isReplicaUpToDate = false;
+    fixture.hub->announceCurrent();
+    CATCH_CHECK(!isTold());
+    fixture.isReplicaUpToDate = true;
+    fixture.hub->announceCurrent();
+    CATCH_CHECK(isTold());
+    RelayMessages::Update update;
+    fixture.hub->addStatus(*fixture.first, update);
+    CATCH_CHECK(update.status().current());
+    // Nothing has changed since.
+    fixture.hub->announceCurrent();
+    CATCH_CHECK(!isTold());
+}
+
 // Guards against updates that are sent back to their sender, are delivered twice, or circulate between relays.
 CATCH_TEST_CASE("Updates of a VM reach all other VMs and relays once, updates of a relay reach only VMs", "[relay]")
 {
