Health: Count an idle instance as full until its requests would hang

An instance whose queue is full of slow requests may get none for 1.2 s without any end being lost, and got one more then. It now counts as idle only after the time from which its requests count as hanging (2.5 times the mean latency of its service); from then on they exclude it for 2 s, as before.

--- a/libraries/process/health/instanceselector.cpp
+++ b/libraries/process/health/instanceselector.cpp
@@ -353,7 +353,7 @@
 
 void InstanceSelector::countHangingRequests(InstanceState &state, Service &service, SteadyTime now)
 {
-    const Milliseconds limit = std::max(minimumHangTimeout, service.latency * hangingFactor);
+    const Milliseconds limit = hangTimeout(service);
     std::size_t hanging = 0;
     for (InFlightRequests *requests : {&state.ownRequests, &state.otherRequests}) {
         requests->removeExpired(maximumRequestAge, now);
@@ -411,10 +411,13 @@
     std::vector<std::pair<double, Candidate>> idle;
     double totalWeight = 0;
     for (const Candidate &candidate : candidates) {
-        // An instance that is full is in use. If none of the requests there was started lately, the ends of some were lost.
         const bool isOwnDomain = candidate.registration->failure_domain() == costs.failureDomain;
-        if (isIdle(*candidate.state, isOwnDomain ? idleTime : idleTimeOfOtherDomain, now) && !hasFailedRecently(*candidate.state, now)
-            && now >= candidate.state->unreachableUntil) {
+        Milliseconds time = isOwnDomain ? idleTime : idleTimeOfOtherDomain;
+        if (isFull(*candidate.registration, *candidate.state)) {
+            // Until then, the requests that are counted there may be in flight. Later, the ends of some were lost.
+            time = std::max(time, hangTimeout(service));
+        }
+        if (isIdle(*candidate.state, time, now) && !hasFailedRecently(*candidate.state, now) && now >= candidate.state->unreachableUntil) {
             totalWeight += isOwnDomain ? ownWeight : 1;
             idle.emplace_back(totalWeight, candidate);
         }
@@ -435,7 +438,12 @@
     return static_cast<double>(state.inFlight()) >= maximumOccupancy * slots;
 }
 
-bool InstanceSelector::isIdle(const InstanceState &state, std::chrono::milliseconds time, SteadyTime now)
+std::chrono::duration<double, std::milli> InstanceSelector::hangTimeout(const Service &service)
+{
+    return std::max(minimumHangTimeout, service.latency * hangingFactor);
+}
+
+bool InstanceSelector::isIdle(const InstanceState &state, std::chrono::duration<double, std::milli> time, SteadyTime now)
 {
     return !state.lastStart || now - *state.lastStart >= time;
 }
@@ -511,11 +519,11 @@
             continue;
         }
         const bool isEligible = this->countIdle(entry.second, state->second, result, now);
-        const std::chrono::milliseconds idleTime(ageMilliseconds(state->second.lastStart, now));
-        if (result.longestIdle.empty() || std::pair(isEligible, idleTime) > std::pair(isLongestEligible, result.longestIdleTime)) {
+        const std::chrono::milliseconds idleFor(ageMilliseconds(state->second.lastStart, now));
+        if (result.longestIdle.empty() || std::pair(isEligible, idleFor) > std::pair(isLongestEligible, result.longestIdleTime)) {
             isLongestEligible = isEligible;
             result.longestIdle = entry.first;
-            result.longestIdleTime = idleTime;
+            result.longestIdleTime = idleFor;
         }
     }
     return result.idle > 0 ? std::optional<IdleInstances>(result) : std::nullopt;
--- a/libraries/process/health/instanceselector.h
+++ b/libraries/process/health/instanceselector.h
@@ -194,8 +194,10 @@
     /// While many requests for the service aren't served, chooses for some of its requests an instance that got none for a while. Nothing otherwise.
     std::optional<Candidate> chooseIdle(const std::vector<Candidate> &candidates, const Service &service, const RequestCosts &costs, SteadyTime now);
     static bool isFull(const RelayMessages::Registration &registration, const InstanceState &state);
+    /// Time after which a request counts as hanging.
+    static std::chrono::duration<double, std::milli> hangTimeout(const Service &service);
     /// Whether no request of any VM was started on the instance for this long.
-    static bool isIdle(const InstanceState &state, std::chrono::milliseconds time, SteadyTime now);
+    static bool isIdle(const InstanceState &state, std::chrono::duration<double, std::milli> time, SteadyTime now);
     static bool hasFailedRecently(const InstanceState &state, SteadyTime now);
     /// Counts an idle instance for the reason that excludes it, and returns whether nothing does.
     bool countIdle(const RelayMessages::Registration &registration, const InstanceState &state, IdleInstances &counts, SteadyTime now) const;
--- a/tests/unit/process/health/instanceselectortest.cpp
+++ b/tests/unit/process/health/instanceselectortest.cpp
@@ -619,6 +619,35 @@
     CATCH_CHECK(chosen >= 1);
 }
 
+// Guards against further requests to an instance whose queue is full of slow ones.
+CATCH_TEST_CASE("An instance that is full of requests as long as usual gets no more while it is idle", "[health][ejection-floor]")
+{
+    std::mt19937_64 random(21);
+    InstanceSelector selector(optionsWith(random));
+    const RelayMessages::Registration full = registrationOf("full", 1, 1, 1000);
+    const RelayMessages::Registration other = registrationOf("other", 1, 1, 1001);
+    selector.apply(full);
+    selector.apply(other);
+    RelayMessages::InstanceOutcomes started = outcomesOf(full);
+    started.set_started(9);
+    selector.apply(started, start);
+    for (Milliseconds at(100); at < Milliseconds(2400); at += Milliseconds(20)) {
+        RelayMessages::ServiceUse use;
+        use.set_service("orders");
+        use.set_unserved(1);
+        use.set_served(4);
+        selector.apply(use, start + at);
+        RelayMessages::InstanceOutcomes slow = outcomesOf(other);
+        slow.set_started(1);
+        slow.set_succeeded(1);
+        slow.set_latency_milliseconds(1000);
+        selector.apply(slow, start + at);
+        for (int request = 0; request < 5; ++request) {
+            CATCH_CHECK(selector.choose(queryOf(), 0, start + at)->id() == "other");
+        }
+    }
+}
+
 // Guards against traffic between failure domains, which costs per byte, for tries that VMs of the instance's own domain can make.
 CATCH_TEST_CASE("An idle instance of a failing service is tried by VMs of its own failure domain first", "[health][ejection-floor]")
 {
